--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,1 @@
+//! Stub until the decisions land.
--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,147 @@
+//! What a planner is told, and what it may ask its host to do. Plain data, no logic.
+
+use std::time::Duration;
+
+/// A server, by the small index its host gave it when it was first listed.
+pub type Server = usize;
+pub type Proxy = u16;
+pub type Table = u16;
+pub type Zone = u16;
+/// A set of routes: the sum of 2^k over their positions k.
+pub type RouteSet = u16;
+
+pub trait Host {
+    fn wake(&mut self, at: Duration, token: u32);
+    fn set_line(&mut self, table: Table, server: Server, weight: f32);
+    fn bind(&mut self, proxy: Proxy, table: Table, routes: RouteSet);
+    fn withdraw(&mut self, server: Server, out: bool);
+    /// Sets what share of the routes' calls all joined proxies let in, and when they try again.
+    fn admit(&mut self, routes: RouteSet, level: f32, tries: Tries);
+    fn mark(&mut self, number: u16);
+    fn probe(&mut self, server: Server);
+    fn watch_list(&mut self);
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tries {
+    One,
+    AfterProof,
+    AfterFailure,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One entry of the server list. `age` is the time since the latest start, if that is known.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub server: Server,
+    pub zone: Zone,
+    pub phase: Phase,
+    pub age: Option<Duration>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Repeatable,
+    /// Servers of the group discard a repeat that comes within the window.
+    Marked {
+        group: Group,
+        window: Duration,
+    },
+    Mutating,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Route {
+    pub importance: f64,
+    pub slo: Duration,
+    pub limit: Duration,
+    pub effect: Effect,
+    pub stays_local: bool,
+}
+
+/// How a cold server behaves, and the grace that the rules give.
+#[derive(Clone, Copy, Debug)]
+pub struct Graces {
+    pub warm_up: Duration,
+    pub drain: Duration,
+    /// How long a proxy may be without a line.
+    pub unserved: Duration,
+}
+
+/// What the orders to the proxies have to fit into.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    pub lines_per_s: f64,
+    pub most_waiting: f64,
+    /// Lines that each message costs beyond its own.
+    pub head: f64,
+    /// Messages to one proxy within `window`; 0 for no limit.
+    pub most_messages: usize,
+    pub window: Duration,
+    pub worst_transit: Duration,
+}
+
+/// What the planner may use to see with.
+#[derive(Clone, Debug)]
+pub struct Sight {
+    pub fields: Vec<Field>,
+    pub cycle: Duration,
+    pub probing: bool,
+    /// Unset where the list is pushed; else how long it may go unasked.
+    pub ask_within: Option<Duration>,
+}
+
+/// How the proxies behave on their own.
+#[derive(Clone, Copy, Debug)]
+pub struct DataPlane {
+    pub zones: usize,
+    pub slices: usize,
+    /// Levels are shares of a route's calls; otherwise none are set.
+    pub levels: bool,
+    /// A try that may be followed by another waits this multiple of the SLO time.
+    pub try_factor: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Field {
+    Busy,
+    Pending,
+    CpuShare,
+    ServiceMs,
+    AnsweredPerS,
+    ErrorsPerS,
+    Other,
+}
+
+/// What a zone's proxies met at one server.
+#[derive(Clone, Copy, Debug)]
+pub struct Met<'a> {
+    pub over: Duration,
+    pub tries: u32,
+    pub dropped: u32,
+    /// Mean time of the answered ones, if any were.
+    pub wait: Option<Duration>,
+    /// The load report, in the order of `Sight::fields`; empty if none came.
+    pub report: &'a [f32],
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probed {
+    Answered,
+    /// The server said no: it drains, or has too many probes in hand.
+    Rejected,
+    Failed,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,6 @@
+//! grebespool: a table manager that assigns servers to proxies.
+//!
+//! [`decide`] holds every decision, [`host`] what a planner is told and what it may ask for.
+
+pub mod decide;
+pub mod host;
