--- /dev/null
+++ b/crates/wirehost/src/hosted.rs
@@ -0,0 +1,279 @@
+//! Instances: events turned into calls on their planners, their orders into records.
+
+use crate::frame::{Address, Batch, ENTRY, Fields, Malformed, Reply, malformed};
+use crate::stated::Stated;
+use grebespool::decide::Planner;
+use grebespool::host::*;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The ids of one instance's servers: an address on the wire, a small index inside.
+#[derive(Default)]
+struct Doorway {
+    indices: HashMap<Address, Server>,
+    addresses: Vec<Address>,
+}
+
+impl Doorway {
+    fn enter(&mut self, address: Address) -> Server {
+        *self.indices.entry(address).or_insert_with(|| {
+            self.addresses.push(address);
+            self.addresses.len() - 1
+        })
+    }
+}
+
+struct WireHost {
+    instance: u32,
+    born: f64,
+    door: Rc<RefCell<Doorway>>,
+    reply: Rc<RefCell<Reply>>,
+}
+
+impl WireHost {
+    fn put(&self, code: u16, fields: &[&[u8]]) {
+        self.reply.borrow_mut().put(self.instance, code, fields);
+    }
+
+    fn address(&self, server: Server) -> Address {
+        self.door.borrow().addresses[server]
+    }
+}
+
+/// Table 65535: all joined proxies.
+const EVERY_TABLE: u16 = 65535;
+
+impl Host for WireHost {
+    fn wake(&mut self, at: Duration, token: u32) {
+        let ms = self.born + at.as_secs_f64() * 1000.0;
+        self.put(1030, &[&ms.to_be_bytes(), &token.to_be_bytes()]);
+    }
+    fn set_line(&mut self, table: Table, server: Server, weight: f32) {
+        self.put(
+            1110,
+            &[&weight.to_be_bytes(), &table.to_be_bytes(), &self.address(server)],
+        );
+    }
+    fn bind(&mut self, proxy: Proxy, table: Table, routes: RouteSet) {
+        self.put(
+            1080,
+            &[&proxy.to_be_bytes(), &table.to_be_bytes(), &routes.to_be_bytes()],
+        );
+    }
+    fn withdraw(&mut self, server: Server, out: bool) {
+        self.put(1020, &[&self.address(server), &[u8::from(out)]]);
+    }
+    fn admit(&mut self, routes: RouteSet, level: f32, tries: Tries) {
+        let mode = match tries {
+            Tries::One => 0,
+            Tries::AfterProof => 1,
+            Tries::AfterFailure => 2,
+        };
+        self.put(
+            1060,
+            &[
+                &[mode],
+                &routes.to_be_bytes(),
+                &EVERY_TABLE.to_be_bytes(),
+                &level.to_be_bytes(),
+            ],
+        );
+    }
+    fn mark(&mut self, number: u16) {
+        self.put(1010, &[&[0], &u32::from(number).to_be_bytes()]);
+    }
+    fn probe(&mut self, server: Server) {
+        self.put(1070, &[&self.address(server)]);
+    }
+    fn watch_list(&mut self) {
+        self.put(1040, &[&[1]]);
+    }
+}
+
+struct Instance {
+    born: f64,
+    door: Rc<RefCell<Doorway>>,
+    planner: Planner<WireHost>,
+}
+
+/// One entry of an `Inventory`, before it is known whose list it joins.
+struct Entry {
+    address: Address,
+    zone: Zone,
+    phase: Phase,
+    started: f64,
+}
+
+impl Entry {
+    fn read(bytes: &[u8]) -> Result<Self, Malformed> {
+        let f = Fields(bytes);
+        let phase = match f.u8(11) {
+            0 => Phase::Gone,
+            1 => Phase::Ready,
+            2 => Phase::Draining,
+            other => return malformed(format!("a list entry of phase {other}")),
+        };
+        Ok(Entry {
+            address: f.address(0),
+            zone: f.u16(6),
+            phase,
+            started: f.f64(16),
+        })
+    }
+}
+
+/// All instances of one process. They share nothing but the frames.
+#[derive(Default)]
+pub struct Hosted {
+    instances: BTreeMap<u32, Instance>,
+    lists: [Vec<Entry>; 16],
+    reply: Rc<RefCell<Reply>>,
+}
+
+impl Hosted {
+    pub fn batch(&mut self, frame: &[u8]) -> Result<Vec<u8>, Malformed> {
+        let batch = Batch::parse(frame)?;
+        let mut target = None;
+        for (i, event) in batch.events().enumerate() {
+            self.event(&batch, event, &mut target)
+                .map_err(|m| Malformed(format!("record {i} (code {}): {}", event.u16(0), m.0)))?;
+        }
+        Ok(self.reply.borrow_mut().frame())
+    }
+
+    fn event(&mut self, batch: &Batch, event: Fields, target: &mut Option<u32>) -> Result<(), Malformed> {
+        match event.u16(0) {
+            1150 => *target = Some(event.u32(2)),
+            1140 => {
+                let Some(list) = self.lists.get_mut(usize::from(event.u8(2))) else {
+                    return malformed(format!("list number {}", event.u8(2)));
+                };
+                *list = batch
+                    .tail(event, 3, ENTRY)?
+                    .chunks_exact(ENTRY)
+                    .map(Entry::read)
+                    .collect::<Result<_, _>>()?;
+            }
+            code => {
+                let Some(number) = *target else {
+                    return malformed("an event for no instance");
+                };
+                match code {
+                    1000 => self.born(batch, event, number)?,
+                    1050 => drop(self.instances.remove(&number)),
+                    _ => match self.instances.get_mut(&number) {
+                        Some(instance) => instance.event(batch.clock, event, code, &self.lists)?,
+                        None => return malformed(format!("instance {number} was not started")),
+                    },
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn born(&mut self, batch: &Batch, event: Fields, number: u32) -> Result<(), Malformed> {
+        let stated = Stated::read(batch.tail(event, 10, 1)?)?;
+        let door = Rc::new(RefCell::new(Doorway::default()));
+        let born = batch.clock;
+        let host = WireHost {
+            instance: number,
+            born,
+            door: door.clone(),
+            reply: self.reply.clone(),
+        };
+        let planner = Planner::start(
+            host,
+            event.u64(2),
+            stated.routes()?,
+            stated.plane()?,
+            stated.graces()?,
+            stated.pace()?,
+            stated.sight()?,
+        );
+        self.instances.insert(number, Instance { born, door, planner });
+        Ok(())
+    }
+}
+
+/// A span on the wire; what is no span counts as nought.
+fn span(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or_default()
+}
+
+impl Instance {
+    fn event(&mut self, clock: f64, event: Fields, code: u16, lists: &[Vec<Entry>]) -> Result<(), Malformed> {
+        let now = span(clock - self.born);
+        let server = |at| self.door.borrow().indices.get(&event.address(at)).copied();
+        match code {
+            1010 => match event.u8(2) {
+                how @ 0..=2 => {
+                    let Some(list) = lists.get(usize::from(event.u8(7))) else {
+                        return malformed(format!("list number {}", event.u8(7)));
+                    };
+                    let entries = self.entries(clock, list);
+                    self.planner.list(now, how != 0, &entries);
+                }
+                3 => self.planner.list_failed(now),
+                how => return malformed(format!("a list of sort {how}")),
+            },
+            1020 => self.planner.woken(now, event.u32(2)),
+            1030 => {
+                let result = match event.u16(8) {
+                    100 => Probed::Answered,
+                    302 => Probed::Rejected,
+                    301 | 303..=307 => Probed::Failed,
+                    other => return malformed(format!("a probe result of {other}")),
+                };
+                let report = event.report(18)?;
+                if let Some(s) = server(2) {
+                    self.planner.probed(now, s, result, &report);
+                }
+            }
+            1060 => self.planner.joined(now, event.u16(2), event.u16(4)),
+            1070 => self.planner.left(event.u16(2)),
+            1080 => self.planner.applied(now, event.u32(2) as u16),
+            1090 => {
+                let wait = Some(event.f64(8)).filter(|w| *w > 0.0).map(span);
+                let report = event.report(34)?;
+                let met = Met {
+                    over: span(event.f64(16)),
+                    tries: event.u32(24),
+                    dropped: event.u32(2),
+                    wait,
+                    report: &report,
+                };
+                if let Some(s) = server(28) {
+                    self.planner.met(now, s, &met);
+                }
+            }
+            1100 => {
+                let (route, calls, unanswered) = (event.u8(12), event.u32(13), event.u32(17));
+                self.planner
+                    .came(now, usize::from(route), span(event.f64(2)), calls, unanswered);
+            }
+            // Peers, slices and their stores: nothing is decided on them yet (docs/design.md).
+            1040 | 1110 | 1120 | 1130 => {}
+            _ => return malformed("unknown code"),
+        }
+        Ok(())
+    }
+
+    fn entries(&self, clock: f64, list: &[Entry]) -> Vec<Listed> {
+        let mut door = self.door.borrow_mut();
+        let age = |started: f64| {
+            Some(started)
+                .filter(|s| *s > 0.0 && s.is_finite())
+                .map(|s| span(clock - s))
+        };
+        list.iter()
+            .map(|e| Listed {
+                server: door.enter(e.address),
+                zone: e.zone,
+                phase: e.phase,
+                age: age(e.started),
+            })
+            .collect()
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,1 +1,613 @@
-//! Stub until the decisions land.
+//! The decisions of one planner.
+//!
+//! Start a [`Planner`] with a [`Host`] and what the deployment states, then call one method for each thing
+//! that happens; it answers by calling the host before it returns. The interface is `host.rs`. Times are
+//! spans since the planner's start. Nothing is shared between planners.
+
+use crate::host::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+const INTERVAL: Duration = Duration::from_secs(2);
+const TOKEN_ROUND: u32 = 1;
+const TOKEN_URGENT: u32 = 2;
+
+/// Who is listed, and how cold.
+struct Member {
+    zone: Zone,
+    phase: Phase,
+    warm_at: Duration,
+}
+
+struct Roster {
+    members: Vec<Option<Member>>,
+    asked_at: Option<Duration>,
+}
+
+impl Roster {
+    fn ready(&self, s: Server) -> bool {
+        self.members[s].as_ref().is_some_and(|m| m.phase == Phase::Ready)
+    }
+
+    fn warm(&self, s: Server, now: Duration) -> bool {
+        self.ready(s) && self.members[s].as_ref().is_some_and(|m| m.warm_at <= now)
+    }
+}
+
+/// What was met at one server over one cycle, as it came.
+struct Sample {
+    at: Duration,
+    load: Option<f64>,
+    tries: f64,
+    dropped: f64,
+    wait: Option<f64>,
+}
+
+/// The last few samples of each server; every figure is worked out from them.
+struct Loads {
+    samples: Vec<VecDeque<Sample>>,
+    fields: Vec<Field>,
+    newest: Duration,
+}
+
+impl Loads {
+    const KEPT: usize = 12;
+    const SMOOTHED_OVER: Duration = Duration::from_secs(4);
+
+    fn figure(&self, report: &[f32]) -> Option<f64> {
+        let value = |field| {
+            let at = self.fields.iter().position(|f| *f == field)?;
+            report
+                .get(at)
+                .map(|v| f64::from(*v))
+                .filter(|v| v.is_finite() && *v >= 0.0)
+        };
+        // A busy share stops at one: what waits tells how far past full a server is.
+        let cpu = value(Field::CpuShare).map(|c| c + 0.1 * value(Field::Pending).unwrap_or(0.0));
+        cpu.or(value(Field::Busy))
+            .or(value(Field::ServiceMs))
+            .or(value(Field::AnsweredPerS))
+    }
+
+    fn take(&mut self, now: Duration, s: Server, met: &Met) {
+        self.newest = now;
+        let load = self.figure(met.report);
+        let list = &mut self.samples[s];
+        if list.len() == Self::KEPT {
+            list.pop_front();
+        }
+        list.push_back(Sample {
+            at: now,
+            load,
+            tries: f64::from(met.tries),
+            dropped: f64::from(met.dropped),
+            wait: met.wait.map(|w| w.as_secs_f64()),
+        });
+    }
+
+    fn since(&self, s: Server, from: Duration) -> impl Iterator<Item = &Sample> {
+        self.samples[s].iter().filter(move |x| x.at > from)
+    }
+
+    fn smoothed(&self, s: Server, now: Duration) -> Option<f64> {
+        mean(
+            self.since(s, now.saturating_sub(Self::SMOOTHED_OVER))
+                .filter_map(|x| x.load),
+        )
+    }
+
+    fn last(&self, s: Server) -> Option<Duration> {
+        self.samples[s].back().map(|x| x.at)
+    }
+
+    /// Tries and dropped ones since then.
+    fn tries(&self, s: Server, from: Duration) -> (f64, f64) {
+        self.since(s, from)
+            .fold((0.0, 0.0), |(t, d), x| (t + x.tries, d + x.dropped))
+    }
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, n) = values.fold((0.0, 0usize), |(sum, n), v| (sum + v, n + 1));
+    (n > 0).then(|| sum / n as f64)
+}
+
+/// The mechanism: the weight each server has earned, apart from all exceptions.
+struct Weights {
+    learnt: Vec<Option<f64>>,
+    changed: Vec<Duration>,
+}
+
+impl Weights {
+    const CLAMP: (f64, f64) = (0.8, 1.25);
+    const DEAD_BAND: (f64, f64) = (0.9, 1.1);
+    const CEILING: f64 = 3.0;
+    const DRIFT: f64 = 0.2;
+
+    fn mean(&self) -> f64 {
+        mean(self.learnt.iter().flatten().copied()).unwrap_or(1.0)
+    }
+
+    /// One interval: each server's weight times the pool's mean load over its own.
+    fn scale(&mut self, now: Duration, loads: &[(Server, f64)]) {
+        let Some(pool) = mean(loads.iter().map(|l| l.1)).filter(|m| *m > 0.0) else {
+            return;
+        };
+        for &(s, own) in loads {
+            let ratio = if own > 0.0 { pool / own } else { Self::CLAMP.1 };
+            let factor = ratio.clamp(Self::CLAMP.0, Self::CLAMP.1);
+            if factor > Self::DEAD_BAND.0 && factor < Self::DEAD_BAND.1 {
+                continue;
+            }
+            if let Some(w) = &mut self.learnt[s] {
+                *w *= factor;
+                self.changed[s] = now;
+            }
+        }
+        let mean = self.mean();
+        let scale = if (mean - 1.0).abs() > Self::DRIFT {
+            1.0 / mean
+        } else {
+            1.0
+        };
+        let most = Self::CEILING * mean * scale;
+        for w in self.learnt.iter_mut().flatten() {
+            *w = (*w * scale).min(most);
+        }
+    }
+}
+
+/// Whether a server may be used, whatever the list says.
+#[derive(Clone, Copy, PartialEq)]
+enum Verdict {
+    Well,
+    Out { since: Duration, answers: u32 },
+}
+
+struct Health {
+    verdicts: Vec<Verdict>,
+    misses: Vec<u32>,
+    returned: Vec<Duration>,
+}
+
+impl Health {
+    const EVIDENCE: Duration = Duration::from_secs(5);
+    const LEAST_DROPPED: f64 = 4.0;
+    const MOST_OUT: f64 = 0.5;
+    const HOLD: Duration = Duration::from_secs(4);
+
+    fn out(&self, s: Server) -> bool {
+        self.verdicts[s] != Verdict::Well
+    }
+}
+
+/// Steps of a quarter for servers that are fresh or come back.
+struct Ramp {
+    step: Vec<u32>,
+}
+
+impl Ramp {
+    const STEPS: u32 = 4;
+
+    fn part(&self, s: Server) -> f64 {
+        f64::from(self.step[s]) / f64::from(Self::STEPS)
+    }
+
+    /// The steps a server may have reached by its age, against all proxies together pushing it over.
+    fn allowed(now: Duration, warm_at: Duration, warm_up: Duration) -> u32 {
+        if warm_at <= now || warm_up.is_zero() {
+            return Self::STEPS;
+        }
+        let left = (warm_at - now).as_secs_f64() / warm_up.as_secs_f64();
+        1 + ((1.0 - left).max(0.0) * f64::from(Self::STEPS - 1)) as u32
+    }
+}
+
+/// What may be sent now.
+struct Channel {
+    pace: Pace,
+    waiting: f64,
+    drained_at: Duration,
+    sent: VecDeque<Duration>,
+    marks: u16,
+    unanswered: VecDeque<(u16, Duration)>,
+    urgent_set: bool,
+}
+
+impl Channel {
+    fn slow(&self, now: Duration) -> bool {
+        let patience = self.pace.worst_transit * 2;
+        self.unanswered
+            .front()
+            .is_some_and(|m| now.saturating_sub(m.1) > patience)
+    }
+
+    fn drain(&mut self, now: Duration) {
+        let rate = self.pace.lines_per_s * if self.slow(now) { 0.125 } else { 1.0 };
+        let gone = (now - self.drained_at).as_secs_f64() * rate;
+        self.waiting = (self.waiting - gone).max(0.0);
+        self.drained_at = now;
+        while self
+            .sent
+            .front()
+            .is_some_and(|t| now.saturating_sub(*t) > self.pace.window)
+        {
+            self.sent.pop_front();
+        }
+    }
+
+    fn room(&mut self, now: Duration, lines: f64, share: f64) -> bool {
+        self.drain(now);
+        self.waiting + lines <= self.pace.most_waiting * share
+    }
+
+    /// Ordinary pushes leave half the messages for drains and withdrawals; two stay for binding.
+    fn may_message(&mut self, now: Duration, urgent: bool) -> bool {
+        self.drain(now);
+        let most = self.pace.most_messages;
+        most == 0 || self.sent.len() < if urgent { most.saturating_sub(2) } else { most / 2 }
+    }
+}
+
+struct Joined {
+    proxy: Proxy,
+    zone: Zone,
+    bound: bool,
+}
+
+struct Pool {
+    table: Table,
+    only: Option<Zone>,
+    routes: RouteSet,
+    written: Vec<f32>,
+}
+
+pub struct Planner<H> {
+    host: H,
+    rng: Pcg64Mcg,
+    routes: Vec<Route>,
+    plane: DataPlane,
+    graces: Graces,
+    sight: Sight,
+    roster: Roster,
+    loads: Loads,
+    weights: Weights,
+    health: Health,
+    ramp: Ramp,
+    channel: Channel,
+    pools: Vec<Pool>,
+    proxies: Vec<Joined>,
+}
+
+impl<H: Host> Planner<H> {
+    pub fn start(
+        host: H,
+        seed: u64,
+        routes: Vec<Route>,
+        plane: DataPlane,
+        graces: Graces,
+        pace: Pace,
+        sight: Sight,
+    ) -> Self {
+        let local = routes
+            .iter()
+            .enumerate()
+            .filter(|r| r.1.stays_local)
+            .fold(0, |set, r| set | (1 << r.0));
+        let all = ((1u32 << routes.len().min(16)) - 1) as RouteSet;
+        let mut pools = vec![];
+        if all & !local != 0 {
+            pools.push(Pool {
+                table: 0,
+                only: None,
+                routes: all & !local,
+                written: vec![],
+            });
+        }
+        if local != 0 {
+            for zone in 0..plane.zones as Zone {
+                pools.push(Pool {
+                    table: zone + 1,
+                    only: Some(zone),
+                    routes: local,
+                    written: vec![],
+                });
+            }
+        }
+        let mut planner = Planner {
+            host,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            routes,
+            plane,
+            graces,
+            roster: Roster {
+                members: vec![],
+                asked_at: None,
+            },
+            loads: Loads {
+                samples: vec![],
+                fields: sight.fields.clone(),
+                newest: Duration::ZERO,
+            },
+            weights: Weights {
+                learnt: vec![],
+                changed: vec![],
+            },
+            health: Health {
+                verdicts: vec![],
+                misses: vec![],
+                returned: vec![],
+            },
+            ramp: Ramp { step: vec![] },
+            channel: Channel {
+                pace,
+                waiting: 0.0,
+                drained_at: Duration::ZERO,
+                sent: VecDeque::new(),
+                marks: 0,
+                unanswered: VecDeque::new(),
+                urgent_set: false,
+            },
+            sight,
+            pools,
+            proxies: vec![],
+        };
+        if planner.plane.slices == 0 {
+            planner.host.admit(0, 1.0, Tries::AfterProof);
+        }
+        planner.ask_list(Duration::ZERO);
+        // Planners that start together would otherwise all write in the same instant.
+        let first = INTERVAL.mul_f64(planner.rng.random_range(0.5..1.0));
+        planner.host.wake(first, TOKEN_ROUND);
+        planner
+    }
+
+    // Roster.
+
+    fn ask_list(&mut self, now: Duration) {
+        if self.sight.ask_within.is_some() {
+            self.roster.asked_at = Some(now);
+            self.host.watch_list();
+        }
+    }
+
+    pub fn list(&mut self, now: Duration, whole: bool, entries: &[Listed]) {
+        self.roster.asked_at = None;
+        for entry in entries {
+            self.enter(now, entry);
+        }
+        if whole {
+            for s in 0..self.roster.members.len() {
+                if let Some(m) = &mut self.roster.members[s]
+                    && entries.iter().all(|e| e.server != s)
+                {
+                    m.phase = Phase::Gone;
+                }
+            }
+        }
+        self.push(now, true);
+    }
+
+    fn enter(&mut self, now: Duration, entry: &Listed) {
+        let s = entry.server;
+        if s >= self.roster.members.len() {
+            self.roster.members.resize_with(s + 1, || None);
+            self.loads.samples.resize_with(s + 1, VecDeque::new);
+            self.weights.learnt.resize(s + 1, None);
+            self.weights.changed.resize(s + 1, Duration::ZERO);
+            self.health.verdicts.resize(s + 1, Verdict::Well);
+            self.health.misses.resize(s + 1, 0);
+            self.health.returned.resize(s + 1, Duration::ZERO);
+            self.ramp.step.resize(s + 1, Ramp::STEPS);
+        }
+        let warm_at = match entry.age {
+            Some(age) if age < self.graces.warm_up => now + self.graces.warm_up - age,
+            _ => Duration::ZERO,
+        };
+        let before = self.roster.members[s].as_ref().map(|m| (m.phase, m.warm_at));
+        let fresh = before.is_none_or(|(_, w)| warm_at > w + Duration::from_millis(1));
+        let back = before.is_some_and(|(p, _)| p == Phase::Gone);
+        if entry.phase == Phase::Ready && ((fresh && warm_at > now) || back) {
+            self.ramp.step[s] = 1;
+            self.loads.samples[s].clear();
+            self.health.verdicts[s] = Verdict::Well;
+        }
+        if self.weights.learnt[s].is_none() {
+            self.weights.learnt[s] = Some(self.weights.mean());
+        }
+        self.roster.members[s] = Some(Member {
+            zone: entry.zone,
+            phase: entry.phase,
+            warm_at,
+        });
+    }
+
+    pub fn list_failed(&mut self, now: Duration) {
+        self.ask_list(now);
+    }
+
+    // Joining.
+
+    pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone) {
+        self.proxies.retain(|p| p.proxy != proxy);
+        self.proxies.push(Joined {
+            proxy,
+            zone,
+            bound: false,
+        });
+        self.bind_waiting(now);
+    }
+
+    pub fn left(&mut self, proxy: Proxy) {
+        self.proxies.retain(|p| p.proxy != proxy);
+    }
+
+    fn bind_waiting(&mut self, now: Duration) {
+        if self.plane.slices > 0 {
+            return;
+        }
+        for i in 0..self.proxies.len() {
+            if self.proxies[i].bound {
+                continue;
+            }
+            let zone = self.proxies[i].zone;
+            let mine = |p: &&Pool| p.only.is_none_or(|z| z == zone);
+            let lines: usize = self
+                .pools
+                .iter()
+                .filter(mine)
+                .map(|p| 2 + p.written.iter().filter(|w| **w > 0.0).count())
+                .sum();
+            let cost = lines as f64 + self.channel.pace.head;
+            if !self.channel.room(now, cost, 0.8) {
+                self.wake_urgent(now, Duration::from_millis(100));
+                break;
+            }
+            self.channel.waiting += cost;
+            self.proxies[i].bound = true;
+            for p in self.pools.iter().filter(mine) {
+                self.host.bind(self.proxies[i].proxy, p.table, p.routes);
+            }
+        }
+    }
+
+    fn wake_urgent(&mut self, now: Duration, after: Duration) {
+        if !self.channel.urgent_set {
+            self.channel.urgent_set = true;
+            self.host.wake(now + after, TOKEN_URGENT);
+        }
+    }
+
+    pub fn applied(&mut self, _now: Duration, number: u16) {
+        while self.channel.unanswered.iter().any(|m| m.0 == number) {
+            self.channel.unanswered.pop_front();
+        }
+    }
+
+    // Load.
+
+    pub fn met(&mut self, now: Duration, s: Server, met: &Met) {
+        if s < self.loads.samples.len() {
+            self.loads.take(now, s, met);
+        }
+    }
+
+    // Writing.
+
+    /// The one place where a written weight is made: what was learnt times the exceptions.
+    fn weight(&self, pool: usize, s: Server) -> f64 {
+        let Some(m) = &self.roster.members[s] else {
+            return 0.0;
+        };
+        if m.phase != Phase::Ready || self.pools[pool].only.is_some_and(|z| z != m.zone) || self.health.out(s)
+        {
+            return 0.0;
+        }
+        self.weights.learnt[s].unwrap_or(1.0) * self.ramp.part(s)
+    }
+
+    fn push(&mut self, now: Duration, urgent: bool) {
+        if self.plane.slices > 0 {
+            return;
+        }
+        let mut lines = vec![];
+        for p in 0..self.pools.len() {
+            self.pools[p].written.resize(self.roster.members.len(), 0.0);
+            let mut wanted: Vec<f32> = (0..self.roster.members.len())
+                .map(|s| self.weight(p, s) as f32)
+                .collect();
+            // A table is never emptied by what is believed of servers' health.
+            if wanted.iter().all(|w| *w <= 0.0) {
+                let open = |s| self.roster.ready(s);
+                let zone = self.pools[p].only;
+                for (s, w) in wanted.iter_mut().enumerate() {
+                    let near =
+                        zone.is_none_or(|z| self.roster.members[s].as_ref().is_some_and(|m| m.zone == z));
+                    *w = if open(s) && near {
+                        self.ramp.part(s) as f32
+                    } else {
+                        0.0
+                    };
+                }
+            }
+            for (s, w) in wanted.into_iter().enumerate() {
+                if w != self.pools[p].written[s] {
+                    lines.push((p, s, w));
+                }
+            }
+        }
+        if !lines.is_empty() {
+            let bound = self.proxies.iter().filter(|p| p.bound).count() as f64;
+            let cost = bound * (lines.len() as f64 + self.channel.pace.head + 1.0);
+            let share = if urgent { 0.9 } else { 0.5 };
+            if !self.channel.may_message(now, urgent) || !self.channel.room(now, cost, share) {
+                if urgent {
+                    self.wake_urgent(now, Duration::from_millis(100));
+                }
+                return;
+            }
+            lines.sort_by(|a, b| (a.2 > 0.0).cmp(&(b.2 > 0.0)));
+            for (p, s, w) in lines {
+                self.pools[p].written[s] = w;
+                self.host.set_line(self.pools[p].table, s, w);
+            }
+            self.channel.waiting += cost;
+            if bound > 0.0 {
+                self.channel.sent.push_back(now);
+                self.channel.marks = (self.channel.marks + 1) % 50_000;
+                self.host.mark(self.channel.marks);
+                self.channel.unanswered.push_back((self.channel.marks, now));
+            }
+        }
+        self.bind_waiting(now);
+    }
+
+    // Time.
+
+    pub fn woken(&mut self, now: Duration, token: u32) {
+        match token {
+            TOKEN_ROUND => {
+                self.host.wake(now + INTERVAL, TOKEN_ROUND);
+                self.round(now);
+            }
+            _ => {
+                self.channel.urgent_set = false;
+                self.push(now, true);
+            }
+        }
+    }
+
+    fn round(&mut self, now: Duration) {
+        if self
+            .roster
+            .asked_at
+            .is_some_and(|t| now > t + self.graces.drain * 2)
+        {
+            self.ask_list(now);
+        }
+        for s in 0..self.roster.members.len() {
+            let warm_at = self.roster.members[s]
+                .as_ref()
+                .map_or(Duration::ZERO, |m| m.warm_at);
+            let allowed = Ramp::allowed(now, warm_at, self.graces.warm_up);
+            if self.ramp.step[s] < allowed {
+                self.ramp.step[s] += 1;
+            }
+        }
+        let loads: Vec<(Server, f64)> = (0..self.roster.members.len())
+            .filter(|s| {
+                self.roster.warm(*s, now) && self.ramp.step[*s] == Ramp::STEPS && !self.health.out(*s)
+            })
+            .filter(|s| self.loads.last(*s).is_some_and(|t| t > self.weights.changed[*s]))
+            .filter_map(|s| self.loads.smoothed(s, now).map(|l| (s, l)))
+            .collect();
+        self.weights.scale(now, &loads);
+        self.push(now, false);
+    }
+
+    pub fn probed(&mut self, _now: Duration, _s: Server, _result: Probed, _report: &[f32]) {}
+
+    pub fn came(&mut self, _now: Duration, _route: usize, _over: Duration, _calls: u32, _unanswered: u32) {}
+}
