--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,7 +39,9 @@
 /// What was met at one server over one cycle, as it came.
 struct Sample {
     at: Duration,
+    over: f64,
     load: Option<f64>,
+    cpu: Option<f64>,
     tries: f64,
     dropped: f64,
     wait: Option<f64>,
@@ -74,13 +76,16 @@
     fn take(&mut self, now: Duration, s: Server, met: &Met) {
         self.newest = now;
         let load = self.figure(met.report);
+        let cpu = self.field(met.report, Field::CpuShare);
         let list = &mut self.samples[s];
         if list.len() == Self::KEPT {
             list.pop_front();
         }
         list.push_back(Sample {
             at: now,
+            over: met.over.as_secs_f64(),
             load,
+            cpu,
             tries: f64::from(met.tries),
             dropped: f64::from(met.dropped),
             wait: met.wait.map(|w| w.as_secs_f64()),
@@ -183,16 +188,37 @@
     }
 }
 
+/// What the servers are sent, as a part of what they can do; over one, they turn calls away.
+fn pressure(loads: &Loads, now: Duration, warm: &[Server]) -> f64 {
+    let from = now.saturating_sub(Loads::SMOOTHED_OVER);
+    let (mut sent, mut able) = (0.0, 0.0);
+    for s in warm {
+        let (tries, dropped) = loads.tries(*s, from);
+        // A server that answers while it reports nothing is taken to be well used.
+        let cpu = mean(loads.since(*s, from).filter_map(|x| x.cpu)).unwrap_or(0.7);
+        sent += tries;
+        able += (tries - dropped).max(0.0) / cpu.clamp(0.05, 1.0);
+    }
+    if able > 0.0 { sent / able } else { 1.0 }
+}
+
 /// Steps of a quarter for servers that are fresh or come back.
 struct Ramp {
     step: Vec<u32>,
+    pressure: f64,
 }
 
 impl Ramp {
     const STEPS: u32 = 4;
 
+    /// Guards against repeats and refusals: a crowded pool sends a cold server several times its share.
     fn part(&self, s: Server) -> f64 {
-        f64::from(self.step[s]) / f64::from(Self::STEPS)
+        let step = f64::from(self.step[s]) / f64::from(Self::STEPS);
+        if self.step[s] == Self::STEPS {
+            step
+        } else {
+            step / self.pressure.max(1.0)
+        }
     }
 
     /// The steps a server may have reached by its age, against all proxies together pushing it over.
@@ -340,7 +366,10 @@
                 misses: vec![],
                 returned: vec![],
             },
-            ramp: Ramp { step: vec![] },
+            ramp: Ramp {
+                step: vec![],
+                pressure: 1.0,
+            },
             channel: Channel {
                 pace,
                 waiting: 0.0,
@@ -596,6 +625,10 @@
                 self.ramp.step[s] += 1;
             }
         }
+        let warm: Vec<Server> = (0..self.roster.members.len())
+            .filter(|s| self.roster.warm(*s, now))
+            .collect();
+        self.ramp.pressure = (pressure(&self.loads, now, &warm) * 2.0).ceil() / 2.0;
         let loads: Vec<(Server, f64)> = (0..self.roster.members.len())
             .filter(|s| {
                 self.roster.warm(*s, now) && self.ramp.step[*s] == Ramp::STEPS && !self.health.out(*s)
