--- a/src/decide.rs
+++ b/src/decide.rs
@@ -58,14 +58,16 @@
     const KEPT: usize = 12;
     const SMOOTHED_OVER: Duration = Duration::from_secs(4);
 
+    fn field(&self, report: &[f32], field: Field) -> Option<f64> {
+        let at = self.fields.iter().position(|f| *f == field)?;
+        report
+            .get(at)
+            .map(|v| f64::from(*v))
+            .filter(|v| v.is_finite() && *v >= 0.0)
+    }
+
     fn figure(&self, report: &[f32]) -> Option<f64> {
-        let value = |field| {
-            let at = self.fields.iter().position(|f| *f == field)?;
-            report
-                .get(at)
-                .map(|v| f64::from(*v))
-                .filter(|v| v.is_finite() && *v >= 0.0)
-        };
+        let value = |field| self.field(report, field);
         // A busy share stops at one: what waits tells how far past full a server is.
         let cpu = value(Field::CpuShare).map(|c| c + 0.1 * value(Field::Pending).unwrap_or(0.0));
         cpu.or(value(Field::Busy))
