--- a/crates/wirehost/src/frame.rs
+++ b/crates/wirehost/src/frame.rs
@@ -77,10 +77,7 @@
         let (body, count) = (&frame[BATCH_HEAD..], head.u32(12) as usize);
         let size = count.saturating_mul(EVENT);
         if size > body.len() {
-            return malformed(format!(
-                "{count} records at byte 12 do not fit into {} bytes",
-                frame.len()
-            ));
+            return malformed(format!("{count} records at byte 12 do not fit into {} bytes", frame.len()));
         }
         let (records, tail) = body.split_at(size);
         Ok(Batch { clock, records, tail })
--- a/crates/wirehost/src/hosted.rs
+++ b/crates/wirehost/src/hosted.rs
@@ -51,16 +51,10 @@
         self.put(1030, &[&ms.to_be_bytes(), &token.to_be_bytes()]);
     }
     fn set_line(&mut self, table: Table, server: Server, weight: f32) {
-        self.put(
-            1110,
-            &[&weight.to_be_bytes(), &table.to_be_bytes(), &self.address(server)],
-        );
+        self.put(1110, &[&weight.to_be_bytes(), &table.to_be_bytes(), &self.address(server)]);
     }
     fn bind(&mut self, proxy: Proxy, table: Table, routes: RouteSet) {
-        self.put(
-            1080,
-            &[&proxy.to_be_bytes(), &table.to_be_bytes(), &routes.to_be_bytes()],
-        );
+        self.put(1080, &[&proxy.to_be_bytes(), &table.to_be_bytes(), &routes.to_be_bytes()]);
     }
     fn withdraw(&mut self, server: Server, out: bool) {
         self.put(1020, &[&self.address(server), &[u8::from(out)]]);
@@ -71,15 +65,7 @@
             Tries::AfterProof => 1,
             Tries::AfterFailure => 2,
         };
-        self.put(
-            1060,
-            &[
-                &[mode],
-                &routes.to_be_bytes(),
-                &EVERY_TABLE.to_be_bytes(),
-                &level.to_be_bytes(),
-            ],
-        );
+        self.put(1060, &[&[mode], &routes.to_be_bytes(), &EVERY_TABLE.to_be_bytes(), &level.to_be_bytes()]);
     }
     fn mark(&mut self, number: u16) {
         self.put(1010, &[&[0], &u32::from(number).to_be_bytes()]);
@@ -115,12 +101,7 @@
             2 => Phase::Draining,
             other => return malformed(format!("a list entry of phase {other}")),
         };
-        Ok(Entry {
-            address: f.address(0),
-            zone: f.u16(6),
-            phase,
-            started: f.f64(16),
-        })
+        Ok(Entry { address: f.address(0), zone: f.u16(6), phase, started: f.f64(16) })
     }
 }
 
@@ -177,12 +158,7 @@
         let stated = Stated::read(batch.tail(event, 10, 1)?)?;
         let door = Rc::new(RefCell::new(Doorway::default()));
         let born = batch.clock;
-        let host = WireHost {
-            instance: number,
-            born,
-            door: door.clone(),
-            reply: self.reply.clone(),
-        };
+        let host = WireHost { instance: number, born, door: door.clone(), reply: self.reply.clone() };
         let planner = Planner::start(
             host,
             event.u64(2),
@@ -249,9 +225,7 @@
                 }
             }
             1100 => {
-                let (route, calls, unanswered) = (event.u8(12), event.u32(13), event.u32(17));
-                self.planner
-                    .came(now, usize::from(route), span(event.f64(2)), calls, unanswered);
+                self.planner.came(now, usize::from(event.u8(12)), event.u32(13));
             }
             // Peers, slices and their stores: nothing is decided on them yet (docs/design.md).
             1040 | 1110 | 1120 | 1130 => {}
@@ -262,11 +236,7 @@
 
     fn entries(&self, clock: f64, list: &[Entry]) -> Vec<Listed> {
         let mut door = self.door.borrow_mut();
-        let age = |started: f64| {
-            Some(started)
-                .filter(|s| *s > 0.0 && s.is_finite())
-                .map(|s| span(clock - s))
-        };
+        let age = |started: f64| Some(started).filter(|s| *s > 0.0 && s.is_finite()).map(|s| span(clock - s));
         list.iter()
             .map(|e| Listed {
                 server: door.enter(e.address),
--- a/crates/wirehost/src/stated.rs
+++ b/crates/wirehost/src/stated.rs
@@ -13,9 +13,7 @@
         let Ok(text) = std::str::from_utf8(text) else {
             return malformed("the settings are not text");
         };
-        Ok(Stated(
-            text.lines().filter_map(|line| line.split_once('=')).collect(),
-        ))
+        Ok(Stated(text.lines().filter_map(|line| line.split_once('=')).collect()))
     }
 
     fn optional<T: FromStr>(&self, key: &str) -> Result<Option<T>, Malformed> {
@@ -48,12 +46,7 @@
     }
 
     fn list(&self, key: &str) -> impl Iterator<Item = &str> {
-        self.0
-            .get(key)
-            .copied()
-            .unwrap_or("")
-            .split(',')
-            .filter(|v| !v.is_empty())
+        self.0.get(key).copied().unwrap_or("").split(',').filter(|v| !v.is_empty())
     }
 
     pub fn routes(&self) -> Result<Vec<Route>, Malformed> {
@@ -62,9 +55,7 @@
             return malformed(format!("setting classes.count is over 16: {count}"));
         }
         let local: Vec<bool> = self.list("familyInfo.staysLocal").map(|v| v == "true").collect();
-        (0..count)
-            .map(|i| self.route(i, local.get(i).copied().unwrap_or(false)))
-            .collect()
+        (0..count).map(|i| self.route(i, local.get(i).copied().unwrap_or(false))).collect()
     }
 
     fn route(&self, i: usize, stays_local: bool) -> Result<Route, Malformed> {
@@ -79,10 +70,7 @@
                     Some("zone") => Group::Zone,
                     _ => Group::Cell,
                 };
-                Effect::Marked {
-                    group,
-                    window: self.span(&key("dedupWindowMs"))?,
-                }
+                Effect::Marked { group, window: self.span(&key("dedupWindowMs"))? }
             }
             "fragile" => Effect::Mutating,
             other => return malformed(format!("setting {} is unknown: {other}", key("effect"))),
@@ -142,11 +130,7 @@
             _ => Field::Other,
         });
         Ok(Sight {
-            fields: if how.as_deref() == Some("off") {
-                vec![]
-            } else {
-                fields.collect()
-            },
+            fields: if how.as_deref() == Some("off") { vec![] } else { fields.collect() },
             cycle: self.span("familyInfo.cycleMs")?,
             probing: self.flag("allowed.probing")?,
             ask_within: match mode.as_deref() {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -60,19 +60,14 @@
 
     fn field(&self, report: &[f32], field: Field) -> Option<f64> {
         let at = self.fields.iter().position(|f| *f == field)?;
-        report
-            .get(at)
-            .map(|v| f64::from(*v))
-            .filter(|v| v.is_finite() && *v >= 0.0)
+        report.get(at).map(|v| f64::from(*v)).filter(|v| v.is_finite() && *v >= 0.0)
     }
 
     fn figure(&self, report: &[f32]) -> Option<f64> {
         let value = |field| self.field(report, field);
         // A busy share stops at one: what waits tells how far past full a server is.
         let cpu = value(Field::CpuShare).map(|c| c + 0.1 * value(Field::Pending).unwrap_or(0.0));
-        cpu.or(value(Field::Busy))
-            .or(value(Field::ServiceMs))
-            .or(value(Field::AnsweredPerS))
+        cpu.or(value(Field::Busy)).or(value(Field::ServiceMs)).or(value(Field::AnsweredPerS))
     }
 
     fn take(&mut self, now: Duration, s: Server, met: &Met) {
@@ -99,10 +94,7 @@
     }
 
     fn smoothed(&self, s: Server, now: Duration) -> Option<f64> {
-        mean(
-            self.since(s, now.saturating_sub(Self::SMOOTHED_OVER))
-                .filter_map(|x| x.load),
-        )
+        mean(self.since(s, now.saturating_sub(Self::SMOOTHED_OVER)).filter_map(|x| x.load))
     }
 
     fn last(&self, s: Server) -> Option<Duration> {
@@ -111,8 +103,7 @@
 
     /// Tries and dropped ones since then.
     fn tries(&self, s: Server, from: Duration) -> (f64, f64) {
-        self.since(s, from)
-            .fold((0.0, 0.0), |(t, d), x| (t + x.tries, d + x.dropped))
+        self.since(s, from).fold((0.0, 0.0), |(t, d), x| (t + x.tries, d + x.dropped))
     }
 }
 
@@ -154,11 +145,7 @@
             }
         }
         let mean = self.mean();
-        let scale = if (mean - 1.0).abs() > Self::DRIFT {
-            1.0 / mean
-        } else {
-            1.0
-        };
+        let scale = if (mean - 1.0).abs() > Self::DRIFT { 1.0 / mean } else { 1.0 };
         let most = Self::CEILING * mean * scale;
         for w in self.learnt.iter_mut().flatten() {
             *w = (*w * scale).min(most);
@@ -190,18 +177,76 @@
     }
 }
 
-/// What the servers are sent, as a part of what they can do; over one, they turn calls away.
-fn pressure(loads: &Loads, now: Duration, warm: &[Server]) -> f64 {
-    let from = now.saturating_sub(Loads::SMOOTHED_OVER);
+/// What the servers are sent, as a part of what they can do. Only busy servers can be sent too much: tries
+/// that fail at idle ones point to a cut or a fault, which throttling would make worse.
+fn pressure(loads: &Loads, from: Duration, servers: &[Server]) -> Option<f64> {
+    let busy = |s: Server| mean(loads.since(s, from).filter_map(|x| x.cpu));
     let (mut sent, mut able) = (0.0, 0.0);
-    for s in warm {
+    for s in servers {
         let (tries, dropped) = loads.tries(*s, from);
-        // A server that answers while it reports nothing is taken to be well used.
-        let cpu = mean(loads.since(*s, from).filter_map(|x| x.cpu)).unwrap_or(0.7);
-        sent += tries;
-        able += (tries - dropped).max(0.0) / cpu.clamp(0.05, 1.0);
+        if tries > dropped {
+            sent += tries;
+            able += (tries - dropped) / busy(*s).unwrap_or(0.7).clamp(0.05, 1.0);
+        }
+    }
+    let pool = mean(servers.iter().filter_map(|s| busy(*s)));
+    (able > 0.0).then(|| match pool {
+        Some(cpu) if cpu < 0.85 => cpu,
+        _ => sent / able,
+    })
+}
+
+/// How much of each route is let in, and when proxies try again.
+struct Levels {
+    arrived: Vec<VecDeque<(Duration, f64)>>,
+    wanted: Vec<f32>,
+    tries: Tries,
+    written: Vec<(f32, Tries)>,
+    changed: Duration,
+}
+
+impl Levels {
+    const HIGH: f64 = 0.95;
+    const AIM: f64 = 0.85;
+    const LOW: f64 = 0.75;
+    const GAIN: f64 = 1.2;
+
+    fn arrivals(&self, now: Duration, r: usize) -> f64 {
+        let from = now.saturating_sub(Loads::SMOOTHED_OVER);
+        self.arrived[r].iter().filter(|a| a.0 > from).map(|a| a.1).sum::<f64>().max(1.0)
+    }
+
+    /// Lets in what fits, the most important routes first.
+    fn fit(&mut self, now: Duration, pressure: f64, importance: impl Fn(usize) -> f64) {
+        if pressure > 1.0 {
+            // Proxies that try again at a full pool fill it with the same calls.
+            self.tries = Tries::One;
+        } else if pressure < Self::AIM {
+            self.tries = Tries::AfterProof;
+        }
+        let n = self.wanted.len();
+        let calls: Vec<f64> = (0..n).map(|r| self.arrivals(now, r)).collect();
+        let all: f64 = calls.iter().sum();
+        let let_in: f64 = (0..n).map(|r| calls[r] * f64::from(self.wanted[r])).sum();
+        let change = match pressure {
+            p if p > Self::HIGH => Self::AIM / p,
+            p if p < Self::LOW => Self::GAIN.min(Self::AIM / p.max(0.1)),
+            _ => return,
+        };
+        let mut left = (let_in * change).max(0.05 * all);
+        let mut order: Vec<usize> = (0..n).collect();
+        order.sort_by(|a, b| importance(*b).total_cmp(&importance(*a)));
+        let before = self.wanted.clone();
+        for r in order {
+            let level = (left / calls[r]).clamp(0.0, 1.0);
+            left = (left - level * calls[r]).max(0.0);
+            // Coarse steps, so that noise writes no orders.
+            self.wanted[r] = if level > 0.97 { 1.0 } else { (level * 20.0).round() as f32 / 20.0 };
+        }
+        if self.wanted != before {
+            self.changed = now;
+        }
     }
-    if able > 0.0 { sent / able } else { 1.0 }
 }
 
 /// Steps of a quarter for servers that are fresh or come back.
@@ -216,11 +261,7 @@
     /// Guards against repeats and refusals: a crowded pool sends a cold server several times its share.
     fn part(&self, s: Server) -> f64 {
         let step = f64::from(self.step[s]) / f64::from(Self::STEPS);
-        if self.step[s] == Self::STEPS {
-            step
-        } else {
-            step / self.pressure.max(1.0)
-        }
+        if self.step[s] == Self::STEPS { step } else { step / self.pressure.max(1.0) }
     }
 
     /// The steps a server may have reached by its age, against all proxies together pushing it over.
@@ -247,9 +288,7 @@
 impl Channel {
     fn slow(&self, now: Duration) -> bool {
         let patience = self.pace.worst_transit * 2;
-        self.unanswered
-            .front()
-            .is_some_and(|m| now.saturating_sub(m.1) > patience)
+        self.unanswered.front().is_some_and(|m| now.saturating_sub(m.1) > patience)
     }
 
     fn drain(&mut self, now: Duration) {
@@ -257,11 +296,7 @@
         let gone = (now - self.drained_at).as_secs_f64() * rate;
         self.waiting = (self.waiting - gone).max(0.0);
         self.drained_at = now;
-        while self
-            .sent
-            .front()
-            .is_some_and(|t| now.saturating_sub(*t) > self.pace.window)
-        {
+        while self.sent.front().is_some_and(|t| now.saturating_sub(*t) > self.pace.window) {
             self.sent.pop_front();
         }
     }
@@ -304,6 +339,7 @@
     weights: Weights,
     health: Health,
     ramp: Ramp,
+    levels: Levels,
     channel: Channel,
     pools: Vec<Pool>,
     proxies: Vec<Joined>,
@@ -319,58 +355,35 @@
         pace: Pace,
         sight: Sight,
     ) -> Self {
-        let local = routes
-            .iter()
-            .enumerate()
-            .filter(|r| r.1.stays_local)
-            .fold(0, |set, r| set | (1 << r.0));
+        let local = routes.iter().enumerate().filter(|r| r.1.stays_local).fold(0, |set, r| set | (1 << r.0));
         let all = ((1u32 << routes.len().min(16)) - 1) as RouteSet;
         let mut pools = vec![];
         if all & !local != 0 {
-            pools.push(Pool {
-                table: 0,
-                only: None,
-                routes: all & !local,
-                written: vec![],
-            });
+            pools.push(Pool { table: 0, only: None, routes: all & !local, written: vec![] });
         }
         if local != 0 {
             for zone in 0..plane.zones as Zone {
-                pools.push(Pool {
-                    table: zone + 1,
-                    only: Some(zone),
-                    routes: local,
-                    written: vec![],
-                });
+                pools.push(Pool { table: zone + 1, only: Some(zone), routes: local, written: vec![] });
             }
         }
+        let n = routes.len();
         let mut planner = Planner {
             host,
             rng: Pcg64Mcg::seed_from_u64(seed),
             routes,
             plane,
             graces,
-            roster: Roster {
-                members: vec![],
-                asked_at: None,
-            },
-            loads: Loads {
-                samples: vec![],
-                fields: sight.fields.clone(),
-                newest: Duration::ZERO,
-            },
-            weights: Weights {
-                learnt: vec![],
-                changed: vec![],
-            },
-            health: Health {
-                verdicts: vec![],
-                misses: vec![],
-                returned: vec![],
-            },
-            ramp: Ramp {
-                step: vec![],
-                pressure: 1.0,
+            roster: Roster { members: vec![], asked_at: None },
+            loads: Loads { samples: vec![], fields: sight.fields.clone(), newest: Duration::ZERO },
+            weights: Weights { learnt: vec![], changed: vec![] },
+            health: Health { verdicts: vec![], misses: vec![], returned: vec![] },
+            ramp: Ramp { step: vec![], pressure: 1.0 },
+            levels: Levels {
+                arrived: vec![VecDeque::new(); n],
+                wanted: vec![1.0; n],
+                tries: Tries::AfterProof,
+                written: vec![(1.0, Tries::AfterProof); n],
+                changed: Duration::ZERO,
             },
             channel: Channel {
                 pace,
@@ -448,11 +461,7 @@
         if self.weights.learnt[s].is_none() {
             self.weights.learnt[s] = Some(self.weights.mean());
         }
-        self.roster.members[s] = Some(Member {
-            zone: entry.zone,
-            phase: entry.phase,
-            warm_at,
-        });
+        self.roster.members[s] = Some(Member { zone: entry.zone, phase: entry.phase, warm_at });
     }
 
     pub fn list_failed(&mut self, now: Duration) {
@@ -463,11 +472,7 @@
 
     pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone) {
         self.proxies.retain(|p| p.proxy != proxy);
-        self.proxies.push(Joined {
-            proxy,
-            zone,
-            bound: false,
-        });
+        self.proxies.push(Joined { proxy, zone, bound: false });
         self.bind_waiting(now);
     }
 
@@ -546,9 +551,8 @@
         let mut lines = vec![];
         for p in 0..self.pools.len() {
             self.pools[p].written.resize(self.roster.members.len(), 0.0);
-            let mut wanted: Vec<f32> = (0..self.roster.members.len())
-                .map(|s| self.weight(p, s) as f32)
-                .collect();
+            let mut wanted: Vec<f32> =
+                (0..self.roster.members.len()).map(|s| self.weight(p, s) as f32).collect();
             // A table is never emptied by what is believed of servers' health.
             if wanted.iter().all(|w| *w <= 0.0) {
                 let open = |s| self.roster.ready(s);
@@ -556,11 +560,7 @@
                 for (s, w) in wanted.iter_mut().enumerate() {
                     let near =
                         zone.is_none_or(|z| self.roster.members[s].as_ref().is_some_and(|m| m.zone == z));
-                    *w = if open(s) && near {
-                        self.ramp.part(s) as f32
-                    } else {
-                        0.0
-                    };
+                    *w = if open(s) && near { self.ramp.part(s) as f32 } else { 0.0 };
                 }
             }
             for (s, w) in wanted.into_iter().enumerate() {
@@ -569,9 +569,12 @@
                 }
             }
         }
-        if !lines.is_empty() {
+        let levels: Vec<usize> = (0..self.routes.len())
+            .filter(|r| self.levels.written[*r] != (self.levels.wanted[*r], self.levels.tries))
+            .collect();
+        if !lines.is_empty() || !levels.is_empty() {
             let bound = self.proxies.iter().filter(|p| p.bound).count() as f64;
-            let cost = bound * (lines.len() as f64 + self.channel.pace.head + 1.0);
+            let cost = bound * ((lines.len() + levels.len()) as f64 + self.channel.pace.head + 1.0);
             let share = if urgent { 0.9 } else { 0.5 };
             if !self.channel.may_message(now, urgent) || !self.channel.room(now, cost, share) {
                 if urgent {
@@ -584,6 +587,11 @@
                 self.pools[p].written[s] = w;
                 self.host.set_line(self.pools[p].table, s, w);
             }
+            for r in levels {
+                let share = if self.plane.levels { self.levels.wanted[r] } else { 1.0 };
+                self.levels.written[r] = (self.levels.wanted[r], self.levels.tries);
+                self.host.admit(1 << r, share, self.levels.tries);
+            }
             self.channel.waiting += cost;
             if bound > 0.0 {
                 self.channel.sent.push_back(now);
@@ -611,26 +619,26 @@
     }
 
     fn round(&mut self, now: Duration) {
-        if self
-            .roster
-            .asked_at
-            .is_some_and(|t| now > t + self.graces.drain * 2)
-        {
+        if self.roster.asked_at.is_some_and(|t| now > t + self.graces.drain * 2) {
             self.ask_list(now);
         }
         for s in 0..self.roster.members.len() {
-            let warm_at = self.roster.members[s]
-                .as_ref()
-                .map_or(Duration::ZERO, |m| m.warm_at);
+            let warm_at = self.roster.members[s].as_ref().map_or(Duration::ZERO, |m| m.warm_at);
             let allowed = Ramp::allowed(now, warm_at, self.graces.warm_up);
             if self.ramp.step[s] < allowed {
                 self.ramp.step[s] += 1;
             }
         }
-        let warm: Vec<Server> = (0..self.roster.members.len())
-            .filter(|s| self.roster.warm(*s, now))
-            .collect();
-        self.ramp.pressure = (pressure(&self.loads, now, &warm) * 2.0).ceil() / 2.0;
+        let warm: Vec<Server> =
+            (0..self.roster.members.len()).filter(|s| self.roster.warm(*s, now)).collect();
+        let recent = now.saturating_sub(Loads::SMOOTHED_OVER);
+        if let Some(p) = pressure(&self.loads, recent, &warm) {
+            self.ramp.pressure = (p * 2.0).ceil() / 2.0;
+        }
+        let settled = self.levels.changed + self.channel.pace.worst_transit;
+        if let Some(p) = pressure(&self.loads, recent.max(settled), &warm) {
+            self.levels.fit(now, p, |r| self.routes[r].importance);
+        }
         let loads: Vec<(Server, f64)> = (0..self.roster.members.len())
             .filter(|s| {
                 self.roster.warm(*s, now) && self.ramp.step[*s] == Ramp::STEPS && !self.health.out(*s)
@@ -644,5 +652,12 @@
 
     pub fn probed(&mut self, _now: Duration, _s: Server, _result: Probed, _report: &[f32]) {}
 
-    pub fn came(&mut self, _now: Duration, _route: usize, _over: Duration, _calls: u32, _unanswered: u32) {}
+    pub fn came(&mut self, now: Duration, route: usize, calls: u32) {
+        if let Some(list) = self.levels.arrived.get_mut(route) {
+            list.push_back((now, f64::from(calls)));
+            while list.front().is_some_and(|a| now.saturating_sub(a.0) > Loads::SMOOTHED_OVER) {
+                list.pop_front();
+            }
+        }
+    }
 }
