Learn only from reports made after a weight's last change took hold

Cause: late reports made the same change two or three times over; weights swung and did worse than even ones.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -93,8 +93,8 @@
         self.samples[s].iter().filter(move |x| x.at > from)
     }
 
-    fn smoothed(&self, s: Server, now: Duration) -> Option<f64> {
-        mean(self.since(s, now.saturating_sub(Self::SMOOTHED_OVER)).filter_map(|x| x.load))
+    fn smoothed(&self, s: Server, from: Duration) -> Option<f64> {
+        mean(self.since(s, from).filter_map(|x| x.load))
     }
 
     fn last(&self, s: Server) -> Option<Duration> {
@@ -639,12 +639,16 @@
         if let Some(p) = pressure(&self.loads, recent.max(settled), &warm) {
             self.levels.fit(now, p, |r| self.routes[r].importance);
         }
+        let settling = self.sight.cycle + self.channel.pace.worst_transit + Duration::from_millis(1000);
         let loads: Vec<(Server, f64)> = (0..self.roster.members.len())
             .filter(|s| {
                 self.roster.warm(*s, now) && self.ramp.step[*s] == Ramp::STEPS && !self.health.out(*s)
             })
-            .filter(|s| self.loads.last(*s).is_some_and(|t| t > self.weights.changed[*s]))
-            .filter_map(|s| self.loads.smoothed(s, now).map(|l| (s, l)))
+            .filter_map(|s| {
+                // A report from before the last change took hold would have the same change made twice.
+                let from = recent.max(self.weights.changed[s] + settling);
+                self.loads.smoothed(s, from).map(|l| (s, l))
+            })
             .collect();
         self.weights.scale(now, &loads);
         self.push(now, false);
