--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,6 +31,10 @@
         self.members[s].as_ref().is_some_and(|m| m.phase == Phase::Ready)
     }
 
+    fn listed(&self, s: Server) -> bool {
+        self.members[s].as_ref().is_some_and(|m| m.phase != Phase::Gone)
+    }
+
     fn warm(&self, s: Server, now: Duration) -> bool {
         self.ready(s) && self.members[s].as_ref().is_some_and(|m| m.warm_at <= now)
     }
@@ -322,11 +326,22 @@
 
 struct Pool {
     table: Table,
-    only: Option<Zone>,
+    zone: Option<Zone>,
+    /// Its routes may not leave the zone.
+    local: bool,
     routes: RouteSet,
     written: Vec<f32>,
 }
 
+impl Pool {
+    /// What servers of other zones count for beside those of the pool's own.
+    const FAR: f64 = 0.2;
+
+    fn serves(&self, zone: Zone) -> bool {
+        self.zone.is_none_or(|z| z == zone)
+    }
+}
+
 pub struct Planner<H> {
     host: H,
     rng: Pcg64Mcg,
@@ -357,13 +372,11 @@
     ) -> Self {
         let local = routes.iter().enumerate().filter(|r| r.1.stays_local).fold(0, |set, r| set | (1 << r.0));
         let all = ((1u32 << routes.len().min(16)) - 1) as RouteSet;
-        let mut pools = vec![];
-        if all & !local != 0 {
-            pools.push(Pool { table: 0, only: None, routes: all & !local, written: vec![] });
-        }
-        if local != 0 {
-            for zone in 0..plane.zones as Zone {
-                pools.push(Pool { table: zone + 1, only: Some(zone), routes: local, written: vec![] });
+        let zones = if plane.zones > 1 { (0..plane.zones as Zone).map(Some).collect() } else { vec![None] };
+        let mut pools: Vec<Pool> = vec![];
+        for (routes, local) in [(all & !local, false), (local, true)].into_iter().filter(|p| p.0 != 0) {
+            for &zone in &zones {
+                pools.push(Pool { table: pools.len() as Table, zone, local, routes, written: vec![] });
             }
         }
         let n = routes.len();
@@ -489,7 +502,7 @@
                 continue;
             }
             let zone = self.proxies[i].zone;
-            let mine = |p: &&Pool| p.only.is_none_or(|z| z == zone);
+            let mine = |p: &&Pool| p.serves(zone);
             let lines: usize = self
                 .pools
                 .iter()
@@ -532,16 +545,29 @@
 
     // Writing.
 
-    /// The one place where a written weight is made: what was learnt times the exceptions.
-    fn weight(&self, pool: usize, s: Server) -> f64 {
-        let Some(m) = &self.roster.members[s] else {
-            return 0.0;
-        };
-        if m.phase != Phase::Ready || self.pools[pool].only.is_some_and(|z| z != m.zone) || self.health.out(s)
-        {
-            return 0.0;
+    /// What the exceptions leave of a server's learnt weight, apart from where it stands.
+    fn part(&self, s: Server) -> f64 {
+        if !self.roster.ready(s) || self.health.out(s) { 0.0 } else { self.ramp.part(s) }
+    }
+
+    /// The one place where written weights are made: what was learnt times the exceptions.
+    fn compose(&self, pool: &Pool) -> Vec<f32> {
+        let all = 0..self.roster.members.len();
+        let near = |s: Server| self.roster.members[s].as_ref().is_some_and(|m| pool.serves(m.zone));
+        let open = |s: Server| self.roster.ready(s) && (near(s) || !pool.local);
+        let learnt = |s: Server| self.weights.learnt[s].unwrap_or(1.0);
+        let own = all.clone().filter(|s| near(*s) && self.roster.listed(*s));
+        let (full, left) = own.fold((0.0, 0.0), |(f, l), s| (f + learnt(s), l + learnt(s) * self.part(s)));
+        // What a zone has lost, far servers make up for at once, before its cold ones are swamped.
+        let far = Pool::FAR + (1.0 - Pool::FAR) * (1.0 - if full > 0.0 { left / full } else { 0.0 });
+        let part = |s: Server| if near(s) { self.part(s) } else { far * self.part(s) };
+        let weight = |s: Server| if open(s) { (learnt(s) * part(s)) as f32 } else { 0.0 };
+        let weights: Vec<f32> = all.clone().map(weight).collect();
+        if weights.iter().any(|w| *w > 0.0) {
+            return weights;
         }
-        self.weights.learnt[s].unwrap_or(1.0) * self.ramp.part(s)
+        // A table is never emptied by what is believed of servers' health.
+        all.map(|s| if open(s) { self.ramp.part(s) as f32 } else { 0.0 }).collect()
     }
 
     fn push(&mut self, now: Duration, urgent: bool) {
@@ -551,18 +577,7 @@
         let mut lines = vec![];
         for p in 0..self.pools.len() {
             self.pools[p].written.resize(self.roster.members.len(), 0.0);
-            let mut wanted: Vec<f32> =
-                (0..self.roster.members.len()).map(|s| self.weight(p, s) as f32).collect();
-            // A table is never emptied by what is believed of servers' health.
-            if wanted.iter().all(|w| *w <= 0.0) {
-                let open = |s| self.roster.ready(s);
-                let zone = self.pools[p].only;
-                for (s, w) in wanted.iter_mut().enumerate() {
-                    let near =
-                        zone.is_none_or(|z| self.roster.members[s].as_ref().is_some_and(|m| m.zone == z));
-                    *w = if open(s) && near { self.ramp.part(s) as f32 } else { 0.0 };
-                }
-            }
+            let wanted = self.compose(&self.pools[p]);
             for (s, w) in wanted.into_iter().enumerate() {
                 if w != self.pools[p].written[s] {
                     lines.push((p, s, w));
