--- a/src/decide.rs
+++ b/src/decide.rs
@@ -486,7 +486,7 @@
     pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone) {
         self.proxies.retain(|p| p.proxy != proxy);
         self.proxies.push(Joined { proxy, zone, bound: false });
-        self.bind_waiting(now);
+        self.push(now, true);
     }
 
     pub fn left(&mut self, proxy: Proxy) {
@@ -576,6 +576,9 @@
         }
         let mut lines = vec![];
         for p in 0..self.pools.len() {
+            if !self.proxies.iter().any(|x| self.pools[p].serves(x.zone)) {
+                continue;
+            }
             self.pools[p].written.resize(self.roster.members.len(), 0.0);
             let wanted = self.compose(&self.pools[p]);
             for (s, w) in wanted.into_iter().enumerate() {
@@ -595,7 +598,7 @@
                 if urgent {
                     self.wake_urgent(now, Duration::from_millis(100));
                 }
-                return;
+                return self.bind_waiting(now);
             }
             lines.sort_by(|a, b| (a.2 > 0.0).cmp(&(b.2 > 0.0)));
             for (p, s, w) in lines {
