--- a/crates/wirehost/src/hosted.rs
+++ b/crates/wirehost/src/hosted.rs
@@ -202,9 +202,9 @@
                     301 | 303..=307 => Probed::Failed,
                     other => return malformed(format!("a probe result of {other}")),
                 };
-                let report = event.report(18)?;
+                event.report(18)?;
                 if let Some(s) = server(2) {
-                    self.planner.probed(now, s, result, &report);
+                    self.planner.probed(s, result);
                 }
             }
             1060 => self.planner.joined(now, event.u16(2), event.u16(4)),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,6 +13,8 @@
 const INTERVAL: Duration = Duration::from_secs(2);
 const TOKEN_ROUND: u32 = 1;
 const TOKEN_URGENT: u32 = 2;
+const TOKEN_LOOK: u32 = 3;
+const LOOK: Duration = Duration::from_secs(1);
 
 /// Who is listed, and how cold.
 struct Member {
@@ -133,7 +135,7 @@
     }
 
     /// One interval: each server's weight times the pool's mean load over its own.
-    fn scale(&mut self, now: Duration, loads: &[(Server, f64)]) {
+    fn scale(&mut self, now: Duration, loads: &[(Server, f64)], whole: impl Fn(Server) -> bool) {
         let Some(pool) = mean(loads.iter().map(|l| l.1)).filter(|m| *m > 0.0) else {
             return;
         };
@@ -143,6 +145,10 @@
             if factor > Self::DEAD_BAND.0 && factor < Self::DEAD_BAND.1 {
                 continue;
             }
+            // A server held back looks idle because it is held back.
+            if factor > 1.0 && !whole(s) {
+                continue;
+            }
             if let Some(w) = &mut self.learnt[s] {
                 *w *= factor;
                 self.changed[s] = now;
@@ -157,30 +163,49 @@
     }
 }
 
-/// Whether a server may be used, whatever the list says.
-#[derive(Clone, Copy, PartialEq)]
-enum Verdict {
-    Well,
-    Out { since: Duration, answers: u32 },
-}
-
+/// How many quarter steps the evidence allows each server: all, fewer, or none.
 struct Health {
-    verdicts: Vec<Verdict>,
-    misses: Vec<u32>,
-    returned: Vec<Duration>,
+    allowed: Vec<u32>,
+    /// Evidence from before this moment is spent.
+    fresh_from: Vec<Duration>,
+    probes: Vec<(u32, u32)>,
+    hold: Vec<Duration>,
 }
 
 impl Health {
-    const EVIDENCE: Duration = Duration::from_secs(5);
-    const LEAST_DROPPED: f64 = 4.0;
+    const EVIDENCE: Duration = Duration::from_secs(4);
+    const LEAST_TRIES: f64 = 4.0;
     const MOST_OUT: f64 = 0.5;
-    const HOLD: Duration = Duration::from_secs(4);
+    const HOLD: Duration = Duration::from_secs(3);
+    const LONGEST_HOLD: Duration = Duration::from_secs(20);
+    const MANY: f64 = 0.4;
 
-    fn out(&self, s: Server) -> bool {
-        self.verdicts[s] != Verdict::Well
+    /// Steps by the part of tries that was answered, beside the pool's own.
+    fn by_answers(good: f64, pool: f64) -> u32 {
+        match good / pool.max(0.01) {
+            r if r > 0.7 => 4,
+            r if r > 0.4 => 2,
+            r if r > 0.1 => 1,
+            _ => 0,
+        }
+    }
+
+    /// Steps by how long answers take beside the pool's. Slow alone never shuts a server out.
+    fn by_wait(wait: f64, pool: f64, slo: f64) -> u32 {
+        match wait / pool {
+            _ if wait < 0.4 * slo => 4,
+            r if r > 6.0 => 1,
+            r if r > 3.0 => 2,
+            _ => 4,
+        }
     }
 }
 
+fn median(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
+
 /// What the servers are sent, as a part of what they can do. Only busy servers can be sent too much: tries
 /// that fail at idle ones point to a cut or a fault, which throttling would make worse.
 fn pressure(loads: &Loads, from: Duration, servers: &[Server]) -> Option<f64> {
@@ -389,7 +414,7 @@
             roster: Roster { members: vec![], asked_at: None },
             loads: Loads { samples: vec![], fields: sight.fields.clone(), newest: Duration::ZERO },
             weights: Weights { learnt: vec![], changed: vec![] },
-            health: Health { verdicts: vec![], misses: vec![], returned: vec![] },
+            health: Health { allowed: vec![], fresh_from: vec![], probes: vec![], hold: vec![] },
             ramp: Ramp { step: vec![], pressure: 1.0 },
             levels: Levels {
                 arrived: vec![VecDeque::new(); n],
@@ -418,6 +443,7 @@
         // Planners that start together would otherwise all write in the same instant.
         let first = INTERVAL.mul_f64(planner.rng.random_range(0.5..1.0));
         planner.host.wake(first, TOKEN_ROUND);
+        planner.host.wake(first / 2, TOKEN_LOOK);
         planner
     }
 
@@ -454,9 +480,10 @@
             self.loads.samples.resize_with(s + 1, VecDeque::new);
             self.weights.learnt.resize(s + 1, None);
             self.weights.changed.resize(s + 1, Duration::ZERO);
-            self.health.verdicts.resize(s + 1, Verdict::Well);
-            self.health.misses.resize(s + 1, 0);
-            self.health.returned.resize(s + 1, Duration::ZERO);
+            self.health.allowed.resize(s + 1, Ramp::STEPS);
+            self.health.probes.resize(s + 1, (0, 0));
+            self.health.fresh_from.resize(s + 1, Duration::ZERO);
+            self.health.hold.resize(s + 1, Health::HOLD);
             self.ramp.step.resize(s + 1, Ramp::STEPS);
         }
         let warm_at = match entry.age {
@@ -469,7 +496,8 @@
         if entry.phase == Phase::Ready && ((fresh && warm_at > now) || back) {
             self.ramp.step[s] = 1;
             self.loads.samples[s].clear();
-            self.health.verdicts[s] = Verdict::Well;
+            self.health.allowed[s] = Ramp::STEPS;
+            self.health.fresh_from[s] = now;
         }
         if self.weights.learnt[s].is_none() {
             self.weights.learnt[s] = Some(self.weights.mean());
@@ -547,7 +575,7 @@
 
     /// What the exceptions leave of a server's learnt weight, apart from where it stands.
     fn part(&self, s: Server) -> f64 {
-        if !self.roster.ready(s) || self.health.out(s) { 0.0 } else { self.ramp.part(s) }
+        if !self.roster.ready(s) { 0.0 } else { self.ramp.part(s) }
     }
 
     /// The one place where written weights are made: what was learnt times the exceptions.
@@ -567,7 +595,7 @@
             return weights;
         }
         // A table is never emptied by what is believed of servers' health.
-        all.map(|s| if open(s) { self.ramp.part(s) as f32 } else { 0.0 }).collect()
+        all.map(|s| if open(s) { 1.0 } else { 0.0 }).collect()
     }
 
     fn push(&mut self, now: Duration, urgent: bool) {
@@ -629,6 +657,10 @@
                 self.host.wake(now + INTERVAL, TOKEN_ROUND);
                 self.round(now);
             }
+            TOKEN_LOOK => {
+                self.host.wake(now + LOOK, TOKEN_LOOK);
+                self.look(now);
+            }
             _ => {
                 self.channel.urgent_set = false;
                 self.push(now, true);
@@ -642,8 +674,8 @@
         }
         for s in 0..self.roster.members.len() {
             let warm_at = self.roster.members[s].as_ref().map_or(Duration::ZERO, |m| m.warm_at);
-            let allowed = Ramp::allowed(now, warm_at, self.graces.warm_up);
-            if self.ramp.step[s] < allowed {
+            let by_age = Ramp::allowed(now, warm_at, self.graces.warm_up);
+            if self.ramp.step[s] > 0 && self.ramp.step[s] < by_age.min(self.health.allowed[s]) {
                 self.ramp.step[s] += 1;
             }
         }
@@ -659,20 +691,97 @@
         }
         let settling = self.sight.cycle + self.channel.pace.worst_transit + Duration::from_millis(1000);
         let loads: Vec<(Server, f64)> = (0..self.roster.members.len())
-            .filter(|s| {
-                self.roster.warm(*s, now) && self.ramp.step[*s] == Ramp::STEPS && !self.health.out(*s)
-            })
+            .filter(|s| self.roster.warm(*s, now) && self.ramp.step[*s] > 0)
             .filter_map(|s| {
                 // A report from before the last change took hold would have the same change made twice.
                 let from = recent.max(self.weights.changed[s] + settling);
                 self.loads.smoothed(s, from).map(|l| (s, l))
             })
             .collect();
-        self.weights.scale(now, &loads);
+        self.weights.scale(now, &loads, |s| self.ramp.step[s] == Ramp::STEPS);
         self.push(now, false);
     }
 
-    pub fn probed(&mut self, _now: Duration, _s: Server, _result: Probed, _report: &[f32]) {}
+    // Health.
+
+    /// What the evidence says of one server, if there is enough of it.
+    fn evidence(&self, now: Duration, s: Server) -> Option<(f64, Option<f64>)> {
+        let from = now.saturating_sub(Health::EVIDENCE).max(self.health.fresh_from[s]);
+        let (tries, dropped) = self.loads.tries(s, from);
+        let wait = mean(self.loads.since(s, from).filter_map(|x| x.wait));
+        (tries >= Health::LEAST_TRIES).then(|| ((tries - dropped).max(0.0) / tries, wait))
+    }
+
+    /// Guards against servers that drop, hang or crawl, whatever the list says. Where the pool at large
+    /// does no better, or half of it is out already, the fault is taken to lie elsewhere.
+    fn look(&mut self, now: Duration) {
+        let ready: Vec<Server> = (0..self.roster.members.len()).filter(|s| self.roster.ready(*s)).collect();
+        let seen: Vec<_> = ready.iter().filter_map(|s| Some((*s, self.evidence(now, *s)?))).collect();
+        let good = median(seen.iter().map(|x| x.1.0).collect()).unwrap_or(1.0);
+        let wait = median(seen.iter().filter_map(|x| x.1.1).collect());
+        let slo = self.routes.iter().map(|r| r.slo.as_secs_f64()).fold(f64::MAX, f64::min);
+        let mut may_out = (ready.len() as f64 * Health::MOST_OUT) as usize;
+        may_out = may_out.saturating_sub(ready.iter().filter(|s| self.ramp.step[**s] == 0).count());
+        for &(s, (answered, own)) in &seen {
+            if self.ramp.step[s] == 0 {
+                continue;
+            }
+            let by_answers = if good < Health::MANY { 4 } else { Health::by_answers(answered, good) };
+            let by_wait = own.zip(wait).map_or(4, |(o, w)| Health::by_wait(o, w, slo));
+            self.allow(now, s, by_answers.min(by_wait), &mut may_out);
+        }
+        let quiet = self.sight.cycle * 2 + Duration::from_secs(1);
+        for &s in &ready {
+            let heard = self.loads.last(s).unwrap_or(Duration::ZERO).max(self.health.fresh_from[s]);
+            let silent = self.ramp.step[s] > 0 && self.loads.newest > heard + quiet;
+            if self.ramp.step[s] == 0 {
+                self.try_return(now, s);
+            } else if silent && self.sight.probing {
+                if self.health.probes[s].1 >= 2 {
+                    self.allow(now, s, 0, &mut may_out);
+                } else {
+                    self.host.probe(s);
+                }
+            }
+        }
+        self.push(now, true);
+    }
+
+    fn allow(&mut self, now: Duration, s: Server, steps: u32, may_out: &mut usize) {
+        self.health.allowed[s] = steps;
+        if steps == 0 && *may_out == 0 {
+            self.health.allowed[s] = 1;
+        } else if steps == 0 {
+            *may_out -= 1;
+            self.health.probes[s] = (0, 0);
+            self.health.fresh_from[s] = now;
+        }
+        self.ramp.step[s] = self.ramp.step[s].min(self.health.allowed[s]);
+    }
+
+    /// A server that was shut out comes back on a quarter, after probes or, without them, after a while.
+    fn try_return(&mut self, now: Duration, s: Server) {
+        let held = now.saturating_sub(self.health.fresh_from[s]) >= self.health.hold[s];
+        if self.sight.probing && self.health.probes[s].0 < 2 {
+            self.host.probe(s);
+        } else if held {
+            self.ramp.step[s] = 1;
+            self.health.allowed[s] = Ramp::STEPS;
+            self.health.probes[s] = (0, 0);
+            self.health.fresh_from[s] = now + self.channel.pace.worst_transit;
+            self.health.hold[s] = (self.health.hold[s] * 2).min(Health::LONGEST_HOLD);
+        }
+    }
+
+    pub fn probed(&mut self, s: Server, result: Probed) {
+        if let Some((answers, misses)) = self.health.probes.get_mut(s) {
+            match result {
+                Probed::Answered => (*answers, *misses) = (*answers + 1, 0),
+                Probed::Failed => (*answers, *misses) = (0, *misses + 1),
+                Probed::Rejected => {}
+            }
+        }
+    }
 
     pub fn came(&mut self, now: Duration, route: usize, calls: u32) {
         if let Some(list) = self.levels.arrived.get_mut(route) {
