Climb a step each second once the evidence clears

Cause: after a cut healed, its servers stayed held back for eight seconds while the rest were swamped.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -672,13 +672,6 @@
         if self.roster.asked_at.is_some_and(|t| now > t + self.graces.drain * 2) {
             self.ask_list(now);
         }
-        for s in 0..self.roster.members.len() {
-            let warm_at = self.roster.members[s].as_ref().map_or(Duration::ZERO, |m| m.warm_at);
-            let by_age = Ramp::allowed(now, warm_at, self.graces.warm_up);
-            if self.ramp.step[s] > 0 && self.ramp.step[s] < by_age.min(self.health.allowed[s]) {
-                self.ramp.step[s] += 1;
-            }
-        }
         let warm: Vec<Server> =
             (0..self.roster.members.len()).filter(|s| self.roster.warm(*s, now)).collect();
         let recent = now.saturating_sub(Loads::SMOOTHED_OVER);
@@ -744,6 +737,13 @@
                 }
             }
         }
+        for s in 0..self.roster.members.len() {
+            let warm_at = self.roster.members[s].as_ref().map_or(Duration::ZERO, |m| m.warm_at);
+            let by_age = Ramp::allowed(now, warm_at, self.graces.warm_up);
+            if self.ramp.step[s] > 0 && self.ramp.step[s] < by_age.min(self.health.allowed[s]) {
+                self.ramp.step[s] += 1;
+            }
+        }
         self.push(now, true);
     }
 
