--- a/src/decide.rs
+++ b/src/decide.rs
@@ -281,16 +281,18 @@
 /// Steps of a quarter for servers that are fresh or come back.
 struct Ramp {
     step: Vec<u32>,
+    cold: Vec<bool>,
     pressure: f64,
 }
 
 impl Ramp {
     const STEPS: u32 = 4;
 
-    /// Guards against repeats and refusals: a crowded pool sends a cold server several times its share.
+    /// Guards against repeats and refusals: proxies that find the pool crowded, and keep away from what is
+    /// full, send a cold server several times its share. Until it is heard, the pool counts as crowded.
     fn part(&self, s: Server) -> f64 {
         let step = f64::from(self.step[s]) / f64::from(Self::STEPS);
-        if self.step[s] == Self::STEPS { step } else { step / self.pressure.max(1.0) }
+        if self.step[s] == Self::STEPS { step } else { step / self.pressure.max(1.0).powi(2) }
     }
 
     /// The steps a server may have reached by its age, against all proxies together pushing it over.
@@ -415,7 +417,7 @@
             loads: Loads { samples: vec![], fields: sight.fields.clone(), newest: Duration::ZERO },
             weights: Weights { learnt: vec![], changed: vec![] },
             health: Health { allowed: vec![], fresh_from: vec![], probes: vec![], hold: vec![] },
-            ramp: Ramp { step: vec![], pressure: 1.0 },
+            ramp: Ramp { step: vec![], cold: vec![], pressure: 3.0 },
             levels: Levels {
                 arrived: vec![VecDeque::new(); n],
                 wanted: vec![1.0; n],
@@ -485,6 +487,7 @@
             self.health.fresh_from.resize(s + 1, Duration::ZERO);
             self.health.hold.resize(s + 1, Health::HOLD);
             self.ramp.step.resize(s + 1, Ramp::STEPS);
+            self.ramp.cold.resize(s + 1, false);
         }
         let warm_at = match entry.age {
             Some(age) if age < self.graces.warm_up => now + self.graces.warm_up - age,
@@ -495,6 +498,7 @@
         let back = before.is_some_and(|(p, _)| p == Phase::Gone);
         if entry.phase == Phase::Ready && ((fresh && warm_at > now) || back) {
             self.ramp.step[s] = 1;
+            self.ramp.cold[s] = warm_at > now;
             self.loads.samples[s].clear();
             self.health.allowed[s] = Ramp::STEPS;
             self.health.fresh_from[s] = now;
@@ -588,8 +592,14 @@
         let (full, left) = own.fold((0.0, 0.0), |(f, l), s| (f + learnt(s), l + learnt(s) * self.part(s)));
         // What a zone has lost, far servers make up for at once, before its cold ones are swamped.
         let far = Pool::FAR + (1.0 - Pool::FAR) * (1.0 - if full > 0.0 { left / full } else { 0.0 });
-        let part = |s: Server| if near(s) { self.part(s) } else { far * self.part(s) };
-        let weight = |s: Server| if open(s) { (learnt(s) * part(s)) as f32 } else { 0.0 };
+        let place = |s: Server| if near(s) { learnt(s) } else { far * learnt(s) };
+        let cold = |s: Server| self.ramp.cold[s];
+        let warm = all.clone().filter(|s| open(*s) && !cold(*s));
+        let (full, left) = warm.fold((0.0, 0.0), |(f, l), s| (f + place(s), l + place(s) * self.part(s)));
+        // Where warm servers are held back, cold ones would otherwise get what those lose.
+        let thin = if full > 0.0 { left / full } else { 1.0 };
+        let part = |s: Server| if cold(s) { thin * self.part(s) } else { self.part(s) };
+        let weight = |s: Server| if open(s) { (place(s) * part(s)) as f32 } else { 0.0 };
         let weights: Vec<f32> = all.clone().map(weight).collect();
         if weights.iter().any(|w| *w > 0.0) {
             return weights;
@@ -675,9 +685,6 @@
         let warm: Vec<Server> =
             (0..self.roster.members.len()).filter(|s| self.roster.warm(*s, now)).collect();
         let recent = now.saturating_sub(Loads::SMOOTHED_OVER);
-        if let Some(p) = pressure(&self.loads, recent, &warm) {
-            self.ramp.pressure = (p * 2.0).ceil() / 2.0;
-        }
         let settled = self.levels.changed + self.channel.pace.worst_transit;
         if let Some(p) = pressure(&self.loads, recent.max(settled), &warm) {
             self.levels.fit(now, p, |r| self.routes[r].importance);
@@ -708,6 +715,11 @@
     /// Guards against servers that drop, hang or crawl, whatever the list says. Where the pool at large
     /// does no better, or half of it is out already, the fault is taken to lie elsewhere.
     fn look(&mut self, now: Duration) {
+        let warm: Vec<Server> =
+            (0..self.roster.members.len()).filter(|s| self.roster.warm(*s, now)).collect();
+        if let Some(p) = pressure(&self.loads, now.saturating_sub(Loads::SMOOTHED_OVER), &warm) {
+            self.ramp.pressure = (p * 2.0).ceil() / 2.0;
+        }
         let ready: Vec<Server> = (0..self.roster.members.len()).filter(|s| self.roster.ready(*s)).collect();
         let seen: Vec<_> = ready.iter().filter_map(|s| Some((*s, self.evidence(now, *s)?))).collect();
         let good = median(seen.iter().map(|x| x.1.0).collect()).unwrap_or(1.0);
@@ -739,6 +751,7 @@
         }
         for s in 0..self.roster.members.len() {
             let warm_at = self.roster.members[s].as_ref().map_or(Duration::ZERO, |m| m.warm_at);
+            self.ramp.cold[s] = warm_at > now;
             let by_age = Ramp::allowed(now, warm_at, self.graces.warm_up);
             if self.ramp.step[s] > 0 && self.ramp.step[s] < by_age.min(self.health.allowed[s]) {
                 self.ramp.step[s] += 1;
