--- a/src/decide.rs
+++ b/src/decide.rs
@@ -281,7 +281,6 @@
 /// Steps of a quarter for servers that are fresh or come back.
 struct Ramp {
     step: Vec<u32>,
-    cold: Vec<bool>,
     pressure: f64,
 }
 
@@ -417,7 +416,7 @@
             loads: Loads { samples: vec![], fields: sight.fields.clone(), newest: Duration::ZERO },
             weights: Weights { learnt: vec![], changed: vec![] },
             health: Health { allowed: vec![], fresh_from: vec![], probes: vec![], hold: vec![] },
-            ramp: Ramp { step: vec![], cold: vec![], pressure: 3.0 },
+            ramp: Ramp { step: vec![], pressure: 3.0 },
             levels: Levels {
                 arrived: vec![VecDeque::new(); n],
                 wanted: vec![1.0; n],
@@ -487,7 +486,6 @@
             self.health.fresh_from.resize(s + 1, Duration::ZERO);
             self.health.hold.resize(s + 1, Health::HOLD);
             self.ramp.step.resize(s + 1, Ramp::STEPS);
-            self.ramp.cold.resize(s + 1, false);
         }
         let warm_at = match entry.age {
             Some(age) if age < self.graces.warm_up => now + self.graces.warm_up - age,
@@ -498,7 +496,6 @@
         let back = before.is_some_and(|(p, _)| p == Phase::Gone);
         if entry.phase == Phase::Ready && ((fresh && warm_at > now) || back) {
             self.ramp.step[s] = 1;
-            self.ramp.cold[s] = warm_at > now;
             self.loads.samples[s].clear();
             self.health.allowed[s] = Ramp::STEPS;
             self.health.fresh_from[s] = now;
@@ -593,13 +590,7 @@
         // What a zone has lost, far servers make up for at once, before its cold ones are swamped.
         let far = Pool::FAR + (1.0 - Pool::FAR) * (1.0 - if full > 0.0 { left / full } else { 0.0 });
         let place = |s: Server| if near(s) { learnt(s) } else { far * learnt(s) };
-        let cold = |s: Server| self.ramp.cold[s];
-        let warm = all.clone().filter(|s| open(*s) && !cold(*s));
-        let (full, left) = warm.fold((0.0, 0.0), |(f, l), s| (f + place(s), l + place(s) * self.part(s)));
-        // Where warm servers are held back, cold ones would otherwise get what those lose.
-        let thin = if full > 0.0 { left / full } else { 1.0 };
-        let part = |s: Server| if cold(s) { thin * self.part(s) } else { self.part(s) };
-        let weight = |s: Server| if open(s) { (place(s) * part(s)) as f32 } else { 0.0 };
+        let weight = |s: Server| if open(s) { (place(s) * self.part(s)) as f32 } else { 0.0 };
         let weights: Vec<f32> = all.clone().map(weight).collect();
         if weights.iter().any(|w| *w > 0.0) {
             return weights;
@@ -751,7 +742,6 @@
         }
         for s in 0..self.roster.members.len() {
             let warm_at = self.roster.members[s].as_ref().map_or(Duration::ZERO, |m| m.warm_at);
-            self.ramp.cold[s] = warm_at > now;
             let by_age = Ramp::allowed(now, warm_at, self.graces.warm_up);
             if self.ramp.step[s] > 0 && self.ramp.step[s] < by_age.min(self.health.allowed[s]) {
                 self.ramp.step[s] += 1;
