Cut levels by half at most, raise them twofold at most, and wait until a change shows

Cause: a jam read as pressure 3 cut levels to the floor, and a fifth more a round took 25 s to come back.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -238,7 +238,7 @@
     const HIGH: f64 = 0.95;
     const AIM: f64 = 0.85;
     const LOW: f64 = 0.75;
-    const GAIN: f64 = 1.2;
+    const GAIN: f64 = 2.0;
 
     fn arrivals(&self, now: Duration, r: usize) -> f64 {
         let from = now.saturating_sub(Loads::SMOOTHED_OVER);
@@ -258,7 +258,7 @@
         let all: f64 = calls.iter().sum();
         let let_in: f64 = (0..n).map(|r| calls[r] * f64::from(self.wanted[r])).sum();
         let change = match pressure {
-            p if p > Self::HIGH => Self::AIM / p,
+            p if p > Self::HIGH => (Self::AIM / p).max(0.5),
             p if p < Self::LOW => Self::GAIN.min(Self::AIM / p.max(0.1)),
             _ => return,
         };
@@ -676,11 +676,11 @@
         let warm: Vec<Server> =
             (0..self.roster.members.len()).filter(|s| self.roster.warm(*s, now)).collect();
         let recent = now.saturating_sub(Loads::SMOOTHED_OVER);
-        let settled = self.levels.changed + self.channel.pace.worst_transit;
+        let settling = self.sight.cycle + self.channel.pace.worst_transit + Duration::from_millis(1000);
+        let settled = self.levels.changed + settling;
         if let Some(p) = pressure(&self.loads, recent.max(settled), &warm) {
             self.levels.fit(now, p, |r| self.routes[r].importance);
         }
-        let settling = self.sight.cycle + self.channel.pace.worst_transit + Duration::from_millis(1000);
         let loads: Vec<(Server, f64)> = (0..self.roster.members.len())
             .filter(|s| self.roster.warm(*s, now) && self.ramp.step[*s] > 0)
             .filter_map(|s| {
