--- a/src/decide.rs
+++ b/src/decide.rs
@@ -206,23 +206,32 @@
     values.get(values.len() / 2).copied()
 }
 
-/// What the servers are sent, as a part of what they can do. Only busy servers can be sent too much: tries
-/// that fail at idle ones point to a cut or a fault, which throttling would make worse.
-fn pressure(loads: &Loads, from: Duration, servers: &[Server]) -> Option<f64> {
-    let busy = |s: Server| mean(loads.since(s, from).filter_map(|x| x.cpu));
-    let (mut sent, mut able) = (0.0, 0.0);
-    for s in servers {
-        let (tries, dropped) = loads.tries(*s, from);
-        if tries > dropped {
-            sent += tries;
-            able += (tries - dropped) / busy(*s).unwrap_or(0.7).clamp(0.05, 1.0);
-        }
-    }
-    let pool = mean(servers.iter().filter_map(|s| busy(*s)));
-    (able > 0.0).then(|| match pool {
-        Some(cpu) if cpu < 0.85 => cpu,
-        _ => sent / able,
-    })
+/// What the servers were sent and what they could have answered, in calls since then.
+struct Work {
+    sent: f64,
+    able: f64,
+    busy: Option<f64>,
+}
+
+impl Work {
+    fn of(loads: &Loads, from: Duration, servers: &[Server]) -> Option<Work> {
+        let busy = |s: Server| mean(loads.since(s, from).filter_map(|x| x.cpu));
+        let mut work = Work { sent: 0.0, able: 0.0, busy: mean(servers.iter().filter_map(|s| busy(*s))) };
+        for s in servers {
+            let (tries, dropped) = loads.tries(*s, from);
+            if tries > dropped {
+                work.sent += tries;
+                work.able += (tries - dropped) / busy(*s).unwrap_or(0.7).clamp(0.05, 1.0);
+            }
+        }
+        (work.able > 0.0).then_some(work)
+    }
+
+    /// What is sent as a part of what fits. Only busy servers can be sent too much: tries that fail at idle
+    /// ones point to a cut or a fault.
+    fn pressure(&self) -> f64 {
+        self.busy.filter(|cpu| *cpu < 0.85).unwrap_or(self.sent / self.able)
+    }
 }
 
 /// How much of each route is let in, and when proxies try again.
@@ -231,50 +240,36 @@
     wanted: Vec<f32>,
     tries: Tries,
     written: Vec<(f32, Tries)>,
-    changed: Duration,
 }
 
 impl Levels {
-    const HIGH: f64 = 0.95;
-    const AIM: f64 = 0.85;
-    const LOW: f64 = 0.75;
+    const AIM: f64 = 0.9;
     const GAIN: f64 = 2.0;
 
-    fn arrivals(&self, now: Duration, r: usize) -> f64 {
-        let from = now.saturating_sub(Loads::SMOOTHED_OVER);
-        self.arrived[r].iter().filter(|a| a.0 > from).map(|a| a.1).sum::<f64>().max(1.0)
-    }
-
-    /// Lets in what fits, the most important routes first.
-    fn fit(&mut self, now: Duration, pressure: f64, importance: impl Fn(usize) -> f64) {
+    /// Lets in what fits, the most important routes first. Both figures come by the same late reports, so
+    /// their ratio holds while those are late, and a level set before needs no waiting for.
+    fn fit(&mut self, now: Duration, work: &Work, importance: impl Fn(usize) -> f64) {
+        let pressure = work.pressure();
         if pressure > 1.0 {
             // Proxies that try again at a full pool fill it with the same calls.
             self.tries = Tries::One;
-        } else if pressure < Self::AIM {
+        } else if pressure < 0.85 {
             self.tries = Tries::AfterProof;
         }
-        let n = self.wanted.len();
-        let calls: Vec<f64> = (0..n).map(|r| self.arrivals(now, r)).collect();
+        let from = now.saturating_sub(Loads::SMOOTHED_OVER);
+        let calls = |r: usize| self.arrived[r].iter().filter(|a| a.0 > from).map(|a| a.1).sum::<f64>();
+        let calls: Vec<f64> = (0..self.wanted.len()).map(calls).collect();
+        let let_in: f64 = calls.iter().zip(&self.wanted).map(|(c, w)| c * f64::from(*w)).sum();
         let all: f64 = calls.iter().sum();
-        let let_in: f64 = (0..n).map(|r| calls[r] * f64::from(self.wanted[r])).sum();
-        let change = match pressure {
-            p if p > Self::HIGH => (Self::AIM / p).max(0.5),
-            p if p < Self::LOW => Self::GAIN.min(Self::AIM / p.max(0.1)),
-            _ => return,
-        };
-        let mut left = (let_in * change).max(0.05 * all);
-        let mut order: Vec<usize> = (0..n).collect();
+        let mut left = (Self::AIM * work.able).min(Self::GAIN * let_in).max(0.05 * all);
+        let mut order: Vec<usize> = (0..calls.len()).collect();
         order.sort_by(|a, b| importance(*b).total_cmp(&importance(*a)));
-        let before = self.wanted.clone();
-        for r in order {
-            let level = (left / calls[r]).clamp(0.0, 1.0);
+        for r in order.into_iter().filter(|r| calls[*r] > 0.0) {
+            let level = (left / calls[r]).min(1.0);
             left = (left - level * calls[r]).max(0.0);
             // Coarse steps, so that noise writes no orders.
             self.wanted[r] = if level > 0.97 { 1.0 } else { (level * 20.0).round() as f32 / 20.0 };
         }
-        if self.wanted != before {
-            self.changed = now;
-        }
     }
 }
 
@@ -422,7 +417,6 @@
                 wanted: vec![1.0; n],
                 tries: Tries::AfterProof,
                 written: vec![(1.0, Tries::AfterProof); n],
-                changed: Duration::ZERO,
             },
             channel: Channel {
                 pace,
@@ -677,9 +671,8 @@
             (0..self.roster.members.len()).filter(|s| self.roster.warm(*s, now)).collect();
         let recent = now.saturating_sub(Loads::SMOOTHED_OVER);
         let settling = self.sight.cycle + self.channel.pace.worst_transit + Duration::from_millis(1000);
-        let settled = self.levels.changed + settling;
-        if let Some(p) = pressure(&self.loads, recent.max(settled), &warm) {
-            self.levels.fit(now, p, |r| self.routes[r].importance);
+        if let Some(work) = Work::of(&self.loads, recent, &warm) {
+            self.levels.fit(now, &work, |r| self.routes[r].importance);
         }
         let loads: Vec<(Server, f64)> = (0..self.roster.members.len())
             .filter(|s| self.roster.warm(*s, now) && self.ramp.step[*s] > 0)
@@ -708,8 +701,8 @@
     fn look(&mut self, now: Duration) {
         let warm: Vec<Server> =
             (0..self.roster.members.len()).filter(|s| self.roster.warm(*s, now)).collect();
-        if let Some(p) = pressure(&self.loads, now.saturating_sub(Loads::SMOOTHED_OVER), &warm) {
-            self.ramp.pressure = (p * 2.0).ceil() / 2.0;
+        if let Some(work) = Work::of(&self.loads, now.saturating_sub(Loads::SMOOTHED_OVER), &warm) {
+            self.ramp.pressure = (work.pressure() * 2.0).ceil() / 2.0;
         }
         let ready: Vec<Server> = (0..self.roster.members.len()).filter(|s| self.roster.ready(*s)).collect();
         let seen: Vec<_> = ready.iter().filter_map(|s| Some((*s, self.evidence(now, *s)?))).collect();
