--- a/src/decide.rs
+++ b/src/decide.rs
@@ -256,6 +256,10 @@
         } else if pressure < 0.85 {
             self.tries = Tries::AfterProof;
         }
+        // Late reports alone, which come in lumps, are no reason to turn calls away.
+        if pressure < 0.95 && self.wanted.iter().all(|w| *w >= 1.0) {
+            return;
+        }
         let from = now.saturating_sub(Loads::SMOOTHED_OVER);
         let calls = |r: usize| self.arrived[r].iter().filter(|a| a.0 > from).map(|a| a.1).sum::<f64>();
         let calls: Vec<f64> = (0..self.wanted.len()).map(calls).collect();
