--- a/src/decide.rs
+++ b/src/decide.rs
@@ -214,14 +214,15 @@
 }
 
 impl Work {
-    fn of(loads: &Loads, from: Duration, servers: &[Server]) -> Option<Work> {
+    fn of(loads: &Loads, from: Duration) -> Option<Work> {
+        let servers = 0..loads.samples.len();
         let busy = |s: Server| mean(loads.since(s, from).filter_map(|x| x.cpu));
-        let mut work = Work { sent: 0.0, able: 0.0, busy: mean(servers.iter().filter_map(|s| busy(*s))) };
+        let mut work = Work { sent: 0.0, able: 0.0, busy: mean(servers.clone().filter_map(busy)) };
         for s in servers {
-            let (tries, dropped) = loads.tries(*s, from);
+            let (tries, dropped) = loads.tries(s, from);
             if tries > dropped {
                 work.sent += tries;
-                work.able += (tries - dropped) / busy(*s).unwrap_or(0.7).clamp(0.05, 1.0);
+                work.able += (tries - dropped) / busy(s).unwrap_or(0.7).clamp(0.05, 1.0);
             }
         }
         (work.able > 0.0).then_some(work)
@@ -671,11 +672,9 @@
         if self.roster.asked_at.is_some_and(|t| now > t + self.graces.drain * 2) {
             self.ask_list(now);
         }
-        let warm: Vec<Server> =
-            (0..self.roster.members.len()).filter(|s| self.roster.warm(*s, now)).collect();
         let recent = now.saturating_sub(Loads::SMOOTHED_OVER);
         let settling = self.sight.cycle + self.channel.pace.worst_transit + Duration::from_millis(1000);
-        if let Some(work) = Work::of(&self.loads, recent, &warm) {
+        if let Some(work) = Work::of(&self.loads, recent) {
             self.levels.fit(now, &work, |r| self.routes[r].importance);
         }
         let loads: Vec<(Server, f64)> = (0..self.roster.members.len())
@@ -703,9 +702,7 @@
     /// Guards against servers that drop, hang or crawl, whatever the list says. Where the pool at large
     /// does no better, or half of it is out already, the fault is taken to lie elsewhere.
     fn look(&mut self, now: Duration) {
-        let warm: Vec<Server> =
-            (0..self.roster.members.len()).filter(|s| self.roster.warm(*s, now)).collect();
-        if let Some(work) = Work::of(&self.loads, now.saturating_sub(Loads::SMOOTHED_OVER), &warm) {
+        if let Some(work) = Work::of(&self.loads, now.saturating_sub(Loads::SMOOTHED_OVER)) {
             self.ramp.pressure = (work.pressure() * 2.0).ceil() / 2.0;
         }
         let ready: Vec<Server> = (0..self.roster.members.len()).filter(|s| self.roster.ready(*s)).collect();
