--- a/src/decide.rs
+++ b/src/decide.rs
@@ -214,6 +214,8 @@
 }
 
 impl Work {
+    const WINDOW: Duration = Duration::from_secs(2);
+
     fn of(loads: &Loads, from: Duration) -> Option<Work> {
         let servers = 0..loads.samples.len();
         let busy = |s: Server| mean(loads.since(s, from).filter_map(|x| x.cpu));
@@ -249,19 +251,18 @@
 
     /// Lets in what fits, the most important routes first. Both figures come by the same late reports, so
     /// their ratio holds while those are late, and a level set before needs no waiting for.
-    fn fit(&mut self, now: Duration, work: &Work, importance: impl Fn(usize) -> f64) {
+    fn fit(&mut self, from: Duration, work: &Work, importance: impl Fn(usize) -> f64) {
         let pressure = work.pressure();
-        if pressure > 1.0 {
+        if pressure > 0.9 {
             // Proxies that try again at a full pool fill it with the same calls.
             self.tries = Tries::One;
-        } else if pressure < 0.85 {
+        } else if pressure < 0.75 {
             self.tries = Tries::AfterProof;
         }
         // Late reports alone, which come in lumps, are no reason to turn calls away.
         if pressure < 0.95 && self.wanted.iter().all(|w| *w >= 1.0) {
             return;
         }
-        let from = now.saturating_sub(Loads::SMOOTHED_OVER);
         let calls = |r: usize| self.arrived[r].iter().filter(|a| a.0 > from).map(|a| a.1).sum::<f64>();
         let calls: Vec<f64> = (0..self.wanted.len()).map(calls).collect();
         let let_in: f64 = calls.iter().zip(&self.wanted).map(|(c, w)| c * f64::from(*w)).sum();
@@ -291,7 +292,7 @@
     /// full, send a cold server several times its share. Until it is heard, the pool counts as crowded.
     fn part(&self, s: Server) -> f64 {
         let step = f64::from(self.step[s]) / f64::from(Self::STEPS);
-        if self.step[s] == Self::STEPS { step } else { step / self.pressure.max(1.0).powi(2) }
+        if self.step[s] == Self::STEPS { step } else { step * (0.7 / self.pressure).min(1.0).powi(2) }
     }
 
     /// The steps a server may have reached by its age, against all proxies together pushing it over.
@@ -316,6 +317,10 @@
 }
 
 impl Channel {
+    const ORDINARY: f64 = 0.5;
+    const GUARDING: f64 = 0.75;
+    const BINDING: f64 = 1.0;
+
     fn slow(&self, now: Duration) -> bool {
         let patience = self.pace.worst_transit * 2;
         self.unanswered.front().is_some_and(|m| now.saturating_sub(m.1) > patience)
@@ -336,11 +341,11 @@
         self.waiting + lines <= self.pace.most_waiting * share
     }
 
-    /// Ordinary pushes leave half the messages for drains and withdrawals; two stay for binding.
-    fn may_message(&mut self, now: Duration, urgent: bool) -> bool {
+    /// Ordinary pushes leave room for withdrawals, and these for drains; two messages stay for binding.
+    fn may_message(&mut self, now: Duration, share: f64) -> bool {
         self.drain(now);
         let most = self.pace.most_messages;
-        most == 0 || self.sent.len() < if urgent { most.saturating_sub(2) } else { most / 2 }
+        most == 0 || (self.sent.len() as f64) < most.saturating_sub(2) as f64 * share
     }
 }
 
@@ -470,7 +475,7 @@
                 }
             }
         }
-        self.push(now, true);
+        self.push(now, Channel::BINDING);
     }
 
     fn enter(&mut self, now: Duration, entry: &Listed) {
@@ -514,7 +519,7 @@
     pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone) {
         self.proxies.retain(|p| p.proxy != proxy);
         self.proxies.push(Joined { proxy, zone, bound: false });
-        self.push(now, true);
+        self.push(now, Channel::BINDING);
     }
 
     pub fn left(&mut self, proxy: Proxy) {
@@ -598,7 +603,7 @@
         all.map(|s| if open(s) { 1.0 } else { 0.0 }).collect()
     }
 
-    fn push(&mut self, now: Duration, urgent: bool) {
+    fn push(&mut self, now: Duration, share: f64) {
         if self.plane.slices > 0 {
             return;
         }
@@ -621,9 +626,8 @@
         if !lines.is_empty() || !levels.is_empty() {
             let bound = self.proxies.iter().filter(|p| p.bound).count() as f64;
             let cost = bound * ((lines.len() + levels.len()) as f64 + self.channel.pace.head + 1.0);
-            let share = if urgent { 0.9 } else { 0.5 };
-            if !self.channel.may_message(now, urgent) || !self.channel.room(now, cost, share) {
-                if urgent {
+            if !self.channel.may_message(now, share) || !self.channel.room(now, cost, share) {
+                if share == Channel::BINDING {
                     self.wake_urgent(now, Duration::from_millis(100));
                 }
                 return self.bind_waiting(now);
@@ -663,7 +667,7 @@
             }
             _ => {
                 self.channel.urgent_set = false;
-                self.push(now, true);
+                self.push(now, Channel::BINDING);
             }
         }
     }
@@ -674,9 +678,6 @@
         }
         let recent = now.saturating_sub(Loads::SMOOTHED_OVER);
         let settling = self.sight.cycle + self.channel.pace.worst_transit + Duration::from_millis(1000);
-        if let Some(work) = Work::of(&self.loads, recent) {
-            self.levels.fit(now, &work, |r| self.routes[r].importance);
-        }
         let loads: Vec<(Server, f64)> = (0..self.roster.members.len())
             .filter(|s| self.roster.warm(*s, now) && self.ramp.step[*s] > 0)
             .filter_map(|s| {
@@ -686,7 +687,7 @@
             })
             .collect();
         self.weights.scale(now, &loads, |s| self.ramp.step[s] == Ramp::STEPS);
-        self.push(now, false);
+        self.push(now, Channel::ORDINARY);
     }
 
     // Health.
@@ -702,8 +703,11 @@
     /// Guards against servers that drop, hang or crawl, whatever the list says. Where the pool at large
     /// does no better, or half of it is out already, the fault is taken to lie elsewhere.
     fn look(&mut self, now: Duration) {
-        if let Some(work) = Work::of(&self.loads, now.saturating_sub(Loads::SMOOTHED_OVER)) {
-            self.ramp.pressure = (work.pressure() * 2.0).ceil() / 2.0;
+        let (levels, steps) = (self.levels.wanted.clone(), self.ramp.step.clone());
+        let from = now.saturating_sub(Work::WINDOW.max(self.sight.cycle * 2));
+        if let Some(work) = Work::of(&self.loads, from) {
+            self.ramp.pressure = (work.pressure() * 10.0).round() / 10.0;
+            self.levels.fit(from, &work, |r| self.routes[r].importance);
         }
         let ready: Vec<Server> = (0..self.roster.members.len()).filter(|s| self.roster.ready(*s)).collect();
         let seen: Vec<_> = ready.iter().filter_map(|s| Some((*s, self.evidence(now, *s)?))).collect();
@@ -741,7 +745,8 @@
                 self.ramp.step[s] += 1;
             }
         }
-        self.push(now, true);
+        let guarding = self.levels.wanted != levels || self.ramp.step.iter().zip(&steps).any(|(n, b)| n < b);
+        self.push(now, if guarding { Channel::GUARDING } else { Channel::ORDINARY });
     }
 
     fn allow(&mut self, now: Duration, s: Server, steps: u32, may_out: &mut usize) {
