--- a/src/decide.rs
+++ b/src/decide.rs
@@ -318,7 +318,7 @@
 
 impl Channel {
     const ORDINARY: f64 = 0.5;
-    const GUARDING: f64 = 0.75;
+    const GUARDING: f64 = 0.65;
     const BINDING: f64 = 1.0;
 
     fn slow(&self, now: Duration) -> bool {
@@ -341,11 +341,11 @@
         self.waiting + lines <= self.pace.most_waiting * share
     }
 
-    /// Ordinary pushes leave room for withdrawals, and these for drains; two messages stay for binding.
+    /// Ordinary pushes leave room for withdrawals, and these for drains; one message stays for binding.
     fn may_message(&mut self, now: Duration, share: f64) -> bool {
         self.drain(now);
         let most = self.pace.most_messages;
-        most == 0 || (self.sent.len() as f64) < most.saturating_sub(2) as f64 * share
+        most == 0 || (self.sent.len() as f64) < most.saturating_sub(1) as f64 * share
     }
 }
 
@@ -463,8 +463,9 @@
 
     pub fn list(&mut self, now: Duration, whole: bool, entries: &[Listed]) {
         self.roster.asked_at = None;
+        let mut binding = whole;
         for entry in entries {
-            self.enter(now, entry);
+            binding |= self.enter(now, entry);
         }
         if whole {
             for s in 0..self.roster.members.len() {
@@ -475,10 +476,12 @@
                 }
             }
         }
-        self.push(now, Channel::BINDING);
+        binding |= self.pools.iter().any(|p| p.written.iter().all(|w| *w <= 0.0));
+        self.push(now, if binding { Channel::BINDING } else { Channel::GUARDING });
     }
 
-    fn enter(&mut self, now: Duration, entry: &Listed) {
+    /// Whether the entry takes from what proxies may send a server they hold.
+    fn enter(&mut self, now: Duration, entry: &Listed) -> bool {
         let s = entry.server;
         if s >= self.roster.members.len() {
             self.roster.members.resize_with(s + 1, || None);
@@ -508,6 +511,8 @@
             self.weights.learnt[s] = Some(self.weights.mean());
         }
         self.roster.members[s] = Some(Member { zone: entry.zone, phase: entry.phase, warm_at });
+        before.is_some_and(|(phase, _)| phase != Phase::Gone)
+            && (entry.phase != Phase::Ready || warm_at > now)
     }
 
     pub fn list_failed(&mut self, now: Duration) {
