--- a/src/decide.rs
+++ b/src/decide.rs
@@ -608,6 +608,14 @@
         all.map(|s| if open(s) { 1.0 } else { 0.0 }).collect()
     }
 
+    /// When proxies may try a call again without its effect taking place twice.
+    fn tries(&self, r: usize) -> Tries {
+        match (self.levels.tries, self.routes[r].effect) {
+            (Tries::AfterProof, Effect::Repeatable) => Tries::AfterFailure,
+            (tries, _) => tries,
+        }
+    }
+
     fn push(&mut self, now: Duration, share: f64) {
         if self.plane.slices > 0 {
             return;
@@ -625,8 +633,9 @@
                 }
             }
         }
+        let tries: Vec<Tries> = (0..self.routes.len()).map(|r| self.tries(r)).collect();
         let levels: Vec<usize> = (0..self.routes.len())
-            .filter(|r| self.levels.written[*r] != (self.levels.wanted[*r], self.levels.tries))
+            .filter(|r| self.levels.written[*r] != (self.levels.wanted[*r], tries[*r]))
             .collect();
         if !lines.is_empty() || !levels.is_empty() {
             let bound = self.proxies.iter().filter(|p| p.bound).count() as f64;
@@ -644,8 +653,8 @@
             }
             for r in levels {
                 let share = if self.plane.levels { self.levels.wanted[r] } else { 1.0 };
-                self.levels.written[r] = (self.levels.wanted[r], self.levels.tries);
-                self.host.admit(1 << r, share, self.levels.tries);
+                self.levels.written[r] = (self.levels.wanted[r], tries[r]);
+                self.host.admit(1 << r, share, tries[r]);
             }
             self.channel.waiting += cost;
             if bound > 0.0 {
