Try again after any failure only where the second try can still be in time

Could harm where tries that are given up go on working and the pool is nearly full; the pressure bound takes it back there.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -608,10 +608,11 @@
         all.map(|s| if open(s) { 1.0 } else { 0.0 }).collect()
     }
 
-    /// When proxies may try a call again without its effect taking place twice.
+    /// When proxies may try a call again without its effect taking place twice, and where that helps: a
+    /// second try that starts after the SLO time is only more work.
     fn tries(&self, r: usize) -> Tries {
         match (self.levels.tries, self.routes[r].effect) {
-            (Tries::AfterProof, Effect::Repeatable) => Tries::AfterFailure,
+            (Tries::AfterProof, Effect::Repeatable) if self.plane.try_factor < 0.9 => Tries::AfterFailure,
             (tries, _) => tries,
         }
     }
