--- a/src/decide.rs
+++ b/src/decide.rs
@@ -62,8 +62,7 @@
 }
 
 impl Loads {
-    const KEPT: usize = 12;
-    const SMOOTHED_OVER: Duration = Duration::from_secs(4);
+    const KEPT: Duration = Duration::from_secs(8);
 
     fn field(&self, report: &[f32], field: Field) -> Option<f64> {
         let at = self.fields.iter().position(|f| *f == field)?;
@@ -82,7 +81,7 @@
         let load = self.figure(met.report);
         let cpu = self.field(met.report, Field::CpuShare);
         let list = &mut self.samples[s];
-        if list.len() == Self::KEPT {
+        while list.front().is_some_and(|x| now.saturating_sub(x.at) > Self::KEPT) {
             list.pop_front();
         }
         list.push_back(Sample {
@@ -127,7 +126,7 @@
 
 impl Weights {
     const CLAMP: (f64, f64) = (0.8, 1.25);
-    const DEAD_BAND: (f64, f64) = (0.9, 1.1);
+    const DEAD_BAND: f64 = 0.1;
     const CEILING: f64 = 3.0;
     const DRIFT: f64 = 0.2;
 
@@ -143,7 +142,9 @@
         for &(s, own) in loads {
             let ratio = if own > 0.0 { pool / own } else { Self::CLAMP.1 };
             let factor = ratio.clamp(Self::CLAMP.0, Self::CLAMP.1);
-            if factor > Self::DEAD_BAND.0 && factor < Self::DEAD_BAND.1 {
+            // Little has been heard since the last change: only what is plain counts.
+            let doubt = (6.0 / (now - self.changed[s]).as_secs_f64()).sqrt().max(1.0);
+            if (factor - 1.0).abs() < Self::DEAD_BAND * doubt {
                 continue;
             }
             // A server held back looks idle because it is held back.
@@ -696,7 +697,7 @@
         if self.roster.asked_at.is_some_and(|t| now > t + self.graces.drain * 2) {
             self.ask_list(now);
         }
-        let recent = now.saturating_sub(Loads::SMOOTHED_OVER);
+        let recent = now.saturating_sub(Loads::KEPT);
         let settling = self.sight.cycle + self.channel.pace.worst_transit + Duration::from_millis(1000);
         let loads: Vec<(Server, f64)> = (0..self.roster.members.len())
             .filter(|s| self.roster.warm(*s, now) && self.ramp.step[*s] > 0)
@@ -808,7 +809,7 @@
     pub fn came(&mut self, now: Duration, route: usize, calls: u32) {
         if let Some(list) = self.levels.arrived.get_mut(route) {
             list.push_back((now, f64::from(calls)));
-            while list.front().is_some_and(|a| now.saturating_sub(a.0) > Loads::SMOOTHED_OVER) {
+            while list.front().is_some_and(|a| now.saturating_sub(a.0) > Loads::KEPT) {
                 list.pop_front();
             }
         }
