Forget what was held against a zone once its unheard proxies come back

Cause: in a cut around the planner's zone the others' servers were shut out on this side's word alone, and the returning proxies were sent to one zone at once. Should hold for any loss of sight of a zone; it may trust dead servers for a few seconds where proxies stayed up.

--- a/crates/wirehost/src/hosted.rs
+++ b/crates/wirehost/src/hosted.rs
@@ -208,7 +208,7 @@
                     self.planner.probed(s, result);
                 }
             }
-            1060 => self.planner.joined(now, event.u16(2), event.u16(4)),
+            1060 => self.planner.joined(now, event.u16(2), event.u16(4), event.u8(6) != 0),
             1070 => self.planner.left(event.u16(2)),
             1080 => self.planner.applied(now, event.u32(2) as u16),
             1090 => {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -527,8 +527,12 @@
 
     // Joining.
 
-    pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone) {
+    /// `bare` tells that the proxy has only just started.
+    pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone, bare: bool) {
         self.proxies.retain(|p| p.proxy != proxy);
+        if !bare && self.proxies.iter().all(|p| p.zone != zone) {
+            self.forget(now, zone);
+        }
         self.proxies.push(Joined { proxy, zone, bound: false });
         self.push(now, Channel::BINDING);
     }
@@ -770,6 +774,19 @@
         self.push(now, if guarding { Channel::GUARDING } else { Channel::ORDINARY });
     }
 
+    /// What was held against a zone's servers while none of its proxies could be heard may have been a cut
+    /// between zones; the zone's own proxies would be sent to the others all at once.
+    fn forget(&mut self, now: Duration, zone: Zone) {
+        for (s, m) in self.roster.members.iter().enumerate() {
+            if let Some(m) = m.as_ref().filter(|m| m.zone == zone) {
+                self.health.allowed[s] = Ramp::STEPS;
+                self.health.fresh_from[s] = now + self.channel.pace.worst_transit;
+                self.health.probes[s] = (0, 0);
+                self.ramp.step[s] = Ramp::allowed(now, m.warm_at, self.graces.warm_up);
+            }
+        }
+    }
+
     fn allow(&mut self, now: Duration, s: Server, steps: u32, may_out: &mut usize) {
         self.health.allowed[s] = steps;
         if steps == 0 && *may_out == 0 {
