--- a/src/decide.rs
+++ b/src/decide.rs
@@ -288,6 +288,7 @@
 }
 
 impl Ramp {
+    const UNHEARD: f64 = 3.0;
     const STEPS: u32 = 4;
 
     /// Guards against repeats and refusals: proxies that find the pool crowded, and keep away from what is
@@ -423,7 +424,7 @@
             loads: Loads { samples: vec![], fields: sight.fields.clone(), newest: Duration::ZERO },
             weights: Weights { learnt: vec![], changed: vec![] },
             health: Health { allowed: vec![], fresh_from: vec![], probes: vec![], hold: vec![] },
-            ramp: Ramp { step: vec![], pressure: 3.0 },
+            ramp: Ramp { step: vec![], pressure: Ramp::UNHEARD },
             levels: Levels {
                 arrived: vec![VecDeque::new(); n],
                 wanted: vec![1.0; n],
@@ -736,7 +737,9 @@
         let (levels, steps) = (self.levels.wanted.clone(), self.ramp.step.clone());
         let from = now.saturating_sub(Work::WINDOW.max(self.sight.cycle * 2));
         if let Some(work) = Work::of(&self.loads, from) {
-            self.ramp.pressure = (work.pressure() * 10.0).round() / 10.0;
+            // The first news after a start is of the few calls that went well.
+            let unheard = Ramp::UNHEARD * (1.0 - now.as_secs_f64() / 10.0);
+            self.ramp.pressure = (work.pressure().max(unheard) * 10.0).round() / 10.0;
             self.levels.fit(from, &work, |r| self.routes[r].importance);
         }
         for s in 0..self.roster.members.len() {
