--- a/src/decide.rs
+++ b/src/decide.rs
@@ -212,30 +212,28 @@
 struct Work {
     sent: f64,
     able: f64,
-    busy: Option<f64>,
 }
 
 impl Work {
     const WINDOW: Duration = Duration::from_secs(2);
+    const FULL: f64 = 0.85;
 
     fn of(loads: &Loads, from: Duration) -> Option<Work> {
-        let servers = 0..loads.samples.len();
-        let busy = |s: Server| mean(loads.since(s, from).filter_map(|x| x.cpu));
-        let mut work = Work { sent: 0.0, able: 0.0, busy: mean(servers.clone().filter_map(busy)) };
-        for s in servers {
+        let mut work = Work { sent: 0.0, able: 0.0 };
+        for s in 0..loads.samples.len() {
+            let busy = mean(loads.since(s, from).filter_map(|x| x.cpu));
             let (tries, dropped) = loads.tries(s, from);
             if tries > dropped {
-                work.sent += tries;
-                work.able += (tries - dropped) / busy(s).unwrap_or(0.7).clamp(0.05, 1.0);
+                // Tries that fail at a server with time to spare point to a cut or a fault.
+                work.sent += if busy.is_some_and(|b| b < Self::FULL) { tries - dropped } else { tries };
+                work.able += (tries - dropped) / busy.unwrap_or(0.7).clamp(0.05, 1.0);
             }
         }
         (work.able > 0.0).then_some(work)
     }
 
-    /// What is sent as a part of what fits. Only busy servers can be sent too much: tries that fail at idle
-    /// ones point to a cut or a fault.
     fn pressure(&self) -> f64 {
-        self.busy.filter(|cpu| *cpu < 0.85).unwrap_or(self.sent / self.able)
+        self.sent / self.able
     }
 }
 
