--- a/src/decide.rs
+++ b/src/decide.rs
@@ -253,14 +253,14 @@
     /// their ratio holds while those are late, and a level set before needs no waiting for.
     fn fit(&mut self, from: Duration, work: &Work, importance: impl Fn(usize) -> f64) {
         let pressure = work.pressure();
-        if pressure > 0.9 {
+        if pressure > 1.0 {
             // Proxies that try again at a full pool fill it with the same calls.
             self.tries = Tries::One;
-        } else if pressure < 0.75 {
+        } else if pressure < 0.8 {
             self.tries = Tries::AfterProof;
         }
         // Late reports alone, which come in lumps, are no reason to turn calls away.
-        if pressure < 0.95 && self.wanted.iter().all(|w| *w >= 1.0) {
+        if pressure < 1.1 && self.wanted.iter().all(|w| *w >= 1.0) {
             return;
         }
         let calls = |r: usize| self.arrived[r].iter().filter(|a| a.0 > from).map(|a| a.1).sum::<f64>();
@@ -293,7 +293,7 @@
     /// full, send a cold server several times its share. Until it is heard, the pool counts as crowded.
     fn part(&self, s: Server) -> f64 {
         let step = f64::from(self.step[s]) / f64::from(Self::STEPS);
-        if self.step[s] == Self::STEPS { step } else { step * (0.7 / self.pressure).min(1.0).powi(2) }
+        if self.step[s] == Self::STEPS { step } else { step * (0.9 / self.pressure).min(1.0).powi(2) }
     }
 
     /// The steps a server may have reached by its age, against all proxies together pushing it over.
