Keep cold servers out of a crowd, and let crowding go out before ordinary pushes

Cause: ordinary and health pushes had used up the messages when a burst came, so a quarter stayed a quarter for four seconds; and proxies that keep away from full servers send even the smallest weight everything.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -287,13 +287,18 @@
 
 impl Ramp {
     const UNHEARD: f64 = 3.0;
+    const CROWDED: f64 = 1.4;
     const STEPS: u32 = 4;
 
     /// Guards against repeats and refusals: proxies that find the pool crowded, and keep away from what is
-    /// full, send a cold server several times its share. Until it is heard, the pool counts as crowded.
+    /// full, send a cold server many times its share; past a point even the smallest weight draws all.
     fn part(&self, s: Server) -> f64 {
         let step = f64::from(self.step[s]) / f64::from(Self::STEPS);
-        if self.step[s] == Self::STEPS { step } else { step * (0.9 / self.pressure).min(1.0).powi(2) }
+        match self.pressure {
+            _ if self.step[s] == Self::STEPS => step,
+            p if p > Self::CROWDED => 0.0,
+            p => step * (0.9 / p).min(1.0).powi(2),
+        }
     }
 
     /// The steps a server may have reached by its age, against all proxies together pushing it over.
@@ -318,8 +323,9 @@
 }
 
 impl Channel {
-    const ORDINARY: f64 = 0.5;
-    const GUARDING: f64 = 0.65;
+    const ORDINARY: f64 = 0.4;
+    const GUARDING: f64 = 0.6;
+    const CROWDED: f64 = 0.85;
     const BINDING: f64 = 1.0;
 
     fn slow(&self, now: Duration) -> bool {
@@ -478,7 +484,7 @@
             }
         }
         binding |= self.pools.iter().any(|p| p.written.iter().all(|w| *w <= 0.0));
-        self.push(now, if binding { Channel::BINDING } else { Channel::GUARDING });
+        self.push(now, if binding { Channel::BINDING } else { Channel::ORDINARY });
     }
 
     /// Whether the entry takes from what proxies may send a server they hold.
@@ -732,7 +738,8 @@
     /// Guards against servers that drop, hang or crawl, whatever the list says. Where the pool at large
     /// does no better, or half of it is out already, the fault is taken to lie elsewhere.
     fn look(&mut self, now: Duration) {
-        let (levels, steps) = (self.levels.wanted.clone(), self.ramp.step.clone());
+        let (levels, steps, pressure) =
+            (self.levels.wanted.clone(), self.ramp.step.clone(), self.ramp.pressure);
         let from = now.saturating_sub(Work::WINDOW.max(self.sight.cycle * 2));
         if let Some(work) = Work::of(&self.loads, from) {
             // The first news after a start is of the few calls that went well.
@@ -776,8 +783,15 @@
                 }
             }
         }
-        let guarding = self.levels.wanted != levels || self.ramp.step.iter().zip(&steps).any(|(n, b)| n < b);
-        self.push(now, if guarding { Channel::GUARDING } else { Channel::ORDINARY });
+        let lower = self.ramp.step.iter().zip(&steps).any(|(n, b)| n < b);
+        self.push(
+            now,
+            match self.ramp.pressure {
+                p if p > 0.9 && (p > pressure || self.levels.wanted != levels) => Channel::CROWDED,
+                _ if lower => Channel::GUARDING,
+                _ => Channel::ORDINARY,
+            },
+        );
     }
 
     /// What was held against a zone's servers while none of its proxies could be heard may have been a cut
