--- a/src/decide.rs
+++ b/src/decide.rs
@@ -26,7 +26,7 @@
 
 struct Roster {
     members: Vec<Option<Member>>,
-    asked_at: Option<Duration>,
+    ask_at: Option<Duration>,
 }
 
 impl Roster {
@@ -34,10 +34,6 @@
         self.members[s].as_ref().is_some_and(|m| m.phase == Phase::Ready)
     }
 
-    fn listed(&self, s: Server) -> bool {
-        self.members[s].as_ref().is_some_and(|m| m.phase != Phase::Gone)
-    }
-
     fn warm(&self, s: Server, now: Duration) -> bool {
         self.ready(s) && self.members[s].as_ref().is_some_and(|m| m.warm_at <= now)
     }
@@ -136,19 +132,14 @@
 
     /// One interval: each server's weight times the pool's mean load over its own.
     fn scale(&mut self, now: Duration, loads: &[(Server, f64)], whole: impl Fn(Server) -> bool) {
-        let Some(pool) = mean(loads.iter().map(|l| l.1)).filter(|m| *m > 0.0) else {
-            return;
-        };
+        let Some(pool) = mean(loads.iter().map(|l| l.1)).filter(|m| *m > 0.0) else { return };
         for &(s, own) in loads {
             let ratio = if own > 0.0 { pool / own } else { Self::CLAMP.1 };
             let factor = ratio.clamp(Self::CLAMP.0, Self::CLAMP.1);
             // Little has been heard since the last change: only what is plain counts.
             let doubt = (6.0 / (now - self.changed[s]).as_secs_f64()).sqrt().max(1.0);
-            if (factor - 1.0).abs() < Self::DEAD_BAND * doubt {
-                continue;
-            }
-            // A server held back looks idle because it is held back.
-            if factor > 1.0 && !whole(s) {
+            // And a server held back looks idle because it is held back.
+            if (factor - 1.0).abs() < Self::DEAD_BAND * doubt || (factor > 1.0 && !whole(s)) {
                 continue;
             }
             if let Some(w) = &mut self.learnt[s] {
@@ -165,13 +156,15 @@
     }
 }
 
-/// How many quarter steps the evidence allows each server: all, fewer, or none.
+/// How many quarter steps the evidence allows a server: all, fewer, or none.
+#[derive(Clone)]
 struct Health {
-    allowed: Vec<u32>,
+    allowed: u32,
     /// Evidence from before this moment is spent.
-    fresh_from: Vec<Duration>,
-    probes: Vec<(u32, u32)>,
-    hold: Vec<Duration>,
+    fresh_from: Duration,
+    answers: u32,
+    misses: u32,
+    hold: Duration,
 }
 
 impl Health {
@@ -181,6 +174,13 @@
     const HOLD: Duration = Duration::from_secs(3);
     const LONGEST_HOLD: Duration = Duration::from_secs(20);
     const MANY: f64 = 0.4;
+    const NEW: Health =
+        Health { allowed: Ramp::STEPS, fresh_from: Duration::ZERO, answers: 0, misses: 0, hold: Self::HOLD };
+
+    /// Evidence starts anew.
+    fn clear(&mut self, from: Duration, allowed: u32) {
+        *self = Health { allowed, fresh_from: from, hold: self.hold, ..Self::NEW };
+    }
 
     /// Steps by the part of tries that was answered, beside the pool's own.
     fn by_answers(good: f64, pool: f64) -> u32 {
@@ -247,7 +247,7 @@
 
 impl Levels {
     const AIM: f64 = 0.9;
-    const GAIN: f64 = 2.0;
+    const GAIN: f64 = 1.2;
 
     /// Lets in what fits, the most important routes first. Both figures come by the same late reports, so
     /// their ratio holds while those are late, and a level set before needs no waiting for.
@@ -282,6 +282,8 @@
 /// Steps of a quarter for servers that are fresh or come back.
 struct Ramp {
     step: Vec<u32>,
+    /// Still under way to its full weight since a start or a return.
+    cold: Vec<bool>,
     pressure: f64,
 }
 
@@ -295,7 +297,7 @@
     fn part(&self, s: Server) -> f64 {
         let step = f64::from(self.step[s]) / f64::from(Self::STEPS);
         match self.pressure {
-            _ if self.step[s] == Self::STEPS => step,
+            _ if !self.cold[s] => step,
             p if p > Self::CROWDED => 0.0,
             p => step * (0.9 / p).min(1.0).powi(2),
         }
@@ -390,7 +392,7 @@
     roster: Roster,
     loads: Loads,
     weights: Weights,
-    health: Health,
+    health: Vec<Health>,
     ramp: Ramp,
     levels: Levels,
     channel: Channel,
@@ -424,11 +426,11 @@
             routes,
             plane,
             graces,
-            roster: Roster { members: vec![], asked_at: None },
+            roster: Roster { members: vec![], ask_at: None },
             loads: Loads { samples: vec![], fields: sight.fields.clone(), newest: Duration::ZERO },
             weights: Weights { learnt: vec![], changed: vec![] },
-            health: Health { allowed: vec![], fresh_from: vec![], probes: vec![], hold: vec![] },
-            ramp: Ramp { step: vec![], pressure: Ramp::UNHEARD },
+            health: vec![],
+            ramp: Ramp { step: vec![], cold: vec![], pressure: Ramp::UNHEARD },
             levels: Levels {
                 arrived: vec![VecDeque::new(); n],
                 wanted: vec![1.0; n],
@@ -462,14 +464,14 @@
     // Roster.
 
     fn ask_list(&mut self, now: Duration) {
-        if self.sight.ask_within.is_some() {
-            self.roster.asked_at = Some(now);
+        if let Some(within) = self.sight.ask_within {
+            self.roster.ask_at = Some(now + within / 2);
             self.host.watch_list();
         }
     }
 
     pub fn list(&mut self, now: Duration, whole: bool, entries: &[Listed]) {
-        self.roster.asked_at = None;
+        self.roster.ask_at = None;
         let mut binding = whole;
         for entry in entries {
             binding |= self.enter(now, entry);
@@ -495,10 +497,8 @@
             self.loads.samples.resize_with(s + 1, VecDeque::new);
             self.weights.learnt.resize(s + 1, None);
             self.weights.changed.resize(s + 1, Duration::ZERO);
-            self.health.allowed.resize(s + 1, Ramp::STEPS);
-            self.health.probes.resize(s + 1, (0, 0));
-            self.health.fresh_from.resize(s + 1, Duration::ZERO);
-            self.health.hold.resize(s + 1, Health::HOLD);
+            self.health.resize(s + 1, Health::NEW);
+            self.ramp.cold.resize(s + 1, false);
             self.ramp.step.resize(s + 1, Ramp::STEPS);
         }
         let warm_at = match entry.age {
@@ -511,8 +511,8 @@
         if entry.phase == Phase::Ready && ((fresh && warm_at > now) || back) {
             self.ramp.step[s] = 1;
             self.loads.samples[s].clear();
-            self.health.allowed[s] = Ramp::STEPS;
-            self.health.fresh_from[s] = now;
+            self.ramp.cold[s] = true;
+            self.health[s].clear(now, Ramp::STEPS);
         }
         if self.weights.learnt[s].is_none() {
             // Replacements of a whole fleet would otherwise all have to be learnt anew.
@@ -526,8 +526,9 @@
             && (entry.phase != Phase::Ready || warm_at > now)
     }
 
+    /// Asked again in the next round: a list that turns calls away at once would otherwise be flooded.
     pub fn list_failed(&mut self, now: Duration) {
-        self.ask_list(now);
+        self.roster.ask_at = Some(now);
     }
 
     // Joining.
@@ -547,30 +548,17 @@
     }
 
     fn bind_waiting(&mut self, now: Duration) {
-        if self.plane.slices > 0 {
-            return;
-        }
-        for i in 0..self.proxies.len() {
-            if self.proxies[i].bound {
-                continue;
-            }
-            let zone = self.proxies[i].zone;
-            let mine = |p: &&Pool| p.serves(zone);
-            let lines: usize = self
-                .pools
-                .iter()
-                .filter(mine)
-                .map(|p| 2 + p.written.iter().filter(|w| **w > 0.0).count())
-                .sum();
-            let cost = lines as f64 + self.channel.pace.head;
+        for proxy in self.proxies.iter_mut().filter(|p| !p.bound) {
+            let mine: Vec<&Pool> = self.pools.iter().filter(|p| p.serves(proxy.zone)).collect();
+            let lines = mine.iter().flat_map(|p| &p.written).filter(|w| **w > 0.0).count();
+            let cost = (2 * mine.len() + lines) as f64 + self.channel.pace.head;
             if !self.channel.room(now, cost, 0.8) {
-                self.wake_urgent(now, Duration::from_millis(100));
-                break;
+                return self.wake_urgent(now, Duration::from_millis(100));
             }
             self.channel.waiting += cost;
-            self.proxies[i].bound = true;
-            for p in self.pools.iter().filter(mine) {
-                self.host.bind(self.proxies[i].proxy, p.table, p.routes);
+            proxy.bound = true;
+            for p in mine {
+                self.host.bind(proxy.proxy, p.table, p.routes);
             }
         }
     }
@@ -582,7 +570,7 @@
         }
     }
 
-    pub fn applied(&mut self, _now: Duration, number: u16) {
+    pub fn applied(&mut self, number: u16) {
         while self.channel.unanswered.iter().any(|m| m.0 == number) {
             self.channel.unanswered.pop_front();
         }
@@ -606,10 +594,11 @@
     /// The one place where written weights are made: what was learnt times the exceptions.
     fn compose(&self, pool: &Pool) -> Vec<f32> {
         let all = 0..self.roster.members.len();
-        let near = |s: Server| self.roster.members[s].as_ref().is_some_and(|m| pool.serves(m.zone));
+        let listed = |s: Server| self.roster.members[s].as_ref().filter(|m| m.phase != Phase::Gone);
+        let near = |s: Server| listed(s).is_some_and(|m| pool.serves(m.zone));
         let open = |s: Server| self.roster.ready(s) && (near(s) || !pool.local);
         let learnt = |s: Server| self.weights.learnt[s].unwrap_or(1.0);
-        let own = all.clone().filter(|s| near(*s) && self.roster.listed(*s));
+        let own = all.clone().filter(|s| near(*s));
         let (full, left) = own.fold((0.0, 0.0), |(f, l), s| (f + learnt(s), l + learnt(s) * self.part(s)));
         // What a zone has lost, far servers make up for at once, before its cold ones are swamped.
         let far = Pool::FAR + (1.0 - Pool::FAR) * (1.0 - if full > 0.0 { left / full } else { 0.0 });
@@ -627,12 +616,11 @@
     /// second try that starts after the SLO time is only more work.
     fn tries(&self, r: usize) -> Tries {
         let in_time = self.plane.try_factor < 0.9;
+        let last = self.routes[r].slo.mul_f64(self.plane.try_factor) + self.channel.pace.worst_transit;
         match (self.levels.tries, self.routes[r].effect) {
             (Tries::AfterProof, Effect::Repeatable) if in_time => Tries::AfterFailure,
-            (Tries::AfterProof, Effect::Marked { group: Group::All, window }) if in_time => {
-                let last =
-                    self.routes[r].slo.mul_f64(self.plane.try_factor) + self.channel.pace.worst_transit;
-                if last < window { Tries::AfterFailure } else { Tries::AfterProof }
+            (Tries::AfterProof, Effect::Marked { group: Group::All, window }) if in_time && last < window => {
+                Tries::AfterFailure
             }
             (tries, _) => tries,
         }
@@ -708,7 +696,7 @@
     }
 
     fn round(&mut self, now: Duration) {
-        if self.roster.asked_at.is_some_and(|t| now > t + self.graces.drain * 2) {
+        if self.roster.ask_at.is_some_and(|t| now >= t) {
             self.ask_list(now);
         }
         let recent = now.saturating_sub(Loads::KEPT);
@@ -729,7 +717,7 @@
 
     /// What the evidence says of one server, if there is enough of it.
     fn evidence(&self, now: Duration, s: Server) -> Option<(f64, Option<f64>)> {
-        let from = now.saturating_sub(Health::EVIDENCE).max(self.health.fresh_from[s]);
+        let from = now.saturating_sub(Health::EVIDENCE).max(self.health[s].fresh_from);
         let (tries, dropped) = self.loads.tries(s, from);
         let wait = mean(self.loads.since(s, from).filter_map(|x| x.wait));
         (tries >= Health::LEAST_TRIES).then(|| ((tries - dropped).max(0.0) / tries, wait))
@@ -738,8 +726,8 @@
     /// Guards against servers that drop, hang or crawl, whatever the list says. Where the pool at large
     /// does no better, or half of it is out already, the fault is taken to lie elsewhere.
     fn look(&mut self, now: Duration) {
-        let (levels, steps, pressure) =
-            (self.levels.wanted.clone(), self.ramp.step.clone(), self.ramp.pressure);
+        let (levels, steps) = (self.levels.wanted.clone(), self.ramp.step.clone());
+        let pressure = self.ramp.pressure;
         let from = now.saturating_sub(Work::WINDOW.max(self.sight.cycle * 2));
         if let Some(work) = Work::of(&self.loads, from) {
             // The first news after a start is of the few calls that went well.
@@ -750,9 +738,10 @@
         for s in 0..self.roster.members.len() {
             let warm_at = self.roster.members[s].as_ref().map_or(Duration::ZERO, |m| m.warm_at);
             let by_age = Ramp::allowed(now, warm_at, self.graces.warm_up);
-            if self.ramp.step[s] > 0 && self.ramp.step[s] < by_age.min(self.health.allowed[s]) {
+            if self.ramp.step[s] > 0 && self.ramp.step[s] < by_age.min(self.health[s].allowed) {
                 self.ramp.step[s] += 1;
             }
+            self.ramp.cold[s] &= by_age < Ramp::STEPS || self.ramp.step[s] < self.health[s].allowed;
         }
         let ready: Vec<Server> = (0..self.roster.members.len()).filter(|s| self.roster.ready(*s)).collect();
         let seen: Vec<_> = ready.iter().filter_map(|s| Some((*s, self.evidence(now, *s)?))).collect();
@@ -771,12 +760,12 @@
         }
         let quiet = self.sight.cycle * 2 + Duration::from_secs(1);
         for &s in &ready {
-            let heard = self.loads.last(s).unwrap_or(Duration::ZERO).max(self.health.fresh_from[s]);
+            let heard = self.loads.last(s).unwrap_or(Duration::ZERO).max(self.health[s].fresh_from);
             let silent = self.ramp.step[s] > 0 && self.loads.newest > heard + quiet;
             if self.ramp.step[s] == 0 {
                 self.try_return(now, s);
             } else if silent && self.sight.probing {
-                if self.health.probes[s].1 >= 2 {
+                if self.health[s].misses >= 2 {
                     self.allow(now, s, 0, &mut may_out);
                 } else {
                     self.host.probe(s);
@@ -784,14 +773,12 @@
             }
         }
         let lower = self.ramp.step.iter().zip(&steps).any(|(n, b)| n < b);
-        self.push(
-            now,
-            match self.ramp.pressure {
-                p if p > 0.9 && (p > pressure || self.levels.wanted != levels) => Channel::CROWDED,
-                _ if lower => Channel::GUARDING,
-                _ => Channel::ORDINARY,
-            },
-        );
+        let share = match self.ramp.pressure {
+            p if p > 0.9 && (p > pressure || self.levels.wanted != levels) => Channel::CROWDED,
+            _ if lower => Channel::GUARDING,
+            _ => Channel::ORDINARY,
+        };
+        self.push(now, share);
     }
 
     /// What was held against a zone's servers while none of its proxies could be heard may have been a cut
@@ -799,45 +786,39 @@
     fn forget(&mut self, now: Duration, zone: Zone) {
         for (s, m) in self.roster.members.iter().enumerate() {
             if let Some(m) = m.as_ref().filter(|m| m.zone == zone) {
-                self.health.allowed[s] = Ramp::STEPS;
-                self.health.fresh_from[s] = now + self.channel.pace.worst_transit;
-                self.health.probes[s] = (0, 0);
+                self.health[s].clear(now + self.channel.pace.worst_transit, Ramp::STEPS);
                 self.ramp.step[s] = Ramp::allowed(now, m.warm_at, self.graces.warm_up);
             }
         }
     }
 
     fn allow(&mut self, now: Duration, s: Server, steps: u32, may_out: &mut usize) {
-        self.health.allowed[s] = steps;
-        if steps == 0 && *may_out == 0 {
-            self.health.allowed[s] = 1;
-        } else if steps == 0 {
+        self.health[s].allowed = if *may_out == 0 { steps.max(1) } else { steps };
+        if self.health[s].allowed == 0 {
             *may_out -= 1;
-            self.health.probes[s] = (0, 0);
-            self.health.fresh_from[s] = now;
+            self.health[s].clear(now, 0);
         }
-        self.ramp.step[s] = self.ramp.step[s].min(self.health.allowed[s]);
+        self.ramp.step[s] = self.ramp.step[s].min(self.health[s].allowed);
     }
 
     /// A server that was shut out comes back on a quarter, after probes or, without them, after a while.
+    /// It may have been restarted before the list tells, so it counts as cold.
     fn try_return(&mut self, now: Duration, s: Server) {
-        let held = now.saturating_sub(self.health.fresh_from[s]) >= self.health.hold[s];
-        if self.sight.probing && self.health.probes[s].0 < 2 {
+        if self.sight.probing && self.health[s].answers < 2 {
             self.host.probe(s);
-        } else if held {
+        } else if now.saturating_sub(self.health[s].fresh_from) >= self.health[s].hold {
             self.ramp.step[s] = 1;
-            self.health.allowed[s] = Ramp::STEPS;
-            self.health.probes[s] = (0, 0);
-            self.health.fresh_from[s] = now + self.channel.pace.worst_transit;
-            self.health.hold[s] = (self.health.hold[s] * 2).min(Health::LONGEST_HOLD);
+            self.ramp.cold[s] = true;
+            self.health[s].clear(now + self.channel.pace.worst_transit, Ramp::STEPS);
+            self.health[s].hold = (self.health[s].hold * 2).min(Health::LONGEST_HOLD);
         }
     }
 
     pub fn probed(&mut self, s: Server, result: Probed) {
-        if let Some((answers, misses)) = self.health.probes.get_mut(s) {
+        if let Some(h) = self.health.get_mut(s) {
             match result {
-                Probed::Answered => (*answers, *misses) = (*answers + 1, 0),
-                Probed::Failed => (*answers, *misses) = (0, *misses + 1),
+                Probed::Answered => (h.answers, h.misses) = (h.answers + 1, 0),
+                Probed::Failed => (h.answers, h.misses) = (0, h.misses + 1),
                 Probed::Rejected => {}
             }
         }
