Let levels act when waits alone show that servers are full

Should hold for dear calls and slow disks alike; where answers are slow by nature it would throttle a pool that is well.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -212,6 +212,7 @@
 struct Work {
     sent: f64,
     able: f64,
+    wait: Option<f64>,
 }
 
 impl Work {
@@ -219,7 +220,9 @@
     const FULL: f64 = 0.85;
 
     fn of(loads: &Loads, from: Duration) -> Option<Work> {
-        let mut work = Work { sent: 0.0, able: 0.0 };
+        let waits = |s| mean(loads.since(s, from).filter_map(|x| x.wait));
+        let wait = median((0..loads.samples.len()).filter_map(waits).collect());
+        let mut work = Work { sent: 0.0, able: 0.0, wait };
         for s in 0..loads.samples.len() {
             let busy = mean(loads.since(s, from).filter_map(|x| x.cpu));
             let (tries, dropped) = loads.tries(s, from);
@@ -247,12 +250,16 @@
 
 impl Levels {
     const AIM: f64 = 0.9;
+    const LATE: f64 = 0.5;
+    const LESS: f64 = 0.1;
     const GAIN: f64 = 1.2;
 
     /// Lets in what fits, the most important routes first. Both figures come by the same late reports, so
     /// their ratio holds while those are late, and a level set before needs no waiting for.
-    fn fit(&mut self, from: Duration, work: &Work, importance: impl Fn(usize) -> f64) {
+    fn fit(&mut self, from: Duration, work: &Work, slo: f64, importance: impl Fn(usize) -> f64) {
         let pressure = work.pressure();
+        // Queues that have once grown stay at a load that just fits, and every answer comes late.
+        let late = work.wait.is_some_and(|w| w > Self::LATE * slo);
         if pressure > 1.0 {
             // Proxies that try again at a full pool fill it with the same calls.
             self.tries = Tries::One;
@@ -260,14 +267,16 @@
             self.tries = Tries::AfterProof;
         }
         // Late reports alone, which come in lumps, are no reason to turn calls away.
-        if pressure < 1.1 && self.wanted.iter().all(|w| *w >= 1.0) {
+        if pressure < 1.1 && !late && self.wanted.iter().all(|w| *w >= 1.0) {
             return;
         }
         let calls = |r: usize| self.arrived[r].iter().filter(|a| a.0 > from).map(|a| a.1).sum::<f64>();
         let calls: Vec<f64> = (0..self.wanted.len()).map(calls).collect();
         let let_in: f64 = calls.iter().zip(&self.wanted).map(|(c, w)| c * f64::from(*w)).sum();
         let all: f64 = calls.iter().sum();
-        let mut left = (Self::AIM * work.able).min(Self::GAIN * let_in).max(0.05 * all);
+        let mut left = ((Self::AIM - if late { Self::LESS } else { 0.0 }) * work.able)
+            .min(Self::GAIN * let_in)
+            .max(0.05 * all);
         let mut order: Vec<usize> = (0..calls.len()).collect();
         order.sort_by(|a, b| importance(*b).total_cmp(&importance(*a)));
         for r in order.into_iter().filter(|r| calls[*r] > 0.0) {
@@ -728,12 +737,13 @@
     fn look(&mut self, now: Duration) {
         let (levels, steps) = (self.levels.wanted.clone(), self.ramp.step.clone());
         let pressure = self.ramp.pressure;
+        let slo = self.routes.iter().map(|r| r.slo.as_secs_f64()).fold(f64::MAX, f64::min);
         let from = now.saturating_sub(Work::WINDOW.max(self.sight.cycle * 2));
         if let Some(work) = Work::of(&self.loads, from) {
             // The first news after a start is of the few calls that went well.
             let unheard = Ramp::UNHEARD * (1.0 - now.as_secs_f64() / 10.0);
             self.ramp.pressure = (work.pressure().max(unheard) * 10.0).round() / 10.0;
-            self.levels.fit(from, &work, |r| self.routes[r].importance);
+            self.levels.fit(from, &work, slo, |r| self.routes[r].importance);
         }
         for s in 0..self.roster.members.len() {
             let warm_at = self.roster.members[s].as_ref().map_or(Duration::ZERO, |m| m.warm_at);
@@ -747,7 +757,6 @@
         let seen: Vec<_> = ready.iter().filter_map(|s| Some((*s, self.evidence(now, *s)?))).collect();
         let good = median(seen.iter().map(|x| x.1.0).collect()).unwrap_or(1.0);
         let wait = median(seen.iter().filter_map(|x| x.1.1).collect());
-        let slo = self.routes.iter().map(|r| r.slo.as_secs_f64()).fold(f64::MAX, f64::min);
         let mut may_out = (ready.len() as f64 * Health::MOST_OUT) as usize;
         may_out = may_out.saturating_sub(ready.iter().filter(|s| self.ramp.step[**s] == 0).count());
         for &(s, (answered, own)) in &seen {
