--- a/src/decide.rs
+++ b/src/decide.rs
@@ -250,7 +250,7 @@
 
 impl Levels {
     const AIM: f64 = 0.9;
-    const LATE: f64 = 0.5;
+    const LATE: f64 = 0.35;
     const LESS: f64 = 0.1;
     const GAIN: f64 = 1.2;
 
