--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,7 +19,6 @@
 /// Who is listed, and how cold.
 struct Member {
     zone: Zone,
-    kind: u8,
     phase: Phase,
     warm_at: Duration,
 }
@@ -517,14 +516,9 @@
             self.ramp.cold[s] = true;
             self.health[s].clear(now, Ramp::STEPS);
         }
-        if self.weights.learnt[s].is_none() {
-            // Replacements of a whole fleet would otherwise all have to be learnt anew.
-            let alike = |o: &Server| self.roster.members[*o].as_ref().is_some_and(|m| m.kind == entry.kind);
-            let known = (0..self.roster.members.len()).filter(alike).filter_map(|o| self.weights.learnt[o]);
-            self.weights.learnt[s] = Some(mean(known).unwrap_or(self.weights.mean()));
-        }
-        self.roster.members[s] =
-            Some(Member { zone: entry.zone, kind: entry.kind, phase: entry.phase, warm_at });
+        let mean = self.weights.mean();
+        self.weights.learnt[s].get_or_insert(mean);
+        self.roster.members[s] = Some(Member { zone: entry.zone, phase: entry.phase, warm_at });
         before.is_some_and(|(phase, _)| phase != Phase::Gone)
             && (entry.phase != Phase::Ready || warm_at > now)
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -40,8 +40,6 @@
 pub struct Listed {
     pub server: Server,
     pub zone: Zone,
-    /// Its kind of machine.
-    pub kind: u8,
     pub phase: Phase,
     pub age: Option<Duration>,
 }
