Let far servers make up for a zone's losses up to 0.6 of their weight

Cause: at full weight a zone's losses were spread so widely that crossings and other zones' queues cost more than they saved.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -376,8 +376,8 @@
 }
 
 impl Pool {
-    /// What servers of other zones count for beside those of the pool's own.
-    const FAR: f64 = 0.2;
+    /// What servers of other zones count for beside those of the pool's own: ordinarily, and at most.
+    const FAR: (f64, f64) = (0.2, 0.6);
 
     fn serves(&self, zone: Zone) -> bool {
         self.zone.is_none_or(|z| z == zone)
@@ -598,7 +598,8 @@
         let own = all.clone().filter(|s| near(*s));
         let (full, left) = own.fold((0.0, 0.0), |(f, l), s| (f + learnt(s), l + learnt(s) * self.part(s)));
         // What a zone has lost, far servers make up for at once, before its cold ones are swamped.
-        let far = Pool::FAR + (1.0 - Pool::FAR) * (1.0 - if full > 0.0 { left / full } else { 0.0 });
+        let lost = 1.0 - if full > 0.0 { left / full } else { 0.0 };
+        let far = Pool::FAR.0 + (Pool::FAR.1 - Pool::FAR.0) * lost;
         let place = |s: Server| if near(s) { learnt(s) } else { far * learnt(s) };
         let weight = |s: Server| if open(s) { (place(s) * self.part(s)) as f32 } else { 0.0 };
         let weights: Vec<f32> = all.clone().map(weight).collect();
