--- a/src/decide.rs
+++ b/src/decide.rs
@@ -599,7 +599,9 @@
         let (full, left) = own.fold((0.0, 0.0), |(f, l), s| (f + learnt(s), l + learnt(s) * self.part(s)));
         // What a zone has lost, far servers make up for at once, before its cold ones are swamped.
         let lost = 1.0 - if full > 0.0 { left / full } else { 0.0 };
-        let far = Pool::FAR.0 + (Pool::FAR.1 - Pool::FAR.0) * lost;
+        // Cold servers are pushed over by what only they are left to take.
+        let most = if all.clone().any(|s| near(s) && self.ramp.cold[s]) { 1.0 } else { Pool::FAR.1 };
+        let far = Pool::FAR.0 + (most - Pool::FAR.0) * lost;
         let place = |s: Server| if near(s) { learnt(s) } else { far * learnt(s) };
         let weight = |s: Server| if open(s) { (place(s) * self.part(s)) as f32 } else { 0.0 };
         let weights: Vec<f32> = all.clone().map(weight).collect();
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -47,6 +47,20 @@
     assert_eq!((rig.weight(0, 0), rig.weight(0, 1)), (1.0, far));
 }
 
+#[rstest]
+#[case::draining(Phase::Draining, None, 0.6)]
+#[case::cold(Phase::Ready, Some(ms(1000)), 0.9)]
+fn far_servers_make_up_for_what_a_zone_loses(
+    #[case] phase: Phase,
+    #[case] age: Option<Duration>,
+    #[case] far: f32,
+) {
+    // Found by a hunt: a zone's cold servers were pushed over by the zone's own calls.
+    let mut rig = Rig::with_servers(4, 2);
+    rig.list(false, &[listed(0, 0, phase, age), listed(2, 0, phase, age)]);
+    assert!((rig.weight(0, 1) - far).abs() < 0.11, "{}", rig.weight(0, 1));
+}
+
 // Rule 1.
 #[rstest]
 #[case::fails_everywhere(|_| Some((10, 10, [0.0, 0.0])))]
