--- a/crates/wirehost/src/stated.rs
+++ b/crates/wirehost/src/stated.rs
@@ -41,10 +41,6 @@
         }
     }
 
-    fn flag(&self, key: &str) -> Result<bool, Malformed> {
-        Ok(self.optional(key)?.unwrap_or(false))
-    }
-
     fn list(&self, key: &str) -> impl Iterator<Item = &str> {
         self.0.get(key).copied().unwrap_or("").split(',').filter(|v| !v.is_empty())
     }
@@ -130,7 +126,7 @@
         Ok(Sight {
             fields: if how.as_deref() == Some("off") { vec![] } else { fields.collect() },
             cycle: self.span("familyInfo.cycleMs")?,
-            probing: self.flag("allowed.probing")?,
+            probing: self.optional("allowed.probing")?.unwrap_or(false),
             ask_within: match mode.as_deref() {
                 Some("on_request") => Some(self.span("invariants.askEveryMs")?),
                 _ => None,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,7 +34,7 @@
     }
 
     fn warm(&self, s: Server, now: Duration) -> bool {
-        self.ready(s) && self.members[s].as_ref().is_some_and(|m| m.warm_at <= now)
+        self.members[s].as_ref().is_some_and(|m| m.phase == Phase::Ready && m.warm_at <= now)
     }
 }
 
@@ -75,9 +75,7 @@
         let load = self.figure(met.report);
         let cpu = self.field(met.report, Field::CpuShare);
         let list = &mut self.samples[s];
-        while list.front().is_some_and(|x| now.saturating_sub(x.at) > Self::KEPT) {
-            list.pop_front();
-        }
+        drop_old(list, now, Self::KEPT, |x| x.at);
         list.push_back(Sample {
             at: now,
             load,
@@ -92,8 +90,8 @@
         self.samples[s].iter().filter(move |x| x.at > from)
     }
 
-    fn smoothed(&self, s: Server, from: Duration) -> Option<f64> {
-        mean(self.since(s, from).filter_map(|x| x.load))
+    fn smoothed(&self, s: Server, from: Duration, of: impl Fn(&Sample) -> Option<f64>) -> Option<f64> {
+        mean(self.since(s, from).filter_map(of))
     }
 
     fn last(&self, s: Server) -> Option<Duration> {
@@ -106,6 +104,12 @@
     }
 }
 
+fn drop_old<T>(list: &mut VecDeque<T>, now: Duration, kept: Duration, at: impl Fn(&T) -> Duration) {
+    while list.front().is_some_and(|x| now.saturating_sub(at(x)) > kept) {
+        list.pop_front();
+    }
+}
+
 fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
     let (sum, n) = values.fold((0.0, 0usize), |(sum, n), v| (sum + v, n + 1));
     (n > 0).then(|| sum / n as f64)
@@ -219,11 +223,11 @@
     const FULL: f64 = 0.85;
 
     fn of(loads: &Loads, from: Duration) -> Option<Work> {
-        let waits = |s| mean(loads.since(s, from).filter_map(|x| x.wait));
+        let waits = |s| loads.smoothed(s, from, |x| x.wait);
         let wait = median((0..loads.samples.len()).filter_map(waits).collect());
         let (mut sent, mut able) = (0.0, 0.0);
         for s in 0..loads.samples.len() {
-            let busy = mean(loads.since(s, from).filter_map(|x| x.cpu));
+            let busy = loads.smoothed(s, from, |x| x.cpu);
             let (tries, dropped) = loads.tries(s, from);
             if tries > dropped {
                 // Tries that fail at a server with time to spare point to a cut or a fault.
@@ -331,6 +335,7 @@
     const GUARDING: f64 = 0.6;
     const CROWDED: f64 = 0.85;
     const BINDING: f64 = 1.0;
+    const RETRY: Duration = Duration::from_millis(100);
 
     fn slow(&self, now: Duration) -> bool {
         let patience = self.pace.worst_transit * 2;
@@ -342,9 +347,7 @@
         let gone = (now - self.drained_at).as_secs_f64() * rate;
         self.waiting = (self.waiting - gone).max(0.0);
         self.drained_at = now;
-        while self.sent.front().is_some_and(|t| now.saturating_sub(*t) > self.pace.window) {
-            self.sent.pop_front();
-        }
+        drop_old(&mut self.sent, now, self.pace.window, |t| *t);
     }
 
     fn room(&mut self, now: Duration, lines: f64, share: f64) -> bool {
@@ -479,13 +482,10 @@
             binding |= self.enter(now, entry);
         }
         if whole {
-            for s in 0..self.roster.members.len() {
-                if let Some(m) = &mut self.roster.members[s]
-                    && entries.iter().all(|e| e.server != s)
-                {
-                    m.phase = Phase::Gone;
-                }
-            }
+            let mut named = vec![false; self.roster.members.len()];
+            entries.iter().for_each(|e| named[e.server] = true);
+            let unnamed = self.roster.members.iter_mut().zip(named).filter(|m| !m.1);
+            unnamed.filter_map(|m| m.0.as_mut()).for_each(|m| m.phase = Phase::Gone);
         }
         binding |= self.pools.iter().any(|p| p.written.iter().all(|w| *w <= 0.0));
         self.push(now, if binding { Channel::BINDING } else { Channel::ORDINARY });
@@ -516,8 +516,9 @@
             self.ramp.cold[s] = true;
             self.health[s].clear(now, Ramp::STEPS);
         }
-        let mean = self.weights.mean();
-        self.weights.learnt[s].get_or_insert(mean);
+        if self.weights.learnt[s].is_none() {
+            self.weights.learnt[s] = Some(self.weights.mean());
+        }
         self.roster.members[s] = Some(Member { zone: entry.zone, phase: entry.phase, warm_at });
         before.is_some_and(|(phase, _)| phase != Phase::Gone)
             && (entry.phase != Phase::Ready || warm_at > now)
@@ -550,7 +551,7 @@
             let lines = mine.iter().flat_map(|p| &p.written).filter(|w| **w > 0.0).count();
             let cost = (2 * mine.len() + lines) as f64 + self.channel.pace.head;
             if !self.channel.room(now, cost, 0.8) {
-                return self.wake_urgent(now, Duration::from_millis(100));
+                return self.wake_urgent(now);
             }
             self.channel.waiting += cost;
             proxy.bound = true;
@@ -560,10 +561,10 @@
         }
     }
 
-    fn wake_urgent(&mut self, now: Duration, after: Duration) {
+    fn wake_urgent(&mut self, now: Duration) {
         if !self.channel.urgent_set {
             self.channel.urgent_set = true;
-            self.host.wake(now + after, TOKEN_URGENT);
+            self.host.wake(now + Channel::RETRY, TOKEN_URGENT);
         }
     }
 
@@ -652,7 +653,7 @@
             let cost = bound * ((lines.len() + levels.len()) as f64 + self.channel.pace.head + 1.0);
             if !self.channel.may_message(now, share) || !self.channel.room(now, cost, share) {
                 if share == Channel::BINDING {
-                    self.wake_urgent(now, Duration::from_millis(100));
+                    self.wake_urgent(now);
                 }
                 return self.bind_waiting(now);
             }
@@ -706,7 +707,7 @@
             .filter_map(|s| {
                 // A report from before the last change took hold would have the same change made twice.
                 let from = recent.max(self.weights.changed[s] + settling);
-                self.loads.smoothed(s, from).map(|l| (s, l))
+                self.loads.smoothed(s, from, |x| x.load).map(|l| (s, l))
             })
             .collect();
         self.weights.scale(now, &loads, |s| self.ramp.step[s] == Ramp::STEPS);
@@ -719,7 +720,7 @@
     fn evidence(&self, now: Duration, s: Server) -> Option<(f64, Option<f64>)> {
         let from = now.saturating_sub(Health::EVIDENCE).max(self.health[s].fresh_from);
         let (tries, dropped) = self.loads.tries(s, from);
-        let wait = mean(self.loads.since(s, from).filter_map(|x| x.wait));
+        let wait = self.loads.smoothed(s, from, |x| x.wait);
         (tries >= Health::LEAST_TRIES).then(|| ((tries - dropped).max(0.0) / tries, wait))
     }
 
@@ -827,9 +828,7 @@
     pub fn came(&mut self, now: Duration, route: usize, calls: u32) {
         if let Some(list) = self.levels.arrived.get_mut(route) {
             list.push_back((now, f64::from(calls)));
-            while list.front().is_some_and(|a| now.saturating_sub(a.0) > Loads::KEPT) {
-                list.pop_front();
-            }
+            drop_old(list, now, Loads::KEPT, |a| a.0);
         }
     }
 }
