Deal a zone's servers to several pools where proxies outnumber the connections

Change: the number of pools follows connections accepted over proxies (start message and list); weights are learnt in each pool; orders go pool by pool, the most needed first; 'gone' leaves a server in place where it does not bind.

--- a/crates/wirehost/src/hosted.rs
+++ b/crates/wirehost/src/hosted.rs
@@ -204,7 +204,10 @@
                     self.planner.probed(s, result);
                 }
             }
-            1060 => self.planner.joined(now, event.u16(2), event.u16(4), event.u8(6) != 0),
+            1060 => {
+                let rate = event.f32(7).max(0.0).into();
+                self.planner.joined(now, event.u16(2), event.u16(4), event.u8(6) != 0, rate);
+            }
             1070 => self.planner.left(event.u16(2)),
             1080 => self.planner.applied(event.u32(2) as u16),
             1090 => {
--- a/crates/wirehost/src/stated.rs
+++ b/crates/wirehost/src/stated.rs
@@ -86,13 +86,15 @@
             slices: self.optional("familyInfo.slices")?.unwrap_or(0),
             levels: throttle.as_deref() == Some("share"),
             try_factor: self.optional("familyInfo.tryFactor")?.unwrap_or(1.0),
+            proxies: self.optional("familyInfo.dataPlaneSize")?.unwrap_or(0),
+            least_conns: self.optional("familyInfo.connsLeast")?.unwrap_or(f64::INFINITY),
         })
     }
 
     pub fn graces(&self) -> Result<Graces, Malformed> {
         Ok(Graces {
             warm_up: self.span("invariants.warmUpMs")?,
-            drain: self.span("invariants.drainGraceMs")?,
+            gone_binds: !self.optional("invariants.removalNotBinding")?.unwrap_or(false),
         })
     }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,9 +5,10 @@
 //! spans since the planner's start. Nothing is shared between planners.
 
 use crate::host::*;
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 const INTERVAL: Duration = Duration::from_secs(2);
@@ -21,6 +22,8 @@
     zone: Zone,
     phase: Phase,
     warm_at: Duration,
+    /// Called gone where that does not bind: what is met there decides.
+    doubted: bool,
 }
 
 struct Roster {
@@ -36,6 +39,10 @@
     fn warm(&self, s: Server, now: Duration) -> bool {
         self.members[s].as_ref().is_some_and(|m| m.phase == Phase::Ready && m.warm_at <= now)
     }
+
+    fn zone(&self, s: Server) -> Option<Zone> {
+        self.members[s].as_ref().map(|m| m.zone)
+    }
 }
 
 /// What was met at one server over one cycle, as it came.
@@ -115,46 +122,72 @@
     (n > 0).then(|| sum / n as f64)
 }
 
-/// The mechanism: the weight each server has earned, apart from all exceptions.
-struct Weights {
-    learnt: Vec<Option<f64>>,
-    changed: Vec<Duration>,
+/// A server in a pool: the weight it has earned there, apart from all exceptions, and what was sent.
+struct Line {
+    server: Server,
+    learnt: f64,
+    changed: Duration,
+    written: f32,
+}
+
+/// The mechanism: one shared table of many proxies.
+struct Pool {
+    table: Table,
+    zone: Option<Zone>,
+    /// Its routes may not leave the zone.
+    local: bool,
+    routes: RouteSet,
+    lines: Vec<Line>,
+    /// When messages went to its proxies.
+    sent: VecDeque<Duration>,
 }
 
-impl Weights {
+impl Pool {
     const CLAMP: (f64, f64) = (0.8, 1.25);
     const DEAD_BAND: f64 = 0.1;
     const CEILING: f64 = 3.0;
     /// As a part of the ceiling: far below it, a server that recovers would stay unused for a minute.
     const FLOOR: f64 = 0.02;
     const DRIFT: f64 = 0.2;
+    /// What servers of other zones count for beside those of the pool's own: ordinarily, and at most.
+    const FAR: (f64, f64) = (0.2, 0.6);
+    /// Where proxies outnumber the connections: the part of these that pools fill, and of it the near one.
+    const FILLED: f64 = 0.4;
+    const NEAR: f64 = 0.75;
+
+    fn serves(&self, zone: Option<Zone>) -> bool {
+        self.zone.is_none() || self.zone == zone
+    }
 
     fn mean(&self) -> f64 {
-        mean(self.learnt.iter().flatten().copied()).unwrap_or(1.0)
+        mean(self.lines.iter().map(|l| l.learnt)).unwrap_or(1.0)
+    }
+
+    fn add(&mut self, server: Server) {
+        let learnt = self.mean();
+        self.lines.push(Line { server, learnt, changed: Duration::ZERO, written: 0.0 });
     }
 
     /// One interval: each server's weight times the pool's mean load over its own.
-    fn scale(&mut self, now: Duration, loads: &[(Server, f64)], whole: impl Fn(Server) -> bool) {
-        let Some(pool) = mean(loads.iter().map(|l| l.1)).filter(|m| *m > 0.0) else { return };
-        for &(s, own) in loads {
+    fn scale(&mut self, now: Duration, loads: &[Option<f64>], whole: impl Fn(Server) -> bool) {
+        let Some(pool) = mean(loads.iter().flatten().copied()).filter(|m| *m > 0.0) else { return };
+        for (line, own) in self.lines.iter_mut().zip(loads).filter_map(|(l, own)| Some((l, (*own)?))) {
             let ratio = if own > 0.0 { pool / own } else { Self::CLAMP.1 };
             let factor = ratio.clamp(Self::CLAMP.0, Self::CLAMP.1);
             // Little has been heard since the last change: only what is plain counts.
-            let doubt = (6.0 / (now - self.changed[s]).as_secs_f64()).sqrt().max(1.0);
+            let doubt = (6.0 / (now - line.changed).as_secs_f64()).sqrt().max(1.0);
             // And a server held back looks idle because it is held back.
-            if (factor - 1.0).abs() < Self::DEAD_BAND * doubt || (factor > 1.0 && !whole(s)) {
+            if (factor - 1.0).abs() < Self::DEAD_BAND * doubt || (factor > 1.0 && !whole(line.server)) {
                 continue;
             }
-            if let Some(w) = &mut self.learnt[s] {
-                *w *= factor;
-                self.changed[s] = now;
-            }
+            line.learnt *= factor;
+            line.changed = now;
         }
         let mean = self.mean();
         let scale = if (mean - 1.0).abs() > Self::DRIFT { 1.0 / mean } else { 1.0 };
         let most = Self::CEILING * mean * scale;
-        for w in self.learnt.iter_mut().flatten() {
-            *w = (*w * scale).clamp(most * Self::FLOOR, most);
+        for l in &mut self.lines {
+            l.learnt = (l.learnt * scale).clamp(most * Self::FLOOR, most);
         }
     }
 }
@@ -324,8 +357,8 @@
     pace: Pace,
     waiting: f64,
     drained_at: Duration,
-    sent: VecDeque<Duration>,
     marks: u16,
+    /// Numbers of marks, and when an answer is overdue.
     unanswered: VecDeque<(u16, Duration)>,
     urgent_set: bool,
 }
@@ -337,56 +370,38 @@
     const BINDING: f64 = 1.0;
     const RETRY: Duration = Duration::from_millis(100);
 
-    fn slow(&self, now: Duration) -> bool {
-        let patience = self.pace.worst_transit * 2;
-        self.unanswered.front().is_some_and(|m| now.saturating_sub(m.1) > patience)
-    }
-
-    fn drain(&mut self, now: Duration) {
-        let rate = self.pace.lines_per_s * if self.slow(now) { 0.125 } else { 1.0 };
-        let gone = (now - self.drained_at).as_secs_f64() * rate;
-        self.waiting = (self.waiting - gone).max(0.0);
-        self.drained_at = now;
-        drop_old(&mut self.sent, now, self.pace.window, |t| *t);
-    }
-
     fn room(&mut self, now: Duration, lines: f64, share: f64) -> bool {
-        self.drain(now);
+        let slow = self.unanswered.front().is_some_and(|m| now > m.1);
+        let rate = self.pace.lines_per_s * if slow { 0.125 } else { 1.0 };
+        self.waiting = (self.waiting - (now - self.drained_at).as_secs_f64() * rate).max(0.0);
+        self.drained_at = now;
         self.waiting + lines <= self.pace.most_waiting * share
     }
 
     /// Ordinary pushes leave room for withdrawals, and these for drains; one message stays for binding.
-    fn may_message(&mut self, now: Duration, share: f64) -> bool {
-        self.drain(now);
+    fn may_message(&self, now: Duration, sent: &mut VecDeque<Duration>, share: f64) -> bool {
+        drop_old(sent, now, self.pace.window, |t| *t);
         let most = self.pace.most_messages;
-        most == 0 || (self.sent.len() as f64) < most.saturating_sub(1) as f64 * share
+        most == 0 || (sent.len() as f64) < most.saturating_sub(1) as f64 * share
+    }
+
+    fn mark(&mut self, now: Duration) -> u16 {
+        self.marks = (self.marks + 1) % 50_000;
+        let queued = Duration::from_secs_f64(self.waiting / self.pace.lines_per_s.max(1.0));
+        self.unanswered.push_back((self.marks, now + queued + self.pace.worst_transit * 2));
+        self.marks
     }
 }
 
 struct Joined {
-    proxy: Proxy,
     zone: Zone,
+    rate: f64,
+    /// One for each set of routes; kept over a break, so that connections serve on.
+    pools: Vec<usize>,
+    here: bool,
     bound: bool,
 }
 
-struct Pool {
-    table: Table,
-    zone: Option<Zone>,
-    /// Its routes may not leave the zone.
-    local: bool,
-    routes: RouteSet,
-    written: Vec<f32>,
-}
-
-impl Pool {
-    /// What servers of other zones count for beside those of the pool's own: ordinarily, and at most.
-    const FAR: (f64, f64) = (0.2, 0.6);
-
-    fn serves(&self, zone: Zone) -> bool {
-        self.zone.is_none_or(|z| z == zone)
-    }
-}
-
 pub struct Planner<H> {
     host: H,
     rng: Pcg64Mcg,
@@ -396,13 +411,15 @@
     sight: Sight,
     roster: Roster,
     loads: Loads,
-    weights: Weights,
     health: Vec<Health>,
     ramp: Ramp,
     levels: Levels,
     channel: Channel,
     pools: Vec<Pool>,
-    proxies: Vec<Joined>,
+    /// Near and far servers that a pool is to hold.
+    width: (usize, usize),
+    proxies: BTreeMap<Proxy, Joined>,
+    unbound: VecDeque<Proxy>,
 }
 
 impl<H: Host> Planner<H> {
@@ -415,15 +432,6 @@
         pace: Pace,
         sight: Sight,
     ) -> Self {
-        let local = routes.iter().enumerate().filter(|r| r.1.stays_local).fold(0, |set, r| set | (1 << r.0));
-        let all = ((1u32 << routes.len().min(16)) - 1) as RouteSet;
-        let zones = if plane.zones > 1 { (0..plane.zones as Zone).map(Some).collect() } else { vec![None] };
-        let mut pools: Vec<Pool> = vec![];
-        for (routes, local) in [(all & !local, false), (local, true)].into_iter().filter(|p| p.0 != 0) {
-            for &zone in &zones {
-                pools.push(Pool { table: pools.len() as Table, zone, local, routes, written: vec![] });
-            }
-        }
         let n = routes.len();
         let mut planner = Planner {
             host,
@@ -433,7 +441,6 @@
             graces,
             roster: Roster { members: vec![], ask_at: None },
             loads: Loads { samples: vec![], fields: sight.fields.clone(), newest: Duration::ZERO },
-            weights: Weights { learnt: vec![], changed: vec![] },
             health: vec![],
             ramp: Ramp { step: vec![], cold: vec![], pressure: Ramp::UNHEARD },
             levels: Levels {
@@ -446,14 +453,15 @@
                 pace,
                 waiting: 0.0,
                 drained_at: Duration::ZERO,
-                sent: VecDeque::new(),
                 marks: 0,
                 unanswered: VecDeque::new(),
                 urgent_set: false,
             },
             sight,
-            pools,
-            proxies: vec![],
+            pools: vec![],
+            width: (usize::MAX, usize::MAX),
+            proxies: BTreeMap::new(),
+            unbound: VecDeque::new(),
         };
         if planner.plane.slices == 0 {
             planner.host.admit(0, 1.0, Tries::AfterProof);
@@ -477,32 +485,30 @@
 
     pub fn list(&mut self, now: Duration, whole: bool, entries: &[Listed]) {
         self.roster.ask_at = None;
-        let mut binding = whole;
-        for entry in entries {
-            binding |= self.enter(now, entry);
-        }
+        entries.iter().for_each(|e| self.enter(now, e));
         if whole {
             let mut named = vec![false; self.roster.members.len()];
             entries.iter().for_each(|e| named[e.server] = true);
-            let unnamed = self.roster.members.iter_mut().zip(named).filter(|m| !m.1);
-            unnamed.filter_map(|m| m.0.as_mut()).for_each(|m| m.phase = Phase::Gone);
+            for s in (0..named.len()).filter(|s| !named[*s]) {
+                self.gone(s);
+            }
         }
-        binding |= self.pools.iter().any(|p| p.written.iter().all(|w| *w <= 0.0));
-        self.push(now, if binding { Channel::BINDING } else { Channel::ORDINARY });
+        self.deal();
+        self.push(now);
     }
 
-    /// Whether the entry takes from what proxies may send a server they hold.
-    fn enter(&mut self, now: Duration, entry: &Listed) -> bool {
+    fn enter(&mut self, now: Duration, entry: &Listed) {
         let s = entry.server;
         if s >= self.roster.members.len() {
             self.roster.members.resize_with(s + 1, || None);
             self.loads.samples.resize_with(s + 1, VecDeque::new);
-            self.weights.learnt.resize(s + 1, None);
-            self.weights.changed.resize(s + 1, Duration::ZERO);
             self.health.resize(s + 1, Health::NEW);
             self.ramp.cold.resize(s + 1, false);
             self.ramp.step.resize(s + 1, Ramp::STEPS);
         }
+        if entry.phase == Phase::Gone {
+            return self.gone(s);
+        }
         let warm_at = match entry.age {
             Some(age) if age < self.graces.warm_up => now + self.graces.warm_up - age,
             _ => Duration::ZERO,
@@ -516,12 +522,19 @@
             self.ramp.cold[s] = true;
             self.health[s].clear(now, Ramp::STEPS);
         }
-        if self.weights.learnt[s].is_none() {
-            self.weights.learnt[s] = Some(self.weights.mean());
+        self.roster.members[s] =
+            Some(Member { zone: entry.zone, phase: entry.phase, warm_at, doubted: false });
+    }
+
+    /// Guards against a list that calls running servers gone: where that does not bind, one that was not
+    /// seen draining stays until it fails, and needs no ramp when it is listed again.
+    fn gone(&mut self, s: Server) {
+        if let Some(m) = &mut self.roster.members[s] {
+            m.doubted = !self.graces.gone_binds && m.phase == Phase::Ready && self.ramp.step[s] > 0;
+            if !m.doubted {
+                m.phase = Phase::Gone;
+            }
         }
-        self.roster.members[s] = Some(Member { zone: entry.zone, phase: entry.phase, warm_at });
-        before.is_some_and(|(phase, _)| phase != Phase::Gone)
-            && (entry.phase != Phase::Ready || warm_at > now)
     }
 
     /// Asked again in the next round: a list that turns calls away at once would otherwise be flooded.
@@ -529,35 +542,151 @@
         self.roster.ask_at = Some(now);
     }
 
+    // Pools.
+
+    /// One pool of all servers for each zone, as long as servers accept the connections that this takes.
+    /// Past that each proxy pays a handshake for nearly every call and servers turn connections away, so
+    /// the zone's servers are dealt out to several pools.
+    fn lay_out(&mut self) {
+        let servers = (0..self.roster.members.len()).filter(|s| self.roster.ready(*s)).count();
+        if servers == 0 || self.plane.slices > 0 {
+            return;
+        }
+        let accepted = self.plane.least_conns * servers as f64 / self.plane.proxies.max(1) as f64;
+        let lines = (Pool::FILLED * accepted).max(8.0);
+        let zones =
+            if self.plane.zones > 1 { (0..self.plane.zones as Zone).map(Some).collect() } else { vec![None] };
+        let local =
+            self.routes.iter().enumerate().filter(|r| r.1.stays_local).fold(0, |set, r| set | (1 << r.0));
+        let all = ((1u32 << self.routes.len().min(16)) - 1) as RouteSet;
+        let near = servers as f64 / zones.len() as f64;
+        let split = lines < servers as f64;
+        let pools = if split { (near / (Pool::NEAR * lines)).ceil().max(1.0) } else { 1.0 };
+        if split {
+            self.width = ((near / pools) as usize, ((1.0 - Pool::NEAR) * lines).ceil() as usize);
+        }
+        let sets: Vec<_> = [(all & !local, false), (local, true)].into_iter().filter(|p| p.0 != 0).collect();
+        // A proxy has a pool of each set, and the cap holds for all of its messages.
+        self.channel.pace.most_messages = self.channel.pace.most_messages.div_ceil(sets.len().max(1));
+        for (routes, local) in sets {
+            for &zone in &zones {
+                for _ in 0..pools as usize {
+                    let table = self.pools.len() as Table;
+                    let (lines, sent) = (vec![], VecDeque::new());
+                    self.pools.push(Pool { table, zone, local, routes, lines, sent });
+                }
+            }
+        }
+    }
+
+    /// Every server into a pool of its zone, and into every pool what it lacks: near ones while there are
+    /// any, else far ones. Against a pool left with too little when its servers go, all at once or singly.
+    fn deal(&mut self) {
+        if self.pools.is_empty() {
+            self.lay_out();
+        }
+        let n = self.roster.members.len();
+        let open: Vec<bool> = (0..n).map(|s| self.roster.ready(s) && self.ramp.step[s] > 0).collect();
+        // Planners that deal alike would make the same pools hot.
+        let mut order: Vec<Server> = (0..n).collect();
+        order.shuffle(&mut self.rng);
+        let mut first = 0;
+        while first < self.pools.len() {
+            let key = (self.pools[first].zone, self.pools[first].local);
+            let last = first + self.pools[first..].iter().take_while(|p| (p.zone, p.local) == key).count();
+            let group = &mut self.pools[first..last];
+            let near: Vec<bool> = (0..n).map(|s| group[0].serves(self.roster.zone(s))).collect();
+            let mut holders = vec![0; n];
+            for pool in group.iter_mut() {
+                pool.lines.retain(|l| l.written > 0.0 || self.roster.ready(l.server));
+                pool.lines.iter().for_each(|l| holders[l.server] += 1);
+            }
+            let unheld = |s: &&Server| self.roster.ready(**s) && near[**s] && holders[**s] == 0;
+            for s in order.iter().filter(unheld).copied().collect::<Vec<Server>>() {
+                let pool = group.iter_mut().min_by_key(|p| p.lines.iter().filter(|l| near[l.server]).count());
+                pool.expect("a group has a pool").add(s);
+                holders[s] = 1;
+            }
+            for pool in group {
+                let mut held = vec![false; n];
+                pool.lines.iter().for_each(|l| held[l.server] = true);
+                let count = |near_too: bool| {
+                    pool.lines.iter().filter(|l| open[l.server] && near[l.server] == near_too).count()
+                };
+                let short = self.width.0.min(n).saturating_sub(count(true));
+                let far = self.width.1.min(n).saturating_sub(count(false));
+                for want_near in (0..short).map(|_| true).chain((0..far).map(|_| false)) {
+                    let may = |s: &&Server| open[**s] && !held[**s] && (want_near || !near[**s]);
+                    let best = order.iter().filter(may).min_by_key(|s| (!near[**s], holders[**s]));
+                    let Some(&s) = best else { break };
+                    (held[s], holders[s]) = (true, holders[s] + 1);
+                    pool.add(s);
+                }
+            }
+            first = last;
+        }
+    }
+
     // Joining.
 
-    /// `bare` tells that the proxy has only just started.
-    pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone, bare: bool) {
-        self.proxies.retain(|p| p.proxy != proxy);
-        if !bare && self.proxies.iter().all(|p| p.zone != zone) {
+    /// `bare` tells that the proxy has only just started, `rate` how many calls a second it usually gets.
+    pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone, bare: bool, rate: f64) {
+        if !bare && self.proxies.values().all(|p| !p.here || p.zone != zone) {
             self.forget(now, zone);
         }
-        self.proxies.push(Joined { proxy, zone, bound: false });
-        self.push(now, Channel::BINDING);
+        let pools = self.proxies.remove(&proxy).map_or(vec![], |p| p.pools);
+        self.proxies.insert(proxy, Joined { zone, rate, pools, here: true, bound: false });
+        self.unbound.retain(|p| *p != proxy);
+        self.unbound.push_back(proxy);
+        self.bind_waiting(now);
     }
 
     pub fn left(&mut self, proxy: Proxy) {
-        self.proxies.retain(|p| p.proxy != proxy);
+        if let Some(p) = self.proxies.get_mut(&proxy) {
+            (p.here, p.bound) = (false, false);
+        }
+        self.unbound.retain(|p| *p != proxy);
+    }
+
+    /// For each set of routes the pool of the zone that is asked for the least.
+    fn choose(&self, zone: Zone) -> Vec<usize> {
+        let mut rates = vec![0.0; self.pools.len()];
+        for p in self.proxies.values().filter(|p| p.here) {
+            p.pools.iter().for_each(|i| rates[*i] += p.rate);
+        }
+        let of = |local| {
+            let mine = move |i: &usize| self.pools[*i].local == local && self.pools[*i].serves(Some(zone));
+            (0..rates.len()).filter(mine).min_by(|a, b| rates[*a].total_cmp(&rates[*b]))
+        };
+        of(false).into_iter().chain(of(true)).collect()
     }
 
     fn bind_waiting(&mut self, now: Duration) {
-        for proxy in self.proxies.iter_mut().filter(|p| !p.bound) {
-            let mine: Vec<&Pool> = self.pools.iter().filter(|p| p.serves(proxy.zone)).collect();
-            let lines = mine.iter().flat_map(|p| &p.written).filter(|w| **w > 0.0).count();
-            let cost = (2 * mine.len() + lines) as f64 + self.channel.pace.head;
+        while let Some(&proxy) = self.unbound.front().filter(|_| !self.pools.is_empty()) {
+            let mut pools = self.proxies[&proxy].pools.clone();
+            if pools.is_empty() {
+                pools = self.choose(self.proxies[&proxy].zone);
+            }
+            for &p in &pools {
+                // A table that nobody holds costs nothing to bring up to date.
+                if !self.proxies.values().any(|x| x.bound && x.pools.contains(&p)) {
+                    let wanted: Vec<f32> = self.compose(&self.pools[p]);
+                    self.write(p, wanted.into_iter().enumerate());
+                }
+            }
+            let lines = pools.iter().flat_map(|p| &self.pools[*p].lines).filter(|l| l.written > 0.0).count();
+            let cost = (2 * pools.len() + lines) as f64 + self.channel.pace.head;
             if !self.channel.room(now, cost, 0.8) {
                 return self.wake_urgent(now);
             }
             self.channel.waiting += cost;
-            proxy.bound = true;
-            for p in mine {
-                self.host.bind(proxy.proxy, p.table, p.routes);
+            for &p in &pools {
+                self.host.bind(proxy, self.pools[p].table, self.pools[p].routes);
             }
+            if let Some(p) = self.proxies.get_mut(&proxy) {
+                (p.pools, p.bound) = (pools, true);
+            }
+            self.unbound.pop_front();
         }
     }
 
@@ -591,26 +720,27 @@
 
     /// The one place where written weights are made: what was learnt times the exceptions.
     fn compose(&self, pool: &Pool) -> Vec<f32> {
-        let all = 0..self.roster.members.len();
-        let listed = |s: Server| self.roster.members[s].as_ref().filter(|m| m.phase != Phase::Gone);
-        let near = |s: Server| listed(s).is_some_and(|m| pool.serves(m.zone));
-        let open = |s: Server| self.roster.ready(s) && (near(s) || !pool.local);
-        let learnt = |s: Server| self.weights.learnt[s].unwrap_or(1.0);
-        let own = all.clone().filter(|s| near(*s));
-        let (full, left) = own.fold((0.0, 0.0), |(f, l), s| (f + learnt(s), l + learnt(s) * self.part(s)));
+        let near = |l: &Line| pool.serves(self.roster.zone(l.server));
+        let open = |l: &Line| self.roster.ready(l.server) && (near(l) || !pool.local);
+        let own = pool.lines.iter().filter(|l| near(l));
+        let (full, left) =
+            own.fold((0.0, 0.0), |(f, w), l| (f + l.learnt, w + l.learnt * self.part(l.server)));
         // What a zone has lost, far servers make up for at once, before its cold ones are swamped.
         let lost = 1.0 - if full > 0.0 { left / full } else { 0.0 };
         // Cold servers are pushed over by what only they are left to take.
-        let most = if all.clone().any(|s| near(s) && self.ramp.cold[s]) { 1.0 } else { Pool::FAR.1 };
+        let cold = pool.lines.iter().any(|l| near(l) && self.ramp.cold[l.server]);
+        let most = if cold { 1.0 } else { Pool::FAR.1 };
         let far = Pool::FAR.0 + (most - Pool::FAR.0) * lost;
-        let place = |s: Server| if near(s) { learnt(s) } else { far * learnt(s) };
-        let weight = |s: Server| if open(s) { (place(s) * self.part(s)) as f32 } else { 0.0 };
-        let weights: Vec<f32> = all.clone().map(weight).collect();
+        let weight = |l: &Line| {
+            let place = if near(l) { 1.0 } else { far };
+            if open(l) { (l.learnt * place * self.part(l.server)) as f32 } else { 0.0 }
+        };
+        let weights: Vec<f32> = pool.lines.iter().map(weight).collect();
         if weights.iter().any(|w| *w > 0.0) {
             return weights;
         }
         // A table is never emptied by what is believed of servers' health.
-        all.map(|s| if open(s) { 1.0 } else { 0.0 }).collect()
+        pool.lines.iter().map(|l| if open(l) { 1.0 } else { 0.0 }).collect()
     }
 
     /// When proxies may try a call again without its effect taking place twice, and where that helps: a
@@ -627,55 +757,101 @@
         }
     }
 
-    fn push(&mut self, now: Duration, share: f64) {
-        if self.plane.slices > 0 {
-            return;
+    /// The part of the channel that a changed line may use: the more, the more it takes from a server that
+    /// must not have it. A fall beyond what the mechanism makes at once is an exception's.
+    fn need(&self, line: &Line, wanted: f32) -> f64 {
+        let kept = f64::from(wanted) / f64::from(line.written);
+        match line.server {
+            _ if kept.is_nan() || kept > 0.9 * Pool::CLAMP.0 => Channel::ORDINARY,
+            s if !self.roster.ready(s) || (self.ramp.cold[s] && kept < 0.3) => Channel::BINDING,
+            s if self.ramp.cold[s] => Channel::CROWDED,
+            _ => Channel::GUARDING,
         }
-        let mut lines = vec![];
-        for p in 0..self.pools.len() {
-            if !self.proxies.iter().any(|x| self.pools[p].serves(x.zone)) {
-                continue;
-            }
-            self.pools[p].written.resize(self.roster.members.len(), 0.0);
-            let wanted = self.compose(&self.pools[p]);
-            for (s, w) in wanted.into_iter().enumerate() {
-                if w != self.pools[p].written[s] {
-                    lines.push((p, s, w));
-                }
+    }
+
+    /// Sends what has changed, the most needed pools first and each as far as the channel allows; the rest
+    /// stays to be sent, with whatever changes until then.
+    fn push(&mut self, now: Duration) {
+        let mut proxies = vec![0.0; self.pools.len()];
+        for p in self.proxies.values().filter(|p| p.bound) {
+            p.pools.iter().for_each(|i| proxies[*i] += 1.0);
+        }
+        let bound = self.proxies.values().filter(|p| p.bound).count() as f64;
+        let head = self.channel.pace.head + 1.0;
+        let with_levels = self.push_levels(now, bound, head);
+        let mut changes = vec![];
+        for (i, pool) in self.pools.iter().enumerate().filter(|(i, _)| proxies[*i] > 0.0) {
+            let wanted = self.compose(pool).into_iter().enumerate();
+            let lines: Vec<(usize, f32, f64)> = wanted
+                .filter(|(l, w)| *w != pool.lines[*l].written)
+                .map(|(l, w)| (l, w, self.need(&pool.lines[l], w)))
+                .collect();
+            let empty = pool.lines.iter().all(|l| l.written <= 0.0 || !self.roster.ready(l.server));
+            let most = lines.iter().map(|l| l.2).fold(0.0, f64::max);
+            if !lines.is_empty() {
+                changes.push((if empty { Channel::BINDING } else { most }, i, lines));
             }
         }
-        let tries: Vec<Tries> = (0..self.routes.len()).map(|r| self.tries(r)).collect();
-        let levels: Vec<usize> = (0..self.routes.len())
-            .filter(|r| self.levels.written[*r] != (self.levels.wanted[*r], tries[*r]))
-            .collect();
-        if !lines.is_empty() || !levels.is_empty() {
-            let bound = self.proxies.iter().filter(|p| p.bound).count() as f64;
-            let cost = bound * ((lines.len() + levels.len()) as f64 + self.channel.pace.head + 1.0);
-            if !self.channel.may_message(now, share) || !self.channel.room(now, cost, share) {
-                if share == Channel::BINDING {
+        // Where not all fits, none is always the last.
+        let turn = self.rng.random_range(0..self.pools.len().max(1));
+        changes.sort_by_key(|c| ((-1000.0 * c.0) as i64, c.1 < turn, c.1));
+        let mut marked = with_levels;
+        for (need, i, mut lines) in changes {
+            let free = with_levels || self.channel.may_message(now, &mut self.pools[i].sent, need);
+            if free && !self.channel.room(now, proxies[i] * (lines.len() as f64 + head), need) {
+                lines.retain(|l| l.2 >= need);
+            }
+            let cost = proxies[i] * (lines.len() as f64 + head);
+            if !free || !self.channel.room(now, cost, need) {
+                if need >= Channel::BINDING {
                     self.wake_urgent(now);
                 }
-                return self.bind_waiting(now);
-            }
-            for (p, s, w) in lines {
-                self.pools[p].written[s] = w;
-                self.host.set_line(self.pools[p].table, s, w);
-            }
-            for r in levels {
-                let share = if self.plane.levels { self.levels.wanted[r] } else { 1.0 };
-                self.levels.written[r] = (self.levels.wanted[r], tries[r]);
-                self.host.admit(1 << r, share, tries[r]);
+                continue;
             }
             self.channel.waiting += cost;
-            if bound > 0.0 {
-                self.channel.sent.push_back(now);
-                self.channel.marks = (self.channel.marks + 1) % 50_000;
-                self.host.mark(self.channel.marks);
-                self.channel.unanswered.push_back((self.channel.marks, now));
+            if !with_levels {
+                self.pools[i].sent.push_back(now);
             }
+            self.write(i, lines.into_iter().map(|l| (l.0, l.1)));
+            marked = true;
+        }
+        if marked && bound > 0.0 {
+            let number = self.channel.mark(now);
+            self.host.mark(number);
         }
         self.bind_waiting(now);
     }
+    fn write(&mut self, pool: usize, lines: impl Iterator<Item = (usize, f32)>) {
+        let pool = &mut self.pools[pool];
+        for (l, weight) in lines.filter(|(l, w)| pool.lines[*l].written != *w).collect::<Vec<_>>() {
+            pool.lines[l].written = weight;
+            self.host.set_line(pool.table, pool.lines[l].server, weight);
+        }
+    }
+
+    /// Whether levels were sent; they go to every proxy, so all else may go with them.
+    fn push_levels(&mut self, now: Duration, bound: f64, head: f64) -> bool {
+        let tries: Vec<Tries> = (0..self.routes.len()).map(|r| self.tries(r)).collect();
+        let levels: Vec<usize> = (0..self.routes.len())
+            .filter(|r| self.levels.written[*r] != (self.levels.wanted[*r], tries[*r]))
+            .collect();
+        let share = if self.ramp.pressure > 0.9 { Channel::CROWDED } else { Channel::ORDINARY };
+        let cost = bound * (levels.len() as f64 + head);
+        let may = self.pools.iter_mut().all(|p| self.channel.may_message(now, &mut p.sent, share));
+        if levels.is_empty() || !may || !self.channel.room(now, cost, share) {
+            return false;
+        }
+        for r in levels {
+            let share = if self.plane.levels { self.levels.wanted[r] } else { 1.0 };
+            self.levels.written[r] = (self.levels.wanted[r], tries[r]);
+            self.host.admit(1 << r, share, tries[r]);
+        }
+        self.channel.waiting += cost;
+        if bound > 0.0 {
+            self.pools.iter_mut().for_each(|p| p.sent.push_back(now));
+        }
+        bound > 0.0
+    }
 
     // Time.
 
@@ -691,7 +867,7 @@
             }
             _ => {
                 self.channel.urgent_set = false;
-                self.push(now, Channel::BINDING);
+                self.push(now);
             }
         }
     }
@@ -702,33 +878,21 @@
         }
         let recent = now.saturating_sub(Loads::KEPT);
         let settling = self.sight.cycle + self.channel.pace.worst_transit + Duration::from_millis(1000);
-        let loads: Vec<(Server, f64)> = (0..self.roster.members.len())
-            .filter(|s| self.roster.warm(*s, now) && self.ramp.step[*s] > 0)
-            .filter_map(|s| {
+        for pool in &mut self.pools {
+            let load = |l: &Line| {
                 // A report from before the last change took hold would have the same change made twice.
-                let from = recent.max(self.weights.changed[s] + settling);
-                self.loads.smoothed(s, from, |x| x.load).map(|l| (s, l))
-            })
-            .collect();
-        self.weights.scale(now, &loads, |s| self.ramp.step[s] == Ramp::STEPS);
-        self.push(now, Channel::ORDINARY);
-    }
-
-    // Health.
-
-    /// What the evidence says of one server, if there is enough of it.
-    fn evidence(&self, now: Duration, s: Server) -> Option<(f64, Option<f64>)> {
-        let from = now.saturating_sub(Health::EVIDENCE).max(self.health[s].fresh_from);
-        let (tries, dropped) = self.loads.tries(s, from);
-        let wait = self.loads.smoothed(s, from, |x| x.wait);
-        (tries >= Health::LEAST_TRIES).then(|| ((tries - dropped).max(0.0) / tries, wait))
+                let from = recent.max(l.changed + settling);
+                let weighed = self.roster.warm(l.server, now) && self.ramp.step[l.server] > 0;
+                weighed.then(|| self.loads.smoothed(l.server, from, |x| x.load)).flatten()
+            };
+            let loads: Vec<Option<f64>> = pool.lines.iter().map(load).collect();
+            pool.scale(now, &loads, |s| self.ramp.step[s] == Ramp::STEPS);
+        }
+        self.push(now);
     }
 
-    /// Guards against servers that drop, hang or crawl, whatever the list says. Where the pool at large
-    /// does no better, or half of it is out already, the fault is taken to lie elsewhere.
+    /// Each second: how full the pool is, how far cold servers are, and who fails.
     fn look(&mut self, now: Duration) {
-        let (levels, steps, pressure) =
-            (self.levels.wanted.clone(), self.ramp.step.clone(), self.ramp.pressure);
         let slo = self.routes.iter().map(|r| r.slo.as_secs_f64()).fold(f64::MAX, f64::min);
         let from = now.saturating_sub(Work::WINDOW.max(self.sight.cycle * 2));
         if let Some(work) = Work::of(&self.loads, from) {
@@ -745,6 +909,24 @@
             }
             self.ramp.cold[s] &= by_age < Ramp::STEPS || self.ramp.step[s] < self.health[s].allowed;
         }
+        self.judge(now, slo);
+        self.deal();
+        self.push(now);
+    }
+
+    // Health.
+
+    /// What the evidence says of one server, if there is enough of it.
+    fn evidence(&self, now: Duration, s: Server) -> Option<(f64, Option<f64>)> {
+        let from = now.saturating_sub(Health::EVIDENCE).max(self.health[s].fresh_from);
+        let (tries, dropped) = self.loads.tries(s, from);
+        let wait = self.loads.smoothed(s, from, |x| x.wait);
+        (tries >= Health::LEAST_TRIES).then(|| ((tries - dropped).max(0.0) / tries, wait))
+    }
+
+    /// Guards against servers that drop, hang or crawl, whatever the list says. Where the pool at large
+    /// does no better, or half of it is out already, the fault is taken to lie elsewhere.
+    fn judge(&mut self, now: Duration, slo: f64) {
         let ready: Vec<Server> = (0..self.roster.members.len()).filter(|s| self.roster.ready(*s)).collect();
         let seen: Vec<_> = ready.iter().filter_map(|s| Some((*s, self.evidence(now, *s)?))).collect();
         let good = median(seen.iter().map(|x| x.1.0).collect()).unwrap_or(1.0);
@@ -759,27 +941,32 @@
             let by_wait = own.zip(wait).map_or(4, |(o, w)| Health::by_wait(o, w, slo));
             self.allow(now, s, by_answers.min(by_wait), &mut may_out);
         }
-        let quiet = self.sight.cycle * 2 + Duration::from_secs(1);
-        for &s in &ready {
-            let heard = self.loads.last(s).unwrap_or(Duration::ZERO).max(self.health[s].fresh_from);
-            let silent = self.ramp.step[s] > 0 && self.loads.newest > heard + quiet;
+        let heard = |s: Server| self.loads.last(s).unwrap_or(Duration::ZERO).max(self.health[s].fresh_from);
+        let silence = |s: Server| self.loads.newest.saturating_sub(heard(s));
+        // Where most are seldom heard, by few calls or by reports cut off, that is no sign.
+        let usual = median(ready.iter().map(|s| silence(*s).as_secs_f64()).collect()).unwrap_or(0.0);
+        let quiet = self.sight.cycle * 2 + Duration::from_secs_f64(1.0 + 4.0 * usual);
+        let silent: Vec<Server> = ready.iter().copied().filter(|s| silence(*s) > quiet).collect();
+        let mut probes = ready.len() / 20 + 3;
+        for s in ready {
             if self.ramp.step[s] == 0 {
-                self.try_return(now, s);
-            } else if silent && self.sight.probing {
+                self.try_return(now, s, &mut probes);
+            } else if silent.binary_search(&s).is_ok() && self.sight.probing {
                 if self.health[s].misses >= 2 {
                     self.allow(now, s, 0, &mut may_out);
                 } else {
-                    self.host.probe(s);
+                    self.probe(s, &mut probes);
                 }
             }
         }
-        let lower = self.ramp.step.iter().zip(&steps).any(|(n, b)| n < b);
-        let share = match self.ramp.pressure {
-            p if p > 0.9 && (p > pressure || self.levels.wanted != levels) => Channel::CROWDED,
-            _ if lower => Channel::GUARDING,
-            _ => Channel::ORDINARY,
-        };
-        self.push(now, share);
+    }
+
+    /// Probes cost work, and many at once are turned away.
+    fn probe(&mut self, s: Server, left: &mut usize) {
+        if *left > 0 {
+            *left -= 1;
+            self.host.probe(s);
+        }
     }
 
     /// What was held against a zone's servers while none of its proxies could be heard may have been a cut
@@ -798,15 +985,18 @@
         if self.health[s].allowed == 0 {
             *may_out -= 1;
             self.health[s].clear(now, 0);
+            if let Some(m) = self.roster.members[s].as_mut().filter(|m| m.doubted) {
+                m.phase = Phase::Gone;
+            }
         }
         self.ramp.step[s] = self.ramp.step[s].min(self.health[s].allowed);
     }
 
     /// A server that was shut out comes back on a quarter, after probes or, without them, after a while.
     /// It may have been restarted before the list tells, so it counts as cold.
-    fn try_return(&mut self, now: Duration, s: Server) {
+    fn try_return(&mut self, now: Duration, s: Server, probes: &mut usize) {
         if self.sight.probing && self.health[s].answers < 2 {
-            self.host.probe(s);
+            self.probe(s, probes);
         } else if now.saturating_sub(self.health[s].fresh_from) >= self.health[s].hold {
             self.ramp.step[s] = 1;
             self.ramp.cold[s] = true;
--- a/src/host.rs
+++ b/src/host.rs
@@ -70,11 +70,11 @@
     pub stays_local: bool,
 }
 
-/// How a cold server behaves, and the grace that the rules give.
+/// How long a server may be cold, and whether the list's word that one is gone binds.
 #[derive(Clone, Copy, Debug)]
 pub struct Graces {
     pub warm_up: Duration,
-    pub drain: Duration,
+    pub gone_binds: bool,
 }
 
 /// What the orders to the proxies have to fit into.
@@ -109,6 +109,10 @@
     pub levels: bool,
     /// A try that may be followed by another waits this multiple of the SLO time.
     pub try_factor: f64,
+    /// All there are, whoever they are joined to.
+    pub proxies: usize,
+    /// Connections that the smallest servers accept.
+    pub least_conns: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
