Let a full zone lean on zones with room

Change: where a pool's near servers are over 0.85 busy and its far ones 0.2 lower, it takes in far servers, of the zone with the most room, at up to their full weight.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -138,6 +138,8 @@
     local: bool,
     routes: RouteSet,
     lines: Vec<Line>,
+    /// How far the zone leans on the others, beyond what they ordinarily take.
+    reach: f64,
     /// When messages went to its proxies.
     sent: VecDeque<Duration>,
 }
@@ -154,6 +156,11 @@
     /// Where proxies outnumber the connections: the part of these that pools fill, and of it the near one.
     const FILLED: f64 = 0.4;
     const NEAR: f64 = 0.75;
+    /// Leaning on other zones: from this busy share, while they are that much lower, by so much a second.
+    const FULL: f64 = 0.85;
+    const ROOM: f64 = 0.2;
+    const LEAN: f64 = 0.15;
+    const EASY: f64 = 0.7;
 
     fn serves(&self, zone: Option<Zone>) -> bool {
         self.zone.is_none() || self.zone == zone
@@ -493,7 +500,7 @@
                 self.gone(s);
             }
         }
-        self.deal();
+        self.deal(now);
         self.push(now);
     }
 
@@ -573,7 +580,7 @@
                 for _ in 0..pools as usize {
                     let table = self.pools.len() as Table;
                     let (lines, sent) = (vec![], VecDeque::new());
-                    self.pools.push(Pool { table, zone, local, routes, lines, sent });
+                    self.pools.push(Pool { table, zone, local, routes, lines, reach: 0.0, sent });
                 }
             }
         }
@@ -581,12 +588,22 @@
 
     /// Every server into a pool of its zone, and into every pool what it lacks: near ones while there are
     /// any, else far ones. Against a pool left with too little when its servers go, all at once or singly.
-    fn deal(&mut self) {
+    fn deal(&mut self, now: Duration) {
         if self.pools.is_empty() {
             self.lay_out();
         }
         let n = self.roster.members.len();
         let open: Vec<bool> = (0..n).map(|s| self.roster.ready(s) && self.ramp.step[s] > 0).collect();
+        // Of far zones the one with the most room, in coarse steps.
+        let from = now.saturating_sub(Health::EVIDENCE);
+        let busy = |s: Server| self.loads.smoothed(s, from, |x| x.cpu);
+        let zones: Vec<u32> = (0..self.plane.zones.max(1) as Zone)
+            .map(|z| {
+                let loads = (0..n).filter(|s| open[*s] && self.roster.zone(*s) == Some(z)).filter_map(busy);
+                (mean(loads).unwrap_or(0.5) * 5.0) as u32
+            })
+            .collect();
+        let fullness = |s: Server| self.roster.zone(s).and_then(|z| zones.get(usize::from(z)));
         // Planners that deal alike would make the same pools hot.
         let mut order: Vec<Server> = (0..n).collect();
         order.shuffle(&mut self.rng);
@@ -614,10 +631,12 @@
                     pool.lines.iter().filter(|l| open[l.server] && near[l.server] == near_too).count()
                 };
                 let short = self.width.0.min(n).saturating_sub(count(true));
-                let far = self.width.1.min(n).saturating_sub(count(false));
+                let reached = self.width.1.min(n) + (pool.reach * self.width.0.min(n) as f64) as usize;
+                let far = reached.saturating_sub(count(false));
                 for want_near in (0..short).map(|_| true).chain((0..far).map(|_| false)) {
                     let may = |s: &&Server| open[**s] && !held[**s] && (want_near || !near[**s]);
-                    let best = order.iter().filter(may).min_by_key(|s| (!near[**s], holders[**s]));
+                    let best =
+                        order.iter().filter(may).min_by_key(|s| (!near[**s], fullness(**s), holders[**s]));
                     let Some(&s) = best else { break };
                     (held[s], holders[s]) = (true, holders[s] + 1);
                     pool.add(s);
@@ -730,7 +749,7 @@
         // Cold servers are pushed over by what only they are left to take.
         let cold = pool.lines.iter().any(|l| near(l) && self.ramp.cold[l.server]);
         let most = if cold { 1.0 } else { Pool::FAR.1 };
-        let far = Pool::FAR.0 + (most - Pool::FAR.0) * lost;
+        let far = Pool::FAR.0 + ((most - Pool::FAR.0) * lost).max((1.0 - Pool::FAR.0) * pool.reach);
         let weight = |l: &Line| {
             let place = if near(l) { 1.0 } else { far };
             if open(l) { (l.learnt * place * self.part(l.server)) as f32 } else { 0.0 }
@@ -910,10 +929,38 @@
             self.ramp.cold[s] &= by_age < Ramp::STEPS || self.ramp.step[s] < self.health[s].allowed;
         }
         self.judge(now, slo);
-        self.deal();
+        self.lean(now);
+        self.deal(now);
         self.push(now);
     }
 
+    /// Against a zone that is full while another has time to spare, as when its traffic or its servers were
+    /// never shared out evenly, move for good, or slow down together.
+    fn lean(&mut self, now: Duration) {
+        let from = now.saturating_sub(Health::EVIDENCE);
+        for pool in &mut self.pools {
+            let busy = |near: bool| {
+                let there = |l: &&Line| {
+                    pool.serves(self.roster.zone(l.server)) == near && self.ramp.step[l.server] == Ramp::STEPS
+                };
+                mean(
+                    pool.lines
+                        .iter()
+                        .filter(there)
+                        .filter_map(|l| self.loads.smoothed(l.server, from, |x| x.cpu)),
+                )
+            };
+            let change = match (busy(true), busy(false)) {
+                (Some(near), Some(far)) if near > Pool::FULL && far < near - Pool::ROOM => Pool::LEAN,
+                (Some(near), Some(far)) if near < Pool::EASY || far > near - Pool::ROOM / 2.0 => {
+                    -Pool::LEAN / 4.0
+                }
+                _ => 0.0,
+            };
+            pool.reach = (pool.reach + change).clamp(0.0, 1.5);
+        }
+    }
+
     // Health.
 
     /// What the evidence says of one server, if there is enough of it.
