--- a/crates/wirehost/src/hosted.rs
+++ b/crates/wirehost/src/hosted.rs
@@ -213,7 +213,8 @@
             1090 => {
                 let wait = Some(event.f64(8)).filter(|w| *w > 0.0).map(span);
                 let report = event.report(34)?;
-                let met = Met { tries: event.u32(24), dropped: event.u32(2), wait, report: &report };
+                let (tries, dropped) = (event.u32(24), event.u32(2));
+                let met = Met { from: event.u16(6), tries, dropped, wait, report: &report };
                 if let Some(s) = server(28) {
                     self.planner.met(now, s, &met);
                 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,7 +8,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 const INTERVAL: Duration = Duration::from_secs(2);
@@ -53,6 +53,7 @@
     tries: f64,
     dropped: f64,
     wait: Option<f64>,
+    from: Zone,
 }
 
 /// The last few samples of each server; every figure is worked out from them.
@@ -90,6 +91,7 @@
             tries: f64::from(met.tries),
             dropped: f64::from(met.dropped),
             wait: met.wait.map(|w| w.as_secs_f64()),
+            from: met.from,
         });
     }
 
@@ -153,13 +155,14 @@
     const DRIFT: f64 = 0.2;
     /// What servers of other zones count for beside those of the pool's own: ordinarily, and at most.
     const FAR: (f64, f64) = (0.2, 0.6);
+    const TRICKLE: f64 = 0.02;
     /// Where proxies outnumber the connections: the part of these that pools fill, and of it the near one.
     const FILLED: f64 = 0.4;
     const NEAR: f64 = 0.75;
     /// Leaning on other zones: from this busy share, while they are that much lower, by so much a second.
     const FULL: f64 = 0.85;
     const ROOM: f64 = 0.2;
-    const LEAN: f64 = 0.15;
+    const LEAN: f64 = 0.3;
     const EASY: f64 = 0.7;
 
     fn serves(&self, zone: Option<Zone>) -> bool {
@@ -246,6 +249,17 @@
     }
 }
 
+/// From which zone to which calls fare badly.
+struct Ways {
+    bad: BTreeSet<(Zone, Zone)>,
+}
+
+impl Ways {
+    fn bad(&self, from: Option<Zone>, to: Option<Zone>) -> bool {
+        from.zip(to).is_some_and(|way| self.bad.contains(&way))
+    }
+}
+
 fn median(mut values: Vec<f64>) -> Option<f64> {
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied()
@@ -425,6 +439,7 @@
     pools: Vec<Pool>,
     /// Near and far servers that a pool is to hold.
     width: (usize, usize),
+    ways: Ways,
     proxies: BTreeMap<Proxy, Joined>,
     unbound: VecDeque<Proxy>,
 }
@@ -467,6 +482,7 @@
             sight,
             pools: vec![],
             width: (usize::MAX, usize::MAX),
+            ways: Ways { bad: BTreeSet::new() },
             proxies: BTreeMap::new(),
             unbound: VecDeque::new(),
         };
@@ -603,7 +619,6 @@
                 (mean(loads).unwrap_or(0.5) * 5.0) as u32
             })
             .collect();
-        let fullness = |s: Server| self.roster.zone(s).and_then(|z| zones.get(usize::from(z)));
         // Planners that deal alike would make the same pools hot.
         let mut order: Vec<Server> = (0..n).collect();
         order.shuffle(&mut self.rng);
@@ -613,6 +628,10 @@
             let last = first + self.pools[first..].iter().take_while(|p| (p.zone, p.local) == key).count();
             let group = &mut self.pools[first..last];
             let near: Vec<bool> = (0..n).map(|s| group[0].serves(self.roster.zone(s))).collect();
+            let fullness = |s: Server| {
+                let zone = self.roster.zone(s);
+                (self.ways.bad(key.0, zone), zone.and_then(|z| zones.get(usize::from(z))))
+            };
             let mut holders = vec![0; n];
             for pool in group.iter_mut() {
                 pool.lines.retain(|l| l.written > 0.0 || self.roster.ready(l.server));
@@ -751,7 +770,11 @@
         let most = if cold { 1.0 } else { Pool::FAR.1 };
         let far = Pool::FAR.0 + ((most - Pool::FAR.0) * lost).max((1.0 - Pool::FAR.0) * pool.reach);
         let weight = |l: &Line| {
-            let place = if near(l) { 1.0 } else { far };
+            let place = match near(l) {
+                true => 1.0,
+                false if self.ways.bad(pool.zone, self.roster.zone(l.server)) => Pool::TRICKLE,
+                false => far,
+            };
             if open(l) { (l.learnt * place * self.part(l.server)) as f32 } else { 0.0 }
         };
         let weights: Vec<f32> = pool.lines.iter().map(weight).collect();
@@ -854,7 +877,8 @@
         let levels: Vec<usize> = (0..self.routes.len())
             .filter(|r| self.levels.written[*r] != (self.levels.wanted[*r], tries[*r]))
             .collect();
-        let share = if self.ramp.pressure > 0.9 { Channel::CROWDED } else { Channel::ORDINARY };
+        // One pool that is often written would otherwise keep levels from all, up as well as down.
+        let share = Channel::CROWDED;
         let cost = bound * (levels.len() as f64 + head);
         let may = self.pools.iter_mut().all(|p| self.channel.may_message(now, &mut p.sent, share));
         if levels.is_empty() || !may || !self.channel.room(now, cost, share) {
@@ -929,11 +953,46 @@
             self.ramp.cold[s] &= by_age < Ramp::STEPS || self.ramp.step[s] < self.health[s].allowed;
         }
         self.judge(now, slo);
+        self.watch_ways(now, slo);
         self.lean(now);
         self.deal(now);
         self.push(now);
     }
 
+    /// Guards against ways between zones that are cut, slow or lossy, and against far servers that fare
+    /// worse than near ones for whatever cause; a trickle stays, to tell when that ends.
+    fn watch_ways(&mut self, now: Duration, slo: f64) {
+        let since = now.saturating_sub(Health::EVIDENCE);
+        for from in 0..self.plane.zones as Zone {
+            let mut met = vec![(0.0, 0.0, 0.0); self.plane.zones];
+            for s in 0..self.roster.members.len() {
+                let Some(there) = self.roster.zone(s).and_then(|z| met.get_mut(usize::from(z))) else {
+                    continue;
+                };
+                for x in self.loads.since(s, since).filter(|x| x.from == from) {
+                    let answered = (x.tries - x.dropped).max(0.0);
+                    *there =
+                        (there.0 + x.tries, there.1 + answered, there.2 + answered * x.wait.unwrap_or(0.0));
+                }
+            }
+            let (tries, answered, waits) = met[usize::from(from)];
+            for to in (0..self.plane.zones as Zone).filter(|to| *to != from) {
+                let far = met[usize::from(to)];
+                // A trickle has to do for taking a way back, not for giving it up.
+                let least = if self.ways.bad.contains(&(from, to)) { 1.0 } else { 5.0 } * Health::LEAST_TRIES;
+                if tries < least || far.0 < least {
+                    continue;
+                }
+                let lossy = far.1 / far.0 < 0.85 * answered / tries;
+                if lossy || far.2 / far.1.max(1.0) > waits / answered.max(1.0) + 0.25 * slo {
+                    self.ways.bad.insert((from, to));
+                } else {
+                    self.ways.bad.remove(&(from, to));
+                }
+            }
+        }
+    }
+
     /// Against a zone that is full while another has time to spare, as when its traffic or its servers were
     /// never shared out evenly, move for good, or slow down together.
     fn lean(&mut self, now: Duration) {
@@ -941,7 +1000,9 @@
         for pool in &mut self.pools {
             let busy = |near: bool| {
                 let there = |l: &&Line| {
-                    pool.serves(self.roster.zone(l.server)) == near && self.ramp.step[l.server] == Ramp::STEPS
+                    let zone = self.roster.zone(l.server);
+                    let full = self.ramp.step[l.server] == Ramp::STEPS;
+                    full && pool.serves(zone) == near && !self.ways.bad(pool.zone, zone)
                 };
                 mean(
                     pool.lines
@@ -950,11 +1011,13 @@
                         .filter_map(|l| self.loads.smoothed(l.server, from, |x| x.cpu)),
                 )
             };
+            let throttled = self.levels.wanted.iter().any(|w| *w < 1.0);
             let change = match (busy(true), busy(false)) {
-                (Some(near), Some(far)) if near > Pool::FULL && far < near - Pool::ROOM => Pool::LEAN,
-                (Some(near), Some(far)) if near < Pool::EASY || far > near - Pool::ROOM / 2.0 => {
-                    -Pool::LEAN / 4.0
-                }
+                (_, None) => -Pool::LEAN / 2.0,
+                (Some(near), Some(far)) if far > near => -Pool::LEAN / 4.0,
+                (Some(near), Some(far)) if far > near - Pool::ROOM => 0.0,
+                (Some(near), Some(_)) if near > Pool::FULL || throttled => Pool::LEAN,
+                (Some(near), Some(_)) if near < Pool::EASY => -Pool::LEAN / 8.0,
                 _ => 0.0,
             };
             pool.reach = (pool.reach + change).clamp(0.0, 1.5);
--- a/src/host.rs
+++ b/src/host.rs
@@ -129,6 +129,8 @@
 /// What a zone's proxies met at one server.
 #[derive(Clone, Copy, Debug)]
 pub struct Met<'a> {
+    /// The zone of the proxies.
+    pub from: Zone,
     pub tries: u32,
     pub dropped: u32,
     /// Mean time of the answered ones, if any were.
