Do not believe figures that stand still; waits stand in

Guards against any frozen figure; harms where an honest figure repeats for three reports, which only slows learning.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -48,6 +48,8 @@
 /// What was met at one server over one cycle, as it came.
 struct Sample {
     at: Duration,
+    /// As told, whether or not it is believed.
+    told: Option<f64>,
     load: Option<f64>,
     cpu: Option<f64>,
     tries: f64,
@@ -65,6 +67,7 @@
 
 impl Loads {
     const KEPT: Duration = Duration::from_secs(8);
+    const STILL: Duration = Duration::from_secs(3);
 
     fn field(&self, report: &[f32], field: Field) -> Option<f64> {
         let at = self.fields.iter().position(|f| *f == field)?;
@@ -86,6 +89,7 @@
         drop_old(list, now, Self::KEPT, |x| x.at);
         list.push_back(Sample {
             at: now,
+            told: load,
             load,
             cpu,
             tries: f64::from(met.tries),
@@ -93,6 +97,15 @@
             wait: met.wait.map(|w| w.as_secs_f64()),
             from: met.from,
         });
+        // Guards against a report that stands still, at nought or elsewhere, while calls are answered: it
+        // would draw ever more calls. Where next to none are answered it may be true, and does no harm.
+        let still = list.iter().rev().filter(|x| x.told.is_some()).take_while(|x| x.told == load);
+        let (count, first) = still.fold((0, now), |(n, _), x| (n + 1, x.at));
+        if load.is_some() && count >= 3 && now - first >= Self::STILL {
+            for x in list.iter_mut().filter(|x| x.told == load) {
+                (x.load, x.cpu) = (None, None);
+            }
+        }
     }
 
     fn since(&self, s: Server, from: Duration) -> impl Iterator<Item = &Sample> {
@@ -611,14 +624,7 @@
         let n = self.roster.members.len();
         let open: Vec<bool> = (0..n).map(|s| self.roster.ready(s) && self.ramp.step[s] > 0).collect();
         // Of far zones the one with the most room, in coarse steps.
-        let from = now.saturating_sub(Health::EVIDENCE);
-        let busy = |s: Server| self.loads.smoothed(s, from, |x| x.cpu);
-        let zones: Vec<u32> = (0..self.plane.zones.max(1) as Zone)
-            .map(|z| {
-                let loads = (0..n).filter(|s| open[*s] && self.roster.zone(*s) == Some(z)).filter_map(busy);
-                (mean(loads).unwrap_or(0.5) * 5.0) as u32
-            })
-            .collect();
+        let zones: Vec<u32> = self.busy(now).iter().map(|b| (b.unwrap_or(0.5) * 5.0) as u32).collect();
         // Planners that deal alike would make the same pools hot.
         let mut order: Vec<Server> = (0..n).collect();
         order.shuffle(&mut self.rng);
@@ -922,13 +928,19 @@
         let recent = now.saturating_sub(Loads::KEPT);
         let settling = self.sight.cycle + self.channel.pace.worst_transit + Duration::from_millis(1000);
         for pool in &mut self.pools {
-            let load = |l: &Line| {
+            let figures = |l: &Line| {
                 // A report from before the last change took hold would have the same change made twice.
                 let from = recent.max(l.changed + settling);
+                let figure = |of: fn(&Sample) -> Option<f64>| self.loads.smoothed(l.server, from, of);
                 let weighed = self.roster.warm(l.server, now) && self.ramp.step[l.server] > 0;
-                weighed.then(|| self.loads.smoothed(l.server, from, |x| x.load)).flatten()
+                if weighed { (figure(|x| x.load), figure(|x| x.wait)) } else { (None, None) }
             };
-            let loads: Vec<Option<f64>> = pool.lines.iter().map(load).collect();
+            let heard: Vec<(Option<f64>, Option<f64>)> = pool.lines.iter().map(figures).collect();
+            let usual = mean(heard.iter().filter_map(|h| h.0));
+            let wait = median(heard.iter().filter_map(|h| h.1).collect()).filter(|w| *w > 0.0);
+            // One that answers and tells nothing to be believed counts by how long its answers take.
+            let by_wait = |own: Option<f64>| Some(usual? * own? / wait?);
+            let loads: Vec<Option<f64>> = heard.iter().map(|h| h.0.or_else(|| by_wait(h.1))).collect();
             pool.scale(now, &loads, |s| self.ramp.step[s] == Ramp::STEPS);
         }
         self.push(now);
@@ -959,10 +971,19 @@
         self.push(now);
     }
 
+    /// How busy each zone's servers are.
+    fn busy(&self, now: Duration) -> Vec<Option<f64>> {
+        let since = now.saturating_sub(Health::EVIDENCE);
+        let within = |z| (0..self.roster.members.len()).filter(move |s| self.roster.zone(*s) == Some(z));
+        let load = |s: Server| self.loads.smoothed(s, since, |x| x.cpu);
+        (0..self.plane.zones.max(1) as Zone).map(|z| mean(within(z).filter_map(load))).collect()
+    }
+
     /// Guards against ways between zones that are cut, slow or lossy, and against far servers that fare
     /// worse than near ones for whatever cause; a trickle stays, to tell when that ends.
     fn watch_ways(&mut self, now: Duration, slo: f64) {
         let since = now.saturating_sub(Health::EVIDENCE);
+        let busy = self.busy(now);
         for from in 0..self.plane.zones as Zone {
             let mut met = vec![(0.0, 0.0, 0.0); self.plane.zones];
             for s in 0..self.roster.members.len() {
@@ -984,7 +1005,10 @@
                     continue;
                 }
                 let lossy = far.1 / far.0 < 0.85 * answered / tries;
-                if lossy || far.2 / far.1.max(1.0) > waits / answered.max(1.0) + 0.25 * slo {
+                let slow = far.2 / far.1.max(1.0) > waits / answered.max(1.0) + 0.25 * slo;
+                // Calls fare badly at full servers too, and leave them one by one, by their weights.
+                let full = busy[usize::from(to)].is_some_and(|b| b > Pool::EASY);
+                if !full && (lossy || slow) {
                     self.ways.bad.insert((from, to));
                 } else {
                     self.ways.bad.remove(&(from, to));
@@ -1013,12 +1037,11 @@
             };
             let throttled = self.levels.wanted.iter().any(|w| *w < 1.0);
             let change = match (busy(true), busy(false)) {
-                (_, None) => -Pool::LEAN / 2.0,
-                (Some(near), Some(far)) if far > near => -Pool::LEAN / 4.0,
-                (Some(near), Some(far)) if far > near - Pool::ROOM => 0.0,
-                (Some(near), Some(_)) if near > Pool::FULL || throttled => Pool::LEAN,
-                (Some(near), Some(_)) if near < Pool::EASY => -Pool::LEAN / 8.0,
-                _ => 0.0,
+                (Some(near), Some(far)) if near > Pool::FULL || throttled || far > near => {
+                    Pool::LEAN * (near - far - Pool::ROOM)
+                }
+                (Some(near), Some(_)) if near > Pool::EASY => 0.0,
+                _ => -Pool::LEAN / 10.0,
             };
             pool.reach = (pool.reach + change).clamp(0.0, 1.5);
         }
