--- a/src/decide.rs
+++ b/src/decide.rs
@@ -172,10 +172,9 @@
     /// Where proxies outnumber the connections: the part of these that pools fill, and of it the near one.
     const FILLED: f64 = 0.4;
     const NEAR: f64 = 0.75;
-    /// Leaning on other zones: from this busy share, while they are that much lower, by so much a second.
+    /// Leaning on other zones: from this busy share, by so much of the difference a second, and let go below.
     const FULL: f64 = 0.85;
-    const ROOM: f64 = 0.2;
-    const LEAN: f64 = 0.3;
+    const LEAN: f64 = 0.4;
     const EASY: f64 = 0.7;
 
     fn serves(&self, zone: Option<Zone>) -> bool {
@@ -338,9 +337,11 @@
         let calls = |r: usize| self.arrived[r].iter().filter(|a| a.0 > from).map(|a| a.1).sum::<f64>();
         let calls: Vec<f64> = (0..self.wanted.len()).map(calls).collect();
         let let_in: f64 = calls.iter().zip(&self.wanted).map(|(c, w)| c * f64::from(*w)).sum();
-        let mut left = ((Self::AIM - if late { Self::LESS } else { 0.0 }) * work.able)
-            .min(Self::GAIN * let_in)
-            .max(0.05 * calls.iter().sum::<f64>());
+        let aim = Self::AIM - if late { Self::LESS } else { 0.0 };
+        // Refused clients that come again are counted again, and what fits looks like a smaller share.
+        let spare = let_in * aim / work.pressure.max(0.1);
+        let mut left =
+            (aim * work.able).max(spare).min(Self::GAIN * let_in).max(0.05 * calls.iter().sum::<f64>());
         let mut order: Vec<usize> = (0..calls.len()).collect();
         order.sort_by(|a, b| importance(*b).total_cmp(&importance(*a)));
         for r in order.into_iter().filter(|r| calls[*r] > 0.0) {
@@ -1007,7 +1008,7 @@
                 let lossy = far.1 / far.0 < 0.85 * answered / tries;
                 let slow = far.2 / far.1.max(1.0) > waits / answered.max(1.0) + 0.25 * slo;
                 // Calls fare badly at full servers too, and leave them one by one, by their weights.
-                let full = busy[usize::from(to)].is_some_and(|b| b > Pool::EASY);
+                let full = busy[usize::from(to)].is_some_and(|b| b > Pool::FULL);
                 if !full && (lossy || slow) {
                     self.ways.bad.insert((from, to));
                 } else {
@@ -1038,10 +1039,10 @@
             let throttled = self.levels.wanted.iter().any(|w| *w < 1.0);
             let change = match (busy(true), busy(false)) {
                 (Some(near), Some(far)) if near > Pool::FULL || throttled || far > near => {
-                    Pool::LEAN * (near - far - Pool::ROOM)
+                    Pool::LEAN * (near - far)
                 }
                 (Some(near), Some(_)) if near > Pool::EASY => 0.0,
-                _ => -Pool::LEAN / 10.0,
+                _ => -Pool::LEAN / 20.0,
             };
             pool.reach = (pool.reach + change).clamp(0.0, 1.5);
         }
