--- a/src/decide.rs
+++ b/src/decide.rs
@@ -337,11 +337,9 @@
         let calls = |r: usize| self.arrived[r].iter().filter(|a| a.0 > from).map(|a| a.1).sum::<f64>();
         let calls: Vec<f64> = (0..self.wanted.len()).map(calls).collect();
         let let_in: f64 = calls.iter().zip(&self.wanted).map(|(c, w)| c * f64::from(*w)).sum();
-        let aim = Self::AIM - if late { Self::LESS } else { 0.0 };
-        // Refused clients that come again are counted again, and what fits looks like a smaller share.
-        let spare = let_in * aim / work.pressure.max(0.1);
-        let mut left =
-            (aim * work.able).max(spare).min(Self::GAIN * let_in).max(0.05 * calls.iter().sum::<f64>());
+        let mut left = ((Self::AIM - if late { Self::LESS } else { 0.0 }) * work.able)
+            .min(Self::GAIN * let_in)
+            .max(0.05 * calls.iter().sum::<f64>());
         let mut order: Vec<usize> = (0..calls.len()).collect();
         order.sort_by(|a, b| importance(*b).total_cmp(&importance(*a)));
         for r in order.into_iter().filter(|r| calls[*r] > 0.0) {
