--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,7 +8,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 const INTERVAL: Duration = Duration::from_secs(2);
@@ -173,7 +173,7 @@
     const FILLED: f64 = 0.4;
     const NEAR: f64 = 0.75;
     /// Leaning on other zones: from this busy share, by so much of the difference a second, and let go below.
-    const FULL: f64 = 0.85;
+    const FULL: f64 = 0.92;
     const LEAN: f64 = 0.4;
     const EASY: f64 = 0.7;
 
@@ -261,14 +261,16 @@
     }
 }
 
-/// From which zone to which calls fare badly.
+/// From which zone to which calls fared badly, and until when that counts.
 struct Ways {
-    bad: BTreeSet<(Zone, Zone)>,
+    bad: BTreeMap<(Zone, Zone), Duration>,
 }
 
 impl Ways {
+    const HOLD: Duration = Duration::from_secs(5);
+
     fn bad(&self, from: Option<Zone>, to: Option<Zone>) -> bool {
-        from.zip(to).is_some_and(|way| self.bad.contains(&way))
+        from.zip(to).is_some_and(|way| self.bad.contains_key(&way))
     }
 }
 
@@ -494,7 +496,7 @@
             sight,
             pools: vec![],
             width: (usize::MAX, usize::MAX),
-            ways: Ways { bad: BTreeSet::new() },
+            ways: Ways { bad: BTreeMap::new() },
             proxies: BTreeMap::new(),
             unbound: VecDeque::new(),
         };
@@ -983,6 +985,8 @@
     fn watch_ways(&mut self, now: Duration, slo: f64) {
         let since = now.saturating_sub(Health::EVIDENCE);
         let busy = self.busy(now);
+        // Where a trickle is too little to tell, calls have to tell again.
+        self.ways.bad.retain(|_, until| *until > now);
         for from in 0..self.plane.zones as Zone {
             let mut met = vec![(0.0, 0.0, 0.0); self.plane.zones];
             for s in 0..self.roster.members.len() {
@@ -999,16 +1003,17 @@
             for to in (0..self.plane.zones as Zone).filter(|to| *to != from) {
                 let far = met[usize::from(to)];
                 // A trickle has to do for taking a way back, not for giving it up.
-                let least = if self.ways.bad.contains(&(from, to)) { 1.0 } else { 5.0 } * Health::LEAST_TRIES;
+                let least =
+                    if self.ways.bad.contains_key(&(from, to)) { 1.0 } else { 5.0 } * Health::LEAST_TRIES;
                 if tries < least || far.0 < least {
                     continue;
                 }
-                let lossy = far.1 / far.0 < 0.85 * answered / tries;
-                let slow = far.2 / far.1.max(1.0) > waits / answered.max(1.0) + 0.25 * slo;
+                let lossy = far.1 / far.0 < 0.7 * answered / tries;
+                let slow = far.2 / far.1.max(1.0) > waits / answered.max(1.0) + 0.4 * slo;
                 // Calls fare badly at full servers too, and leave them one by one, by their weights.
                 let full = busy[usize::from(to)].is_some_and(|b| b > Pool::FULL);
                 if !full && (lossy || slow) {
-                    self.ways.bad.insert((from, to));
+                    self.ways.bad.insert((from, to), now + Ways::HOLD);
                 } else {
                     self.ways.bad.remove(&(from, to));
                 }
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -316,7 +316,11 @@
     rig.planner.applied(12);
     rig.planner.probed(77, Probed::Failed);
     rig.planner.came(rig.now, 9, 4);
-    rig.planner.met(rig.now, 50, &Met { tries: 0, dropped: 9, wait: None, report: &[f32::INFINITY] });
+    rig.planner.met(
+        rig.now,
+        50,
+        &Met { from: 0, tries: 0, dropped: 9, wait: None, report: &[f32::INFINITY] },
+    );
     rig.planner.woken(rig.now, 12345);
     let asked = rig.kept.borrow().asked;
     rig.planner.list_failed(rig.now);
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -139,7 +139,7 @@
                 if let Some((tries, dropped, figures)) = report(s) {
                     let wait = (tries > dropped).then_some(self.wait);
                     let report: &[f32] = if tries > dropped { &figures } else { &[] };
-                    self.planner.met(self.now, s, &Met { tries, dropped, wait, report });
+                    self.planner.met(self.now, s, &Met { from: 0, tries, dropped, wait, report });
                 }
             }
         }
