--- a/src/decide.rs
+++ b/src/decide.rs
@@ -320,6 +320,8 @@
     const LATE: f64 = 0.35;
     const LESS: f64 = 0.1;
     const GAIN: f64 = 1.1;
+    const STEP: f64 = 0.05;
+    const EASY: f64 = 0.8;
 
     /// Lets in what fits, the most important routes first. Both figures come by the same late reports, so
     /// their ratio holds while those are late, and a level set before needs no waiting for.
@@ -329,7 +331,7 @@
         if work.pressure > 1.0 {
             // Proxies that try again at a full pool fill it with the same calls.
             self.tries = Tries::One;
-        } else if work.pressure < 0.8 {
+        } else if work.pressure < Self::EASY {
             self.tries = Tries::AfterProof;
         }
         // Late reports alone, which come in lumps, are no reason to turn calls away.
@@ -339,16 +341,19 @@
         let calls = |r: usize| self.arrived[r].iter().filter(|a| a.0 > from).map(|a| a.1).sum::<f64>();
         let calls: Vec<f64> = (0..self.wanted.len()).map(calls).collect();
         let let_in: f64 = calls.iter().zip(&self.wanted).map(|(c, w)| c * f64::from(*w)).sum();
+        let all: f64 = calls.iter().sum();
+        // Raised by a part of what comes too: a route that was shut out would never come back by growth.
         let mut left = ((Self::AIM - if late { Self::LESS } else { 0.0 }) * work.able)
-            .min(Self::GAIN * let_in)
-            .max(0.05 * calls.iter().sum::<f64>());
+            .min(Self::GAIN * let_in + if work.pressure < Self::EASY { Self::STEP * all } else { 0.0 })
+            .max(Self::STEP * all);
         let mut order: Vec<usize> = (0..calls.len()).collect();
         order.sort_by(|a, b| importance(*b).total_cmp(&importance(*a)));
         for r in order.into_iter().filter(|r| calls[*r] > 0.0) {
             let level = (left / calls[r]).min(1.0);
             left = (left - level * calls[r]).max(0.0);
             // Coarse steps, so that noise writes no orders.
-            self.wanted[r] = if level > 0.97 { 1.0 } else { (level * 20.0).round() as f32 / 20.0 };
+            self.wanted[r] =
+                if level > 0.97 { 1.0 } else { ((level / Self::STEP).round() * Self::STEP) as f32 };
         }
     }
 }
