--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,6 +5,7 @@
 //! spans since the planner's start. Nothing is shared between planners.
 
 use crate::host::*;
+use crate::samples::*;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -21,22 +22,24 @@
 
 /// One server: what the list says of it, and what each part below keeps.
 struct Peer {
-    known: bool,
     zone: Zone,
     phase: Phase,
     warm_at: Duration,
     /// Called gone where that does not bind: what is met there decides.
     doubted: bool,
-    load: Load,
+    load: Samples,
     health: Health,
     ramp: Ramp,
 }
 
 impl Peer {
+    const KEPT: Duration = Duration::from_secs(8);
+    const STILL: Duration = Duration::from_secs(3);
+
     fn unlisted() -> Peer {
-        let (load, health) = (Load { samples: VecDeque::new() }, Health::NEW);
-        let (zone, warm_at, ramp) = (0, Duration::ZERO, Ramp { step: Ramp::STEPS, cold: false });
-        Peer { known: false, zone, phase: Phase::Gone, warm_at, doubted: false, load, health, ramp }
+        let (load, health, ramp) = (Samples::default(), Health::NEW, Ramp { step: Ramp::STEPS, cold: false });
+        let (zone, phase, warm_at, doubted) = (0, Phase::Draining, Duration::ZERO, false);
+        Peer { zone, phase, warm_at, doubted, load, health, ramp }
     }
 
     fn ready(&self) -> bool {
@@ -51,78 +54,21 @@
     /// seen draining stays until it fails, and needs no ramp when it is listed again.
     fn gone(&mut self, binds: bool) {
         self.doubted = !binds && self.open();
-        if !self.doubted {
-            self.phase = Phase::Gone;
-        }
+        self.phase = if self.doubted { self.phase } else { Phase::Gone };
     }
-}
-
-// Load.
-
-/// What a zone's proxies met at a server over one cycle, as it came.
-struct Sample {
-    at: Duration,
-    from: Zone,
-    /// As told, whether or not it is believed.
-    told: Option<f64>,
-    load: Option<f64>,
-    cpu: Option<f64>,
-    tries: f64,
-    dropped: f64,
-    wait: Option<f64>,
-}
-
-/// The last few samples of a server; every figure is worked out from them.
-struct Load {
-    samples: VecDeque<Sample>,
-}
-
-impl Load {
-    const KEPT: Duration = Duration::from_secs(8);
-    const STILL: Duration = Duration::from_secs(3);
 
+    /// Guards against a report that stands still, at nought or elsewhere, while calls are answered: it would
+    /// draw ever more calls. An honest one that does so is judged by its waits meanwhile.
     fn take(&mut self, sample: Sample) {
-        let (now, told) = (sample.at, sample.told);
-        drop_old(&mut self.samples, now, Self::KEPT, |x| x.at);
-        self.samples.push_back(sample);
-        // Guards against a report that stands still, at nought or elsewhere, while calls are answered: it
-        // would draw ever more calls. An honest one that does so is judged by its waits meanwhile.
-        let still = self.samples.iter().rev().filter(|x| x.told.is_some()).take_while(|x| x.told == told);
+        let (now, told, samples) = (sample.at, sample.told, &mut self.load.0);
+        drop_old(samples, now, Self::KEPT, |x| x.at);
+        samples.push_back(sample);
+        let still = samples.iter().rev().filter(|x| x.told.is_some()).take_while(|x| x.told == told);
         let (count, first) = still.fold((0, now), |(n, _), x| (n + 1, x.at));
         if count >= 3 && now - first >= Self::STILL {
-            self.samples.iter_mut().filter(|x| x.told == told).for_each(|x| (x.load, x.cpu) = (None, None));
+            samples.iter_mut().filter(|x| x.told == told).for_each(|x| (x.load, x.cpu) = (None, None));
         }
     }
-
-    fn since(&self, from: Duration) -> impl Iterator<Item = &Sample> {
-        self.samples.iter().filter(move |x| x.at > from)
-    }
-
-    fn smoothed(&self, from: Duration, of: impl Fn(&Sample) -> Option<f64>) -> Option<f64> {
-        mean(self.since(from).filter_map(of))
-    }
-
-    /// Tries and dropped ones since then.
-    fn tries(&self, from: Duration) -> (f64, f64) {
-        self.since(from).fold((0.0, 0.0), |(t, d), x| (t + x.tries, d + x.dropped))
-    }
-}
-
-fn drop_old<T>(list: &mut VecDeque<T>, now: Duration, kept: Duration, at: impl Fn(&T) -> Duration) {
-    while list.front().is_some_and(|x| now.saturating_sub(at(x)) > kept) {
-        list.pop_front();
-    }
-}
-
-fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
-    let (sum, n) = values.fold((0.0, 0usize), |(sum, n), v| (sum + v, n + 1));
-    (n > 0).then(|| sum / n as f64)
-}
-
-fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
-    let mut values: Vec<f64> = values.collect();
-    values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied()
 }
 
 // Pool weights.
@@ -168,8 +114,7 @@
     fn scale(&mut self, now: Duration, loads: &[Option<f64>], whole: impl Fn(Server) -> bool) {
         let Some(pool) = mean(loads.iter().flatten().copied()).filter(|m| *m > 0.0) else { return };
         for (line, own) in self.lines.iter_mut().zip(loads).filter_map(|(l, own)| Some((l, (*own)?))) {
-            let ratio = if own > 0.0 { pool / own } else { Self::CLAMP.1 };
-            let factor = ratio.clamp(Self::CLAMP.0, Self::CLAMP.1);
+            let factor = (pool / own).clamp(Self::CLAMP.0, Self::CLAMP.1);
             // Little has been heard since the last change: only what is plain counts.
             let doubt = (6.0 / (now - line.changed).as_secs_f64()).sqrt().max(1.0);
             // And a server held back looks idle because it is held back.
@@ -187,11 +132,10 @@
 
 // Zones.
 
-/// What a zone's pools make of the other zones.
+/// What zones make of each other.
 struct Zones {
     /// From which zone to which calls fared badly, and until when that counts.
     bad: BTreeMap<(Zone, Zone), Duration>,
-    /// How busy each zone's servers are.
     busy: Vec<Option<f64>>,
     /// How far each zone leans on the others, beyond what they ordinarily take.
     reach: Vec<f64>,
@@ -206,46 +150,41 @@
     const LEAN: f64 = 0.4;
     const MOST: f64 = 1.5;
 
-    fn bad(&self, from: Zone, to: Zone) -> bool {
-        self.bad.contains_key(&(from, to))
-    }
-
-    /// Guards against ways between zones that are cut, slow or lossy. `met` has for each zone the tries, the
-    /// answered ones and their waits together. Calls fare badly at full servers too; these lose weight.
-    fn judge_ways(&mut self, now: Duration, from: Zone, met: &[(f64, f64, f64)], slo: f64) {
-        let (tries, answered, waits) = met[usize::from(from)];
-        for (to, far) in met.iter().enumerate().filter(|(to, _)| *to != usize::from(from)) {
-            let way = (from, to as Zone);
-            // Where a trickle is too little to tell, the way is tried again in full after a while.
-            self.bad.retain(|_, until| *until > now);
-            let least = if self.bad.contains_key(&way) { 1.0 } else { 5.0 } * Health::LEAST_TRIES;
-            if tries < least || far.0 < least || self.busy[to].is_some_and(|b| b > 0.85) {
-                continue;
-            }
-            let lossy = far.1 / far.0 < 0.7 * answered / tries;
-            if lossy || far.2 / far.1.max(1.0) > waits / answered.max(1.0) + 0.4 * slo {
-                self.bad.insert(way, now + Self::HOLD);
-            } else {
-                self.bad.remove(&way);
+    /// Guards against ways between zones that are cut, slow or lossy; and against a zone that is full while
+    /// another has time to spare, as its traffic or its servers are shared out unevenly, move, or slow down
+    /// together. `met` gives tries, answered ones and these one's waits together, from zone to zone.
+    fn judge(&mut self, now: Duration, slo: f64, throttled: bool, met: impl Fn(usize, usize) -> [f64; 3]) {
+        // Where a trickle is too little to tell, the way is tried again in full after a while.
+        self.bad.retain(|_, until| *until > now);
+        for from in 0..self.busy.len() {
+            let [tries, answered, waits] = met(from, from);
+            let mut far = None;
+            for to in (0..self.busy.len()).filter(|to| *to != from) {
+                let way = (from as Zone, to as Zone);
+                let [t, a, w] = met(from, to);
+                let least = if self.bad.contains_key(&way) { 1.0 } else { 5.0 } * Health::LEAST_TRIES;
+                // Calls fare badly at full servers too; these lose weight one by one.
+                if tries.min(t) >= least && self.busy[to].is_none_or(|b| b < Levels::FULL) {
+                    let slow = w / a.max(1.0) > waits / answered.max(1.0) + 0.4 * slo;
+                    if slow || a / t < 0.7 * answered / tries {
+                        self.bad.insert(way, now + Self::HOLD);
+                    } else {
+                        self.bad.remove(&way);
+                    }
+                }
+                let reached = self.busy[to].filter(|_| !self.bad.contains_key(&way));
+                far = [far, reached].into_iter().flatten().min_by(f64::total_cmp);
             }
+            let change = match (self.busy[from], far) {
+                (Some(near), Some(far)) if near > Self::FULL || throttled || far > near => {
+                    Self::LEAN * (near - far)
+                }
+                (Some(near), Some(_)) if near > Self::EASY => 0.0,
+                _ => -Self::LEAN / 20.0,
+            };
+            self.reach[from] = (self.reach[from] + change).clamp(0.0, Self::MOST);
         }
     }
-
-    /// Against a zone that is full while another has time to spare: its traffic or its servers were never
-    /// shared out evenly, move for good, or slow down together.
-    fn lean(&mut self, from: Zone, throttled: bool) {
-        let others = (0..self.busy.len()).filter(|z| *z != usize::from(from) && !self.bad(from, *z as Zone));
-        let far = others.filter_map(|z| self.busy[z]).min_by(f64::total_cmp);
-        let change = match (self.busy[usize::from(from)], far) {
-            (Some(near), Some(far)) if near > Self::FULL || throttled || far > near => {
-                Self::LEAN * (near - far)
-            }
-            (Some(near), Some(_)) if near > Self::EASY => 0.0,
-            _ => -Self::LEAN / 20.0,
-        };
-        let reach = &mut self.reach[usize::from(from)];
-        *reach = (*reach + change).clamp(0.0, Self::MOST);
-    }
 }
 
 // Health.
@@ -278,18 +217,10 @@
     /// Steps by the part of tries that was answered, and by how long that took, beside the pool's own. Slow
     /// alone never shuts a server out; where most calls fail everywhere, the fault lies elsewhere.
     fn steps(own: (f64, Option<f64>), pool: (f64, Option<f64>), slo: f64) -> u32 {
-        let by_answers = match own.0 / pool.0.max(0.01) {
-            r if r > 0.7 || pool.0 < Self::MANY => Ramp::STEPS,
-            r if r > 0.4 => 2,
-            r if r > 0.1 => 1,
-            _ => 0,
-        };
-        let by_wait = match own.1.zip(pool.1).map_or(0.0, |(o, p)| if o < 0.4 * slo { 0.0 } else { o / p }) {
-            r if r > 6.0 => 1,
-            r if r > 3.0 => 2,
-            _ => Ramp::STEPS,
-        };
-        by_answers.min(by_wait)
+        let good = if pool.0 < Self::MANY { 1.0 } else { own.0 / pool.0 };
+        let by_answers = [0.1, 0.4, 0.7, 0.7].iter().filter(|least| good > **least).count() as u32;
+        let wait = own.1.zip(pool.1).filter(|(o, _)| *o > 0.4 * slo).map_or(0.0, |(o, p)| o / p);
+        by_answers.min(Ramp::STEPS - 2 * u32::from(wait > 3.0) - u32::from(wait > 6.0))
     }
 }
 
@@ -303,7 +234,6 @@
 }
 
 impl Ramp {
-    const UNHEARD: f64 = 3.0;
     const CROWDED: f64 = 1.4;
     const STEPS: u32 = 4;
 
@@ -320,52 +250,27 @@
 
     /// The steps a server may have reached by its age, against all proxies together pushing it over.
     fn allowed(now: Duration, warm_at: Duration, warm_up: Duration) -> u32 {
-        if warm_at <= now || warm_up.is_zero() {
-            return Self::STEPS;
-        }
-        let left = (warm_at - now).as_secs_f64() / warm_up.as_secs_f64();
+        let left = warm_at.saturating_sub(now).as_secs_f64() / warm_up.as_secs_f64().max(0.001);
         1 + ((1.0 - left).max(0.0) * f64::from(Self::STEPS - 1)) as u32
     }
 }
 
 // Levels and further tries.
 
-/// What servers could have answered since then, in calls, and what they were sent as a part of that.
-struct Work {
-    able: f64,
-    pressure: f64,
-    wait: Option<f64>,
-}
-
-impl Work {
-    const WINDOW: Duration = Duration::from_secs(2);
-    const FULL: f64 = 0.85;
-
-    fn of(peers: &[Peer], from: Duration) -> Option<Work> {
-        let wait = median(peers.iter().filter_map(|p| p.load.smoothed(from, |x| x.wait)));
-        let (mut sent, mut able) = (0.0, 0.0);
-        for load in peers.iter().map(|p| &p.load) {
-            let busy = load.smoothed(from, |x| x.cpu);
-            let (tries, dropped) = load.tries(from);
-            if tries > dropped {
-                // Tries that fail at a server with time to spare point to a cut or a fault.
-                sent += if busy.is_some_and(|b| b < Self::FULL) { tries - dropped } else { tries };
-                able += (tries - dropped) / busy.unwrap_or(0.7).clamp(0.05, 1.0);
-            }
-        }
-        (able > 0.0).then(|| Work { able, pressure: sent / able, wait })
-    }
-}
-
-/// How much of each route is let in, and when proxies try again.
+/// How full the pool is, how much of each route is let in, and when proxies try again.
 struct Levels {
+    /// What servers are sent as a part of what they could answer.
+    pressure: f64,
     arrived: Vec<VecDeque<(Duration, f64)>>,
     wanted: Vec<f32>,
-    tries: Tries,
+    crowded: bool,
     written: Vec<(f32, Tries)>,
 }
 
 impl Levels {
+    const WINDOW: Duration = Duration::from_secs(2);
+    const FULL: f64 = 0.85;
+    const UNHEARD: f64 = 3.0;
     const AIM: f64 = 0.9;
     const LATE: f64 = 0.35;
     const LESS: f64 = 0.1;
@@ -377,19 +282,33 @@
         self.wanted.iter().any(|w| *w < 1.0)
     }
 
-    /// Lets in what fits, the most important routes first. Both figures come by the same late reports, so
-    /// their ratio holds while those are late, and a level set before needs no waiting for.
-    fn fit(&mut self, from: Duration, work: &Work, slo: f64, importance: impl Fn(usize) -> f64) {
-        // Queues that have once grown stay at a load that just fits, and every answer comes late.
-        let late = work.wait.is_some_and(|w| w > Self::LATE * slo);
-        if work.pressure > 1.0 {
-            // Proxies that try again at a full pool fill it with the same calls.
-            self.tries = Tries::One;
-        } else if work.pressure < Self::EASY {
-            self.tries = Tries::AfterProof;
+    /// Lets in what fits, the most important routes first. What servers are able to and what came are known
+    /// by the same late reports, so their ratio holds while those are late.
+    fn fit(&mut self, now: Duration, cycle: Duration, peers: &[Peer], routes: &[Route], slo: f64) {
+        let from = now.saturating_sub(Self::WINDOW.max(cycle * 2));
+        let (mut sent, mut able) = (0.0, 0.0);
+        for load in peers.iter().map(|p| &p.load) {
+            let busy = load.mean(from, |x| x.cpu);
+            let (tries, answered) = (load.sum(from, |x| x.tries), load.sum(from, Sample::answered));
+            if answered > 0.0 {
+                // Tries that fail at a server with time to spare point to a cut or a fault.
+                sent += if busy.is_some_and(|b| b < Self::FULL) { answered } else { tries };
+                able += answered / busy.unwrap_or(0.7).clamp(0.05, 1.0);
+            }
         }
+        if able == 0.0 {
+            return;
+        }
+        let pressure = sent / able;
+        // The first news after a start is of the few calls that went well.
+        let unheard = Self::UNHEARD * (1.0 - now.as_secs_f64() / 10.0);
+        self.pressure = (pressure.max(unheard) * 10.0).round() / 10.0;
+        self.crowded = pressure > if self.crowded { Self::EASY } else { 1.0 };
+        // Queues that have once grown stay at a load that just fits, and every answer comes late.
+        let wait = median(peers.iter().filter_map(|p| p.load.mean(from, |x| x.wait)));
+        let late = wait.is_some_and(|w| w > Self::LATE * slo);
         // Late reports alone, which come in lumps, are no reason to turn calls away.
-        if work.pressure < 1.1 && !late && !self.throttled() {
+        if pressure < 1.1 && !late && !self.throttled() {
             return;
         }
         let came = |a: &VecDeque<(Duration, f64)>| a.iter().filter(|a| a.0 > from).map(|a| a.1).sum();
@@ -397,17 +316,17 @@
         let let_in: f64 = calls.iter().zip(&self.wanted).map(|(c, w)| c * f64::from(*w)).sum();
         let least = Self::STEP * calls.iter().sum::<f64>();
         // A route that was shut out would never come back by growth alone.
-        let most = Self::GAIN * let_in + if work.pressure < Self::EASY { least } else { 0.0 };
+        let most = Self::GAIN * let_in + if pressure < Self::EASY { least } else { 0.0 };
         let aim = Self::AIM - if late { Self::LESS } else { 0.0 };
-        let mut left = (aim * work.able).min(most).max(least);
+        let mut left = (aim * able).min(most).max(least);
         let mut order: Vec<usize> = (0..calls.len()).filter(|r| calls[*r] > 0.0).collect();
-        order.sort_by(|a, b| importance(*b).total_cmp(&importance(*a)));
+        order.sort_by(|a, b| routes[*b].importance.total_cmp(&routes[*a].importance));
         for r in order {
             let level = (left / calls[r]).min(1.0);
             left = (left - level * calls[r]).max(0.0);
             // Coarse steps, so that noise writes no orders.
-            self.wanted[r] =
-                if level > 0.97 { 1.0 } else { ((level / Self::STEP).round() * Self::STEP) as f32 };
+            let step = (level / Self::STEP).round() * Self::STEP;
+            self.wanted[r] = if level > 0.97 { 1.0 } else { step as f32 };
         }
     }
 }
@@ -461,7 +380,6 @@
     rate: f64,
     /// Kept over a break, so that connections serve on.
     pool: Option<usize>,
-    here: bool,
     bound: bool,
 }
 
@@ -475,7 +393,6 @@
     peers: Vec<Peer>,
     ask_at: Option<Duration>,
     looks: u32,
-    pressure: f64,
     levels: Levels,
     channel: Channel,
     pools: Vec<Pool>,
@@ -497,12 +414,9 @@
         sight: Sight,
     ) -> Self {
         let (n, zones) = (routes.len(), plane.zones.max(1));
-        let levels = Levels {
-            arrived: vec![VecDeque::new(); n],
-            wanted: vec![1.0; n],
-            tries: Tries::AfterProof,
-            written: vec![(1.0, Tries::AfterProof); n],
-        };
+        let written = vec![(-1.0, Tries::One); n];
+        let (pressure, arrived) = (Levels::UNHEARD, vec![VecDeque::new(); n]);
+        let levels = Levels { pressure, arrived, wanted: vec![1.0; n], crowded: false, written };
         let (waiting, drained_at, unanswered) = (0.0, Duration::ZERO, VecDeque::new());
         let mut planner = Planner {
             host,
@@ -514,7 +428,6 @@
             peers: vec![],
             ask_at: None,
             looks: 0,
-            pressure: Ramp::UNHEARD,
             levels,
             channel: Channel { pace, waiting, drained_at, marks: 0, unanswered, urgent_set: false },
             pools: vec![],
@@ -523,9 +436,6 @@
             proxies: BTreeMap::new(),
             unbound: VecDeque::new(),
         };
-        if planner.plane.slices == 0 {
-            planner.host.admit(0, 1.0, Tries::AfterProof);
-        }
         planner.ask_list(Duration::ZERO);
         // Planners that start together would otherwise all write in the same instant.
         let first = LOOK.mul_f64(planner.rng.random_range(0.5..1.0));
@@ -547,7 +457,7 @@
         let mut named = vec![!whole; self.peers.len()];
         for e in entries {
             self.enter(now, e);
-            named.get_mut(e.server).map(|n| *n = true);
+            named.iter_mut().skip(e.server).take(1).for_each(|n| *n = true);
         }
         let unnamed = self.peers.iter_mut().zip(named).filter(|p| !p.1);
         unnamed.for_each(|p| p.0.gone(self.graces.gone_binds));
@@ -567,15 +477,13 @@
             Some(age) if age < self.graces.warm_up => now + self.graces.warm_up - age,
             _ => Duration::ZERO,
         };
-        let fresh = warm_at > now && (!peer.known || warm_at > peer.warm_at + Duration::from_millis(1));
-        let back = peer.known && peer.phase == Phase::Gone;
-        if entry.phase == Phase::Ready && (fresh || back) {
+        let fresh = warm_at > now && warm_at > peer.warm_at + Duration::from_millis(1);
+        if entry.phase == Phase::Ready && (fresh || peer.phase == Phase::Gone) {
             peer.ramp = Ramp { step: 1, cold: true };
-            peer.load.samples.clear();
+            peer.load.0.clear();
             peer.health.clear(now, Ramp::STEPS);
         }
-        (peer.known, peer.zone, peer.doubted) = (true, entry.zone, false);
-        (peer.phase, peer.warm_at) = (entry.phase, warm_at);
+        (peer.zone, peer.phase, peer.warm_at, peer.doubted) = (entry.zone, entry.phase, warm_at, false);
     }
 
     /// Asked again at the next look: a list that turns calls away at once would otherwise be flooded.
@@ -647,11 +555,9 @@
                     }
                     let may = |s: &Server| peers[*s].open() && (nearby || !near(*s)) && !held(*s);
                     let mut may: Vec<Server> = order.iter().copied().filter(may).collect();
-                    // Of far zones the one with the most room, in coarse steps.
                     may.sort_by_key(|s| {
-                        let busy = zones.busy.get(usize::from(peers[*s].zone)).copied().flatten();
-                        let room = (busy.unwrap_or(0.5) * 5.0) as u32;
-                        (!near(*s), zones.bad(zone, peers[*s].zone), room, holders[*s])
+                        let zone = peers[*s].zone;
+                        (!near(*s), zones.bad.contains_key(&(pool.zone, zone)), holders[*s])
                     });
                     for s in may.into_iter().take(short) {
                         pool.add(s);
@@ -666,37 +572,30 @@
 
     /// `bare` tells that the proxy has only just started, `rate` how many calls a second it usually gets.
     pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone, bare: bool, rate: f64) {
-        if !bare && self.proxies.values().all(|p| !p.here || p.zone != zone) {
+        if !bare && self.proxies.values().all(|p| !p.bound || p.zone != zone) {
             self.forget(now, zone);
         }
         let pool = self.proxies.get(&proxy).and_then(|p| p.pool);
-        self.proxies.insert(proxy, Joined { zone, rate, pool, here: true, bound: false });
+        self.proxies.insert(proxy, Joined { zone, rate, pool, bound: false });
         self.unbound.retain(|p| *p != proxy);
         self.unbound.push_back(proxy);
         self.bind_waiting(now);
     }
 
     pub fn left(&mut self, proxy: Proxy) {
-        if let Some(p) = self.proxies.get_mut(&proxy) {
-            (p.here, p.bound) = (false, false);
-        }
+        self.proxies.entry(proxy).and_modify(|p| p.bound = false);
         self.unbound.retain(|p| *p != proxy);
     }
 
-    /// The pool of the zone that is asked for the least.
-    fn choose(&self, zone: Zone) -> Option<usize> {
-        let mut rates = vec![0.0; self.pools.len()];
-        for p in self.proxies.values().filter(|p| p.here) {
-            p.pool.iter().for_each(|i| rates[*i] += p.rate);
-        }
-        let key = |i: &usize| (self.pools[*i].zone != zone, rates[*i]);
-        (0..rates.len()).min_by(|a, b| key(a).partial_cmp(&key(b)).unwrap_or(std::cmp::Ordering::Equal))
-    }
-
     fn bind_waiting(&mut self, now: Duration) {
         while let Some(&proxy) = self.unbound.front() {
-            let joined = &self.proxies[&proxy];
-            let Some(pool) = joined.pool.or_else(|| self.choose(joined.zone)) else { return };
+            let Joined { zone, pool, .. } = self.proxies[&proxy];
+            // The pool of the zone that is asked for the least.
+            let mut asked = vec![0.0; self.pools.len()];
+            let bound = self.proxies.values().filter(|p| p.bound);
+            bound.for_each(|p| p.pool.iter().for_each(|i| asked[*i] += p.rate));
+            let key = |i: &usize| (self.pools[*i].zone != zone, (1000.0 * asked[*i]) as u64);
+            let Some(pool) = pool.or_else(|| (0..asked.len()).min_by_key(key)) else { return };
             // A table that nobody holds costs nothing to bring up to date.
             if !self.proxies.values().any(|x| x.bound && x.pool == Some(pool)) {
                 let wanted = self.compose(&self.pools[pool]);
@@ -709,9 +608,7 @@
             }
             self.channel.waiting += cost;
             self.host.bind(proxy, self.pools[pool].table, 0);
-            if let Some(p) = self.proxies.get_mut(&proxy) {
-                (p.pool, p.bound) = (Some(pool), true);
-            }
+            self.proxies.entry(proxy).and_modify(|p| (p.pool, p.bound) = (Some(pool), true));
             self.unbound.pop_front();
         }
     }
@@ -734,21 +631,21 @@
     /// The one place where written weights are made: what was learnt times the exceptions.
     fn compose(&self, pool: &Pool) -> Vec<f32> {
         let peer = |l: &Line| &self.peers[l.server];
-        let part = |l: &Line| if peer(l).ready() { peer(l).ramp.part(self.pressure) } else { 0.0 };
+        let part = |l: &Line| if peer(l).ready() { peer(l).ramp.part(self.levels.pressure) } else { 0.0 };
         let near: Vec<&Line> = pool.lines.iter().filter(|l| peer(l).zone == pool.zone).collect();
         let sum = |of: &dyn Fn(&Line) -> f64| near.iter().map(|l| of(l)).sum::<f64>();
         let (full, left) = (sum(&|l| l.learnt), sum(&|l| l.learnt * part(l)));
         // What a zone has lost, far servers make up for at once, before its cold ones are swamped; and these
         // are pushed over by what only they are left to take.
         let lost = 1.0 - if full > 0.0 { left / full } else { 0.0 };
-        let most = if near.iter().any(|l| peer(l).ramp.cold) { 1.0 } else { Zones::FAR.1 };
         let reach = self.zones.reach[usize::from(pool.zone)];
+        let most = if near.iter().any(|l| peer(l).ramp.cold) { 1.0 } else { Zones::FAR.1 };
         let far = Zones::FAR.0 + ((most - Zones::FAR.0) * lost).max((1.0 - Zones::FAR.0) * reach);
         let place = |l: &Line| match peer(l).zone {
             zone if zone == pool.zone => 1.0,
             // A route that may not leave the zone shares its table with the others.
             _ if left > 0.0 && self.routes.iter().any(|r| r.stays_local) => 0.0,
-            zone if self.zones.bad(pool.zone, zone) => Zones::FAR.2,
+            zone if self.zones.bad.contains_key(&(pool.zone, zone)) => Zones::FAR.2,
             _ => far,
         };
         let weights: Vec<f32> = pool.lines.iter().map(|l| (l.learnt * place(l) * part(l)) as f32).collect();
@@ -760,16 +657,12 @@
     }
 
     /// When proxies may try a call again without its effect taking place twice, and where that helps: a
-    /// second try that starts after the SLO time is only more work.
+    /// second try that starts after the SLO time is only more work, and at a full pool fills it further.
     fn tries(&self, r: usize) -> Tries {
-        let in_time = self.plane.try_factor < 0.9;
-        let last = self.routes[r].slo.mul_f64(self.plane.try_factor) + self.channel.pace.worst_transit;
-        match (self.levels.tries, self.routes[r].effect) {
-            (Tries::AfterProof, Effect::Repeatable) if in_time => Tries::AfterFailure,
-            (Tries::AfterProof, Effect::Marked { group: Group::All, window }) if in_time && last < window => {
-                Tries::AfterFailure
-            }
-            (tries, _) => tries,
+        match self.routes[r].effect {
+            _ if self.levels.crowded => Tries::One,
+            Effect::Repeatable if self.plane.try_factor < 0.9 => Tries::AfterFailure,
+            _ => Tries::AfterProof,
         }
     }
 
@@ -789,6 +682,9 @@
     /// Sends what has changed, the most needed pools first and each as far as the channel allows; the rest
     /// stays to be sent, with whatever changes until then.
     fn push(&mut self, now: Duration) {
+        if self.pools.is_empty() {
+            return;
+        }
         let mut proxies = vec![0.0; self.pools.len()];
         self.proxies.values().filter(|p| p.bound).filter_map(|p| p.pool).for_each(|i| proxies[i] += 1.0);
         let bound: f64 = proxies.iter().sum();
@@ -891,14 +787,14 @@
         let (tries, dropped) = (f64::from(met.tries), f64::from(met.dropped));
         let wait = met.wait.map(|w| w.as_secs_f64());
         if let Some(p) = self.peers.get_mut(s) {
-            p.load.take(Sample { at: now, from: met.from, told, load: told, cpu, tries, dropped, wait });
+            p.take(Sample { at: now, from: met.from, told, load: told, cpu, tries, dropped, wait });
         }
     }
 
     pub fn came(&mut self, now: Duration, route: usize, calls: u32) {
         if let Some(list) = self.levels.arrived.get_mut(route) {
             list.push_back((now, f64::from(calls)));
-            drop_old(list, now, Load::KEPT, |a| a.0);
+            drop_old(list, now, Peer::KEPT, |a| a.0);
         }
     }
 
@@ -907,13 +803,7 @@
             self.ask_list(now);
         }
         let slo = self.routes.iter().map(|r| r.slo.as_secs_f64()).fold(f64::MAX, f64::min);
-        let from = now.saturating_sub(Work::WINDOW.max(self.sight.cycle * 2));
-        if let Some(work) = Work::of(&self.peers, from) {
-            // The first news after a start is of the few calls that went well.
-            let unheard = Ramp::UNHEARD * (1.0 - now.as_secs_f64() / 10.0);
-            self.pressure = (work.pressure.max(unheard) * 10.0).round() / 10.0;
-            self.levels.fit(from, &work, slo, |r| self.routes[r].importance);
-        }
+        self.levels.fit(now, self.sight.cycle, &self.peers, &self.routes, slo);
         for p in &mut self.peers {
             let by_age = Ramp::allowed(now, p.warm_at, self.graces.warm_up);
             if p.ramp.step > 0 && p.ramp.step < by_age.min(p.health.allowed) {
@@ -925,13 +815,13 @@
         self.look_afar(now, slo);
         self.deal();
         self.looks += 1;
-        if self.looks % INTERVAL == 0 {
+        if self.looks.is_multiple_of(INTERVAL) {
             self.scale(now);
         }
     }
 
     fn scale(&mut self, now: Duration) {
-        let recent = now.saturating_sub(Load::KEPT);
+        let recent = now.saturating_sub(Peer::KEPT);
         let settling = self.sight.cycle + self.channel.pace.worst_transit + LOOK;
         for pool in &mut self.pools {
             let figures = |l: &Line| {
@@ -939,7 +829,7 @@
                 // A report from before the last change took hold would have the same change made twice.
                 let from = recent.max(l.changed + settling);
                 let weighed = p.open() && p.warm_at <= now;
-                let figure = |of: fn(&Sample) -> Option<f64>| p.load.smoothed(from, of).filter(|_| weighed);
+                let figure = |of: fn(&Sample) -> Option<f64>| p.load.mean(from, of).filter(|_| weighed);
                 (figure(|x| x.load), figure(|x| x.wait))
             };
             let heard: Vec<(Option<f64>, Option<f64>)> = pool.lines.iter().map(figures).collect();
@@ -954,23 +844,17 @@
 
     fn look_afar(&mut self, now: Duration, slo: f64) {
         let since = now.saturating_sub(Health::EVIDENCE);
-        let n = self.zones.busy.len();
-        let of = |z: usize| self.peers.iter().filter(move |p| usize::from(p.zone) == z);
-        for z in 0..n {
-            self.zones.busy[z] = mean(of(z).filter_map(|p| p.load.smoothed(since, |x| x.cpu)));
-        }
-        for from in 0..n as Zone {
-            let sum = |to: usize| {
-                let samples = of(to).flat_map(|p| p.load.since(since)).filter(|x| x.from == from);
-                samples.fold((0.0, 0.0, 0.0), |(t, a, w), x| {
-                    let answered = (x.tries - x.dropped).max(0.0);
-                    (t + x.tries, a + answered, w + answered * x.wait.unwrap_or(0.0))
-                })
-            };
-            let met: Vec<(f64, f64, f64)> = (0..n).map(sum).collect();
-            self.zones.judge_ways(now, from, &met, slo);
-            self.zones.lean(from, self.levels.throttled());
-        }
+        let of = |z: usize| self.peers.iter().filter(move |p| usize::from(p.zone) == z).map(|p| &p.load);
+        for z in 0..self.zones.busy.len() {
+            self.zones.busy[z] = mean(of(z).filter_map(|l| l.mean(since, |x| x.cpu)));
+        }
+        let met = |from: usize, to: usize| {
+            let samples = of(to).flat_map(|l| l.since(since)).filter(|x| usize::from(x.from) == from);
+            samples.fold([0.0; 3], |[t, a, w], x| {
+                [t + x.tries, a + x.answered(), w + x.answered() * x.wait.unwrap_or(0.0)]
+            })
+        };
+        self.zones.judge(now, slo, self.levels.throttled(), met);
     }
 
     /// Guards against servers that drop, hang or crawl, whatever the list says. Where half of the pool is
@@ -978,9 +862,8 @@
     fn judge(&mut self, now: Duration, slo: f64) {
         let evidence = |p: &Peer| {
             let from = now.saturating_sub(Health::EVIDENCE).max(p.health.fresh_from);
-            let (tries, dropped) = p.load.tries(from);
-            let answered = (tries - dropped).max(0.0) / tries;
-            (tries >= Health::LEAST_TRIES).then(|| (answered, p.load.smoothed(from, |x| x.wait)))
+            let (tries, answered) = (p.load.sum(from, |x| x.tries), p.load.sum(from, Sample::answered));
+            (tries >= Health::LEAST_TRIES).then(|| (answered / tries, p.load.mean(from, |x| x.wait)))
         };
         let ready: Vec<Server> = (0..self.peers.len()).filter(|s| self.peers[*s].ready()).collect();
         let seen: Vec<Option<(f64, Option<f64>)>> = ready.iter().map(|s| evidence(&self.peers[*s])).collect();
@@ -988,7 +871,7 @@
             median(seen.iter().flatten().map(|e| e.0)).unwrap_or(1.0),
             median(seen.iter().flatten().filter_map(|e| e.1)),
         );
-        let last = |p: &Peer| p.load.samples.back().map_or(Duration::ZERO, |x| x.at).max(p.health.fresh_from);
+        let last = |p: &Peer| p.load.0.back().map_or(Duration::ZERO, |x| x.at).max(p.health.fresh_from);
         let newest = ready.iter().map(|s| last(&self.peers[*s])).max().unwrap_or(Duration::ZERO);
         let silence = |p: &Peer| newest.saturating_sub(last(p));
         // Where most are seldom heard, by few calls or by reports cut off, that is no sign.
@@ -996,14 +879,13 @@
         let quiet = self.sight.cycle * 2 + Duration::from_secs_f64(1.0 + 4.0 * usual);
         let out = ready.iter().filter(|s| self.peers[**s].ramp.step == 0).count();
         let mut may_out = ((ready.len() as f64 * Health::MOST_OUT) as usize).saturating_sub(out);
-        // Probes cost work, and many at once are turned away.
-        let mut probes = if self.sight.probing { ready.len() / 20 + 3 } else { 0 };
-        for (s, seen) in ready.into_iter().zip(seen) {
+        let mut unsure = vec![];
+        for (s, seen) in ready.iter().copied().zip(seen) {
             let silent = silence(&self.peers[s]) > quiet;
             let p = &mut self.peers[s];
             if p.ramp.step == 0 {
                 if self.sight.probing && p.health.answers < 2 {
-                    probe(&mut self.host, s, &mut probes);
+                    unsure.push(s);
                 } else if now.saturating_sub(p.health.fresh_from) >= p.health.hold {
                     // It may have been restarted before the list tells, so it counts as cold.
                     p.ramp = Ramp { step: 1, cold: true };
@@ -1012,11 +894,12 @@
                 }
                 continue;
             }
-            let steps = seen.map_or(p.health.allowed, |own| Health::steps(own, pool, slo));
+            let mut steps = seen.map_or(p.health.allowed, |own| Health::steps(own, pool, slo));
             if silent && p.health.misses < 2 {
-                probe(&mut self.host, s, &mut probes);
+                unsure.push(s);
+            } else if silent {
+                steps = 0;
             }
-            let steps = if silent && p.health.misses >= 2 { 0 } else { steps };
             p.health.allowed = if may_out == 0 { steps.max(1) } else { steps };
             p.ramp.step = p.ramp.step.min(p.health.allowed);
             if p.ramp.step == 0 {
@@ -1025,6 +908,10 @@
                 p.phase = if p.doubted { Phase::Gone } else { p.phase };
             }
         }
+        // Probes cost work, and many at once are turned away.
+        unsure.shuffle(&mut self.rng);
+        let few = if self.sight.probing { ready.len() / 20 + 3 } else { 0 };
+        unsure.into_iter().take(few).for_each(|s| self.host.probe(s));
     }
 
     /// What was held against a zone's servers while none of its proxies could be heard may have been a cut
@@ -1046,10 +933,3 @@
         }
     }
 }
-
-fn probe(host: &mut impl Host, s: Server, left: &mut usize) {
-    if *left > 0 {
-        *left -= 1;
-        host.probe(s);
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod decide;
 pub mod host;
+mod samples;
