--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,11 +5,11 @@
 //! spans since the planner's start. Nothing is shared between planners.
 
 use crate::host::*;
-use crate::samples::*;
+use crate::kept::*;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 const LOOK: Duration = Duration::from_secs(1);
@@ -20,18 +20,6 @@
 
 // Roster.
 
-/// One server: what the list says of it, and what each part below keeps.
-struct Peer {
-    zone: Zone,
-    phase: Phase,
-    warm_at: Duration,
-    /// Called gone where that does not bind: what is met there decides.
-    doubted: bool,
-    load: Samples,
-    health: Health,
-    ramp: Ramp,
-}
-
 impl Peer {
     const KEPT: Duration = Duration::from_secs(8);
     const STILL: Duration = Duration::from_secs(3);
@@ -73,28 +61,11 @@
 
 // Pool weights.
 
-/// A server in a pool: the weight it has earned there, apart from all exceptions, and what was sent.
-struct Line {
-    server: Server,
-    learnt: f64,
-    changed: Duration,
-    written: f32,
-}
-
-/// One shared table of many proxies of a zone.
-struct Pool {
-    table: Table,
-    zone: Zone,
-    lines: Vec<Line>,
-    /// When messages went to its proxies.
-    sent: VecDeque<Duration>,
-}
-
 impl Pool {
     const CLAMP: (f64, f64) = (0.8, 1.25);
     const DEAD_BAND: f64 = 0.1;
     const CEILING: f64 = 3.0;
-    /// As a part of the ceiling: far below it, a server that recovers would stay unused for a minute.
+    /// Of the ceiling: a server that has fallen far below would take minutes to come back.
     const FLOOR: f64 = 0.02;
     const DRIFT: f64 = 0.2;
     /// Where proxies outnumber the connections: the part of these that pools fill, and of it the near one.
@@ -132,15 +103,6 @@
 
 // Zones.
 
-/// What zones make of each other.
-struct Zones {
-    /// From which zone to which calls fared badly, and until when that counts.
-    bad: BTreeMap<(Zone, Zone), Duration>,
-    busy: Vec<Option<f64>>,
-    /// How far each zone leans on the others, beyond what they ordinarily take.
-    reach: Vec<f64>,
-}
-
 impl Zones {
     /// What far servers count for beside near ones: ordinarily, at most for those lost, over a bad way.
     const FAR: (f64, f64, f64) = (0.2, 0.6, 0.02);
@@ -176,10 +138,8 @@
                 far = [far, reached].into_iter().flatten().min_by(f64::total_cmp);
             }
             let change = match (self.busy[from], far) {
-                (Some(near), Some(far)) if near > Self::FULL || throttled || far > near => {
-                    Self::LEAN * (near - far)
-                }
-                (Some(near), Some(_)) if near > Self::EASY => 0.0,
+                (Some(a), Some(b)) if a > Self::FULL || throttled || b > a => Self::LEAN * (a - b),
+                (Some(a), Some(_)) if a > Self::EASY => 0.0,
                 _ => -Self::LEAN / 20.0,
             };
             self.reach[from] = (self.reach[from] + change).clamp(0.0, Self::MOST);
@@ -189,16 +149,6 @@
 
 // Health.
 
-/// How many quarter steps the evidence allows a server: all, fewer, or none.
-struct Health {
-    allowed: u32,
-    /// Evidence from before this moment is spent.
-    fresh_from: Duration,
-    answers: u32,
-    misses: u32,
-    hold: Duration,
-}
-
 impl Health {
     const EVIDENCE: Duration = Duration::from_secs(4);
     const LEAST_TRIES: f64 = 4.0;
@@ -226,13 +176,6 @@
 
 // Ramp.
 
-/// Steps of a quarter for servers that are fresh or come back.
-struct Ramp {
-    step: u32,
-    /// Still under way to its full weight since a start or a return.
-    cold: bool,
-}
-
 impl Ramp {
     const CROWDED: f64 = 1.4;
     const STEPS: u32 = 4;
@@ -257,16 +200,6 @@
 
 // Levels and further tries.
 
-/// How full the pool is, how much of each route is let in, and when proxies try again.
-struct Levels {
-    /// What servers are sent as a part of what they could answer.
-    pressure: f64,
-    arrived: Vec<VecDeque<(Duration, f64)>>,
-    wanted: Vec<f32>,
-    crowded: bool,
-    written: Vec<(f32, Tries)>,
-}
-
 impl Levels {
     const WINDOW: Duration = Duration::from_secs(2);
     const FULL: f64 = 0.85;
@@ -331,21 +264,9 @@
     }
 }
 
-// Channel.
-
-/// What may be sent now.
-struct Channel {
-    pace: Pace,
-    waiting: f64,
-    drained_at: Duration,
-    marks: u16,
-    /// Numbers of marks, and when an answer is overdue.
-    unanswered: VecDeque<(u16, Duration)>,
-    urgent_set: bool,
-}
+// Channel: ordinary pushes leave room for withdrawals, and these for drains.
 
 impl Channel {
-    /// Parts of the channel: ordinary pushes leave room for withdrawals, and these for drains.
     const ORDINARY: f64 = 0.4;
     const GUARDING: f64 = 0.6;
     const CROWDED: f64 = 0.85;
@@ -375,14 +296,6 @@
     }
 }
 
-struct Joined {
-    zone: Zone,
-    rate: f64,
-    /// Kept over a break, so that connections serve on.
-    pool: Option<usize>,
-    bound: bool,
-}
-
 pub struct Planner<H> {
     host: H,
     rng: Pcg64Mcg,
@@ -426,7 +339,7 @@
             graces,
             sight,
             peers: vec![],
-            ask_at: None,
+            ask_at: Some(Duration::ZERO),
             looks: 0,
             levels,
             channel: Channel { pace, waiting, drained_at, marks: 0, unanswered, urgent_set: false },
@@ -436,31 +349,21 @@
             proxies: BTreeMap::new(),
             unbound: VecDeque::new(),
         };
-        planner.ask_list(Duration::ZERO);
         // Planners that start together would otherwise all write in the same instant.
-        let first = LOOK.mul_f64(planner.rng.random_range(0.5..1.0));
-        planner.host.wake(first, TOKEN_LOOK);
+        planner.host.wake(LOOK.mul_f64(planner.rng.random_range(0.5..1.0)), TOKEN_LOOK);
         planner
     }
 
     // Roster.
 
-    fn ask_list(&mut self, now: Duration) {
-        if let Some(within) = self.sight.ask_within {
-            self.ask_at = Some(now + within / 2);
-            self.host.watch_list();
-        }
-    }
-
     pub fn list(&mut self, now: Duration, whole: bool, entries: &[Listed]) {
-        self.ask_at = None;
-        let mut named = vec![!whole; self.peers.len()];
-        for e in entries {
-            self.enter(now, e);
-            named.iter_mut().skip(e.server).take(1).for_each(|n| *n = true);
-        }
-        let unnamed = self.peers.iter_mut().zip(named).filter(|p| !p.1);
-        unnamed.for_each(|p| p.0.gone(self.graces.gone_binds));
+        // What was held from before the start answers no call.
+        self.ask_at = self.ask_at.filter(|_| now.is_zero());
+        entries.iter().for_each(|e| self.enter(now, e));
+        let named: BTreeSet<Server> = entries.iter().map(|e| e.server).collect();
+        for s in (0..self.peers.len()).filter(|s| whole && !named.contains(s)) {
+            self.peers[s].gone(self.graces.gone_binds);
+        }
         self.deal();
         self.push(now);
     }
@@ -486,7 +389,7 @@
         (peer.zone, peer.phase, peer.warm_at, peer.doubted) = (entry.zone, entry.phase, warm_at, false);
     }
 
-    /// Asked again at the next look: a list that turns calls away at once would otherwise be flooded.
+    /// Asked again at the next look, lest a list that turns calls away be flooded.
     pub fn list_failed(&mut self, now: Duration) {
         self.ask_at = Some(now);
     }
@@ -504,9 +407,8 @@
         let accepted = self.plane.least_conns * servers / self.plane.proxies.max(1) as f64;
         let lines = (Pool::FILLED * accepted).max(8.0);
         let near = servers / self.zones.busy.len() as f64;
-        let mut pools = 1.0;
+        let pools = if lines < servers { (near / (Pool::NEAR * lines)).ceil().max(1.0) } else { 1.0 };
         if lines < servers {
-            pools = (near / (Pool::NEAR * lines)).ceil().max(1.0);
             self.width = ((near / pools) as usize, ((1.0 - Pool::NEAR) * lines).ceil() as usize);
         }
         for zone in 0..self.zones.busy.len() as Zone {
@@ -536,9 +438,8 @@
                 pool.lines.iter().for_each(|l| holders[l.server] += 1);
             }
             for s in order.iter().copied().filter(|s| near(*s)) {
-                let least =
-                    group.iter_mut().min_by_key(|p| p.lines.iter().filter(|l| near(l.server)).count());
-                if let Some(pool) = least.filter(|_| holders[s] == 0) {
+                let held = |p: &&mut &mut Pool| p.lines.iter().filter(|l| near(l.server)).count();
+                if let Some(pool) = group.iter_mut().min_by_key(held).filter(|_| holders[s] == 0) {
                     pool.add(s);
                     holders[s] += 1;
                 }
@@ -547,12 +448,8 @@
             for pool in group {
                 for (nearby, width) in [(true, self.width.0), (false, self.width.1.saturating_add(reached))] {
                     let held = |s: Server| pool.lines.iter().any(|l| l.server == s);
-                    let count =
-                        pool.lines.iter().filter(|l| peers[l.server].open() && near(l.server) == nearby);
-                    let short = width.saturating_sub(count.count());
-                    if short == 0 {
-                        continue;
-                    }
+                    let open = |l: &&Line| peers[l.server].open() && near(l.server) == nearby;
+                    let short = width.saturating_sub(pool.lines.iter().filter(open).count());
                     let may = |s: &Server| peers[*s].open() && (nearby || !near(*s)) && !held(*s);
                     let mut may: Vec<Server> = order.iter().copied().filter(may).collect();
                     may.sort_by_key(|s| {
@@ -593,7 +490,7 @@
             // The pool of the zone that is asked for the least.
             let mut asked = vec![0.0; self.pools.len()];
             let bound = self.proxies.values().filter(|p| p.bound);
-            bound.for_each(|p| p.pool.iter().for_each(|i| asked[*i] += p.rate));
+            bound.filter_map(|p| Some((p.pool?, p.rate))).for_each(|(i, rate)| asked[i] += rate);
             let key = |i: &usize| (self.pools[*i].zone != zone, (1000.0 * asked[*i]) as u64);
             let Some(pool) = pool.or_else(|| (0..asked.len()).min_by_key(key)) else { return };
             // A table that nobody holds costs nothing to bring up to date.
@@ -682,19 +579,15 @@
     /// Sends what has changed, the most needed pools first and each as far as the channel allows; the rest
     /// stays to be sent, with whatever changes until then.
     fn push(&mut self, now: Duration) {
-        if self.pools.is_empty() {
-            return;
-        }
         let mut proxies = vec![0.0; self.pools.len()];
         self.proxies.values().filter(|p| p.bound).filter_map(|p| p.pool).for_each(|i| proxies[i] += 1.0);
-        let bound: f64 = proxies.iter().sum();
         let head = self.channel.pace.head + 1.0;
-        let with_levels = self.push_levels(now, bound, head);
+        let with_levels = self.push_levels(now, proxies.iter().sum(), head);
         let mut changes = vec![];
         for (i, pool) in self.pools.iter().enumerate().filter(|(i, _)| proxies[*i] > 0.0) {
-            let wanted =
-                self.compose(pool).into_iter().enumerate().filter(|(l, w)| *w != pool.lines[*l].written);
-            let lines: Vec<_> = wanted.map(|(l, w)| (l, w, self.need(&pool.lines[l], w))).collect();
+            let wanted = self.compose(pool).into_iter().enumerate();
+            let changed = wanted.filter(|(l, w)| *w != pool.lines[*l].written);
+            let lines: Vec<_> = changed.map(|(l, w)| (l, w, self.need(&pool.lines[l], w))).collect();
             let empty = !pool.lines.iter().any(|l| l.written > 0.0 && self.peers[l.server].ready());
             let most = lines.iter().map(|l| l.2).fold(0.0, f64::max);
             if !lines.is_empty() {
@@ -704,7 +597,7 @@
         // Where not all fits, none is always the last.
         changes.shuffle(&mut self.rng);
         changes.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let mut marked = with_levels;
+        let mut mark = with_levels;
         for (need, i, mut lines) in changes {
             let may = with_levels || self.channel.may_message(now, &mut self.pools[i].sent, need);
             if !self.channel.room(now, proxies[i] * (lines.len() as f64 + head), need) {
@@ -715,14 +608,13 @@
                 self.channel.waiting += cost;
                 self.pools[i].sent.extend((!with_levels).then_some(now));
                 self.write(i, lines.into_iter().map(|l| (l.0, l.1)));
-                marked = true;
+                mark = true;
             } else if need >= Channel::BINDING {
                 self.wake_urgent(now);
             }
         }
-        if marked {
-            let number = self.channel.mark(now);
-            self.host.mark(number);
+        if mark {
+            self.host.mark(self.channel.mark(now));
         }
         self.bind_waiting(now);
     }
@@ -745,10 +637,8 @@
         let levels: Vec<usize> = (0..tries.len()).filter(changed).collect();
         let cost = bound * (levels.len() as f64 + head);
         let may = |p: &mut Pool| self.channel.may_message(now, &mut p.sent, Channel::CROWDED);
-        if levels.is_empty()
-            || !self.pools.iter_mut().all(may)
-            || !self.channel.room(now, cost, Channel::CROWDED)
-        {
+        let may = !levels.is_empty() && !self.pools.is_empty() && self.pools.iter_mut().all(may);
+        if !may || !self.channel.room(now, cost, Channel::CROWDED) {
             return false;
         }
         for r in levels {
@@ -799,8 +689,9 @@
     }
 
     fn look(&mut self, now: Duration) {
-        if self.ask_at.is_some_and(|t| now >= t) {
-            self.ask_list(now);
+        if let Some(within) = self.sight.ask_within.filter(|_| self.ask_at.is_some_and(|t| now >= t)) {
+            self.ask_at = Some(now + within / 2);
+            self.host.watch_list();
         }
         let slo = self.routes.iter().map(|r| r.slo.as_secs_f64()).fold(f64::MAX, f64::min);
         self.levels.fit(now, self.sight.cycle, &self.peers, &self.routes, slo);
--- /dev/null
+++ b/src/kept.rs
@@ -0,0 +1,143 @@
+//! What a planner keeps, as plain data, and means of what it measured. No decisions.
+
+use crate::host::*;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// What a zone's proxies met at a server over one cycle.
+pub struct Sample {
+    pub at: Duration,
+    pub from: Zone,
+    /// As told, whether or not it is believed.
+    pub told: Option<f64>,
+    pub load: Option<f64>,
+    pub cpu: Option<f64>,
+    pub tries: f64,
+    pub dropped: f64,
+    pub wait: Option<f64>,
+}
+
+impl Sample {
+    pub fn answered(&self) -> f64 {
+        (self.tries - self.dropped).max(0.0)
+    }
+}
+
+/// The last few samples of a server.
+#[derive(Default)]
+pub struct Samples(pub VecDeque<Sample>);
+
+impl Samples {
+    pub fn since(&self, from: Duration) -> impl Iterator<Item = &Sample> {
+        self.0.iter().filter(move |x| x.at > from)
+    }
+
+    pub fn mean(&self, from: Duration, of: impl Fn(&Sample) -> Option<f64>) -> Option<f64> {
+        mean(self.since(from).filter_map(of))
+    }
+
+    pub fn sum(&self, from: Duration, of: impl Fn(&Sample) -> f64) -> f64 {
+        self.since(from).map(of).sum()
+    }
+}
+
+pub fn drop_old<T>(list: &mut VecDeque<T>, now: Duration, kept: Duration, at: impl Fn(&T) -> Duration) {
+    while list.front().is_some_and(|x| now.saturating_sub(at(x)) > kept) {
+        list.pop_front();
+    }
+}
+
+pub fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, n) = values.fold((0.0, 0usize), |(sum, n), v| (sum + v, n + 1));
+    (n > 0).then(|| sum / n as f64)
+}
+
+pub fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
+
+/// One server: what the list says of it, and what each part below keeps.
+pub struct Peer {
+    pub zone: Zone,
+    pub phase: Phase,
+    pub warm_at: Duration,
+    /// Called gone where that does not bind: what is met there decides.
+    pub doubted: bool,
+    pub load: Samples,
+    pub health: Health,
+    pub ramp: Ramp,
+}
+
+/// A server in a pool: the weight it has earned there, apart from all exceptions, and what was sent.
+pub struct Line {
+    pub server: Server,
+    pub learnt: f64,
+    pub changed: Duration,
+    pub written: f32,
+}
+
+/// One shared table of many proxies of a zone.
+pub struct Pool {
+    pub table: Table,
+    pub zone: Zone,
+    pub lines: Vec<Line>,
+    /// When messages went to its proxies.
+    pub sent: VecDeque<Duration>,
+}
+
+/// What zones make of each other.
+pub struct Zones {
+    /// From which zone to which calls fared badly, and until when that counts.
+    pub bad: BTreeMap<(Zone, Zone), Duration>,
+    pub busy: Vec<Option<f64>>,
+    /// How far each zone leans on the others, beyond what they ordinarily take.
+    pub reach: Vec<f64>,
+}
+
+/// How many quarter steps the evidence allows a server: all, fewer, or none.
+pub struct Health {
+    pub allowed: u32,
+    /// Evidence from before this moment is spent.
+    pub fresh_from: Duration,
+    pub answers: u32,
+    pub misses: u32,
+    pub hold: Duration,
+}
+
+/// Steps of a quarter for servers that are fresh or come back.
+pub struct Ramp {
+    pub step: u32,
+    /// Still under way to its full weight since a start or a return.
+    pub cold: bool,
+}
+
+/// How full the pool is, how much of each route is let in, and when proxies try again.
+pub struct Levels {
+    /// What servers are sent as a part of what they could answer.
+    pub pressure: f64,
+    pub arrived: Vec<VecDeque<(Duration, f64)>>,
+    pub wanted: Vec<f32>,
+    pub crowded: bool,
+    pub written: Vec<(f32, Tries)>,
+}
+
+/// What may be sent now.
+pub struct Channel {
+    pub pace: Pace,
+    pub waiting: f64,
+    pub drained_at: Duration,
+    pub marks: u16,
+    /// Numbers of marks, and when an answer is overdue.
+    pub unanswered: VecDeque<(u16, Duration)>,
+    pub urgent_set: bool,
+}
+
+pub struct Joined {
+    pub zone: Zone,
+    pub rate: f64,
+    /// Kept over a break, so that connections serve on.
+    pub pool: Option<usize>,
+    pub bound: bool,
+}
