Count as waiting all that no answered mark shows to have left

Guards against any slow channel; harms where marks are lost, orders then go out at an eighth of the pace.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -18,8 +18,6 @@
 const TOKEN_LOOK: u32 = 1;
 const TOKEN_URGENT: u32 = 2;
 
-// Roster.
-
 impl Peer {
     const KEPT: Duration = Duration::from_secs(8);
     const STILL: Duration = Duration::from_secs(3);
@@ -59,8 +57,6 @@
     }
 }
 
-// Pool weights.
-
 impl Pool {
     const CLAMP: (f64, f64) = (0.8, 1.25);
     const DEAD_BAND: f64 = 0.1;
@@ -101,8 +97,6 @@
     }
 }
 
-// Zones.
-
 impl Zones {
     /// What far servers count for beside near ones: ordinarily, at most for those lost, over a bad way.
     const FAR: (f64, f64, f64) = (0.2, 0.6, 0.02);
@@ -147,8 +141,6 @@
     }
 }
 
-// Health.
-
 impl Health {
     const EVIDENCE: Duration = Duration::from_secs(4);
     const LEAST_TRIES: f64 = 4.0;
@@ -174,8 +166,6 @@
     }
 }
 
-// Ramp.
-
 impl Ramp {
     const CROWDED: f64 = 1.4;
     const STEPS: u32 = 4;
@@ -273,14 +263,20 @@
     const BINDING: f64 = 1.0;
     const RETRY: Duration = Duration::from_millis(100);
 
+    /// As slow as a channel may get, as a part of its stated pace.
+    const SLOWEST: f64 = 0.125;
+
+    /// Against a channel that is slower than stated: what no answered mark shows to have left still waits.
     fn room(&mut self, now: Duration, lines: f64, share: f64) -> bool {
-        let slow = self.unanswered.front().is_some_and(|m| now > m.1);
-        let rate = self.pace.lines_per_s * if slow { 0.125 } else { 1.0 };
-        self.waiting = (self.waiting - (now - self.drained_at).as_secs_f64() * rate).max(0.0);
-        self.drained_at = now;
+        let gone = (now - self.drained_at).as_secs_f64() * self.pace.lines_per_s * Self::SLOWEST;
+        (self.waiting, self.drained_at) = ((self.waiting - gone).max(0.0), now);
         self.waiting + lines <= self.pace.most_waiting * share
     }
 
+    fn add(&mut self, lines: f64) {
+        (self.waiting, self.ordered) = (self.waiting + lines, self.ordered + lines);
+    }
+
     /// One message stays for binding.
     fn may_message(&self, now: Duration, sent: &mut VecDeque<Duration>, share: f64) -> bool {
         drop_old(sent, now, self.pace.window, |t| *t);
@@ -288,10 +284,9 @@
         most == 0 || (sent.len() as f64) < most.saturating_sub(1) as f64 * share
     }
 
-    fn mark(&mut self, now: Duration) -> u16 {
+    fn mark(&mut self, ordered_before: f64) -> u16 {
         self.marks = (self.marks + 1) % 50_000;
-        let queued = Duration::from_secs_f64(self.waiting / self.pace.lines_per_s.max(1.0));
-        self.unanswered.push_back((self.marks, now + queued + self.pace.worst_transit * 2));
+        self.unanswered.push_back((self.marks, ordered_before));
         self.marks
     }
 }
@@ -326,11 +321,10 @@
         pace: Pace,
         sight: Sight,
     ) -> Self {
-        let (n, zones) = (routes.len(), plane.zones.max(1));
-        let written = vec![(-1.0, Tries::One); n];
-        let (pressure, arrived) = (Levels::UNHEARD, vec![VecDeque::new(); n]);
+        let n = routes.len();
+        let (pressure, arrived, written) =
+            (Levels::UNHEARD, vec![VecDeque::new(); n], vec![(-1.0, Tries::One); n]);
         let levels = Levels { pressure, arrived, wanted: vec![1.0; n], crowded: false, written };
-        let (waiting, drained_at, unanswered) = (0.0, Duration::ZERO, VecDeque::new());
         let mut planner = Planner {
             host,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -342,10 +336,10 @@
             ask_at: Some(Duration::ZERO),
             looks: 0,
             levels,
-            channel: Channel { pace, waiting, drained_at, marks: 0, unanswered, urgent_set: false },
+            channel: Channel::new(pace),
             pools: vec![],
             width: (usize::MAX, usize::MAX),
-            zones: Zones { bad: BTreeMap::new(), busy: vec![None; zones], reach: vec![0.0; zones] },
+            zones: Zones::new(plane.zones.max(1)),
             proxies: BTreeMap::new(),
             unbound: VecDeque::new(),
         };
@@ -389,7 +383,7 @@
         (peer.zone, peer.phase, peer.warm_at, peer.doubted) = (entry.zone, entry.phase, warm_at, false);
     }
 
-    /// Asked again at the next look, lest a list that turns calls away be flooded.
+    /// Asked at the next look, lest a list that turns calls away be flooded.
     pub fn list_failed(&mut self, now: Duration) {
         self.ask_at = Some(now);
     }
@@ -503,7 +497,7 @@
             if !self.channel.room(now, cost, 0.8) {
                 return self.wake_urgent(now);
             }
-            self.channel.waiting += cost;
+            self.channel.add(cost);
             self.host.bind(proxy, self.pools[pool].table, 0);
             self.proxies.entry(proxy).and_modify(|p| (p.pool, p.bound) = (Some(pool), true));
             self.unbound.pop_front();
@@ -518,8 +512,10 @@
     }
 
     pub fn applied(&mut self, number: u16) {
-        while self.channel.unanswered.iter().any(|m| m.0 == number) {
-            self.channel.unanswered.pop_front();
+        let channel = &mut self.channel;
+        if let Some(i) = channel.unanswered.iter().position(|m| m.0 == number) {
+            let before = channel.unanswered.drain(..=i).next_back().map_or(0.0, |m| m.1);
+            channel.waiting = channel.waiting.min(channel.ordered - before);
         }
     }
 
@@ -581,7 +577,7 @@
     fn push(&mut self, now: Duration) {
         let mut proxies = vec![0.0; self.pools.len()];
         self.proxies.values().filter(|p| p.bound).filter_map(|p| p.pool).for_each(|i| proxies[i] += 1.0);
-        let head = self.channel.pace.head + 1.0;
+        let (head, before) = (self.channel.pace.head + 1.0, self.channel.ordered);
         let with_levels = self.push_levels(now, proxies.iter().sum(), head);
         let mut changes = vec![];
         for (i, pool) in self.pools.iter().enumerate().filter(|(i, _)| proxies[*i] > 0.0) {
@@ -605,7 +601,7 @@
             }
             let cost = proxies[i] * (lines.len() as f64 + head);
             if may && self.channel.room(now, cost, need) {
-                self.channel.waiting += cost;
+                self.channel.add(cost);
                 self.pools[i].sent.extend((!with_levels).then_some(now));
                 self.write(i, lines.into_iter().map(|l| (l.0, l.1)));
                 mark = true;
@@ -614,7 +610,7 @@
             }
         }
         if mark {
-            self.host.mark(self.channel.mark(now));
+            self.host.mark(self.channel.mark(before));
         }
         self.bind_waiting(now);
     }
@@ -646,10 +642,8 @@
             let share = if self.plane.levels { self.levels.wanted[r] } else { 1.0 };
             self.host.admit(1 << r, share, tries[r]);
         }
-        self.channel.waiting += cost;
-        if bound > 0.0 {
-            self.pools.iter_mut().for_each(|p| p.sent.push_back(now));
-        }
+        self.channel.add(cost);
+        self.pools.iter_mut().for_each(|p| p.sent.extend((bound > 0.0).then_some(now)));
         bound > 0.0
     }
 
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -96,6 +96,12 @@
     pub reach: Vec<f64>,
 }
 
+impl Zones {
+    pub fn new(zones: usize) -> Zones {
+        Zones { bad: BTreeMap::new(), busy: vec![None; zones], reach: vec![0.0; zones] }
+    }
+}
+
 /// How many quarter steps the evidence allows a server: all, fewer, or none.
 pub struct Health {
     pub allowed: u32,
@@ -127,13 +133,22 @@
 pub struct Channel {
     pub pace: Pace,
     pub waiting: f64,
+    /// All lines ever ordered.
+    pub ordered: f64,
     pub drained_at: Duration,
     pub marks: u16,
-    /// Numbers of marks, and when an answer is overdue.
-    pub unanswered: VecDeque<(u16, Duration)>,
+    /// Numbers of marks, and what had been ordered before each.
+    pub unanswered: VecDeque<(u16, f64)>,
     pub urgent_set: bool,
 }
 
+impl Channel {
+    pub fn new(pace: Pace) -> Channel {
+        let (drained_at, unanswered) = (Duration::ZERO, VecDeque::new());
+        Channel { pace, waiting: 0.0, ordered: 0.0, drained_at, marks: 0, unanswered, urgent_set: false }
+    }
+}
+
 pub struct Joined {
     pub zone: Zone,
     pub rate: f64,
