--- a/src/decide.rs
+++ b/src/decide.rs
@@ -209,10 +209,11 @@
     /// by the same late reports, so their ratio holds while those are late.
     fn fit(&mut self, now: Duration, cycle: Duration, peers: &[Peer], routes: &[Route], slo: f64) {
         let from = now.saturating_sub(Self::WINDOW.max(cycle * 2));
-        let (mut sent, mut able) = (0.0, 0.0);
+        let (mut sent, mut able, mut all, mut good) = (0.0, 0.0, 0.0, 0.0);
         for load in peers.iter().map(|p| &p.load) {
             let busy = load.mean(from, |x| x.cpu);
             let (tries, answered) = (load.sum(from, |x| x.tries), load.sum(from, Sample::answered));
+            (all, good) = (all + tries, good + answered);
             if answered > 0.0 {
                 // Tries that fail at a server with time to spare point to a cut or a fault.
                 sent += if busy.is_some_and(|b| b < Self::FULL) { answered } else { tries };
@@ -225,7 +226,8 @@
         let pressure = sent / able;
         // The first news after a start is of the few calls that went well.
         let unheard = Self::UNHEARD * (1.0 - now.as_secs_f64() / 10.0);
-        self.pressure = (pressure.max(unheard) * 10.0).round() / 10.0;
+        // And tries that fail, for whatever cause, come again at those few that take any.
+        self.pressure = (pressure.max(unheard).max(0.7 * all / good) * 10.0).round() / 10.0;
         self.crowded = pressure > if self.crowded { Self::EASY } else { 1.0 };
         // Queues that have once grown stay at a load that just fits, and every answer comes late.
         let wait = median(peers.iter().filter_map(|p| p.load.mean(from, |x| x.wait)));
@@ -478,7 +480,9 @@
         self.unbound.retain(|p| *p != proxy);
     }
 
-    fn bind_waiting(&mut self, now: Duration) {
+    /// Whether any were bound.
+    fn bind_waiting(&mut self, now: Duration) -> bool {
+        let before = self.unbound.len();
         while let Some(&proxy) = self.unbound.front() {
             let Joined { zone, pool, .. } = self.proxies[&proxy];
             // The pool of the zone that is asked for the least.
@@ -486,7 +490,7 @@
             let bound = self.proxies.values().filter(|p| p.bound);
             bound.filter_map(|p| Some((p.pool?, p.rate))).for_each(|(i, rate)| asked[i] += rate);
             let key = |i: &usize| (self.pools[*i].zone != zone, (1000.0 * asked[*i]) as u64);
-            let Some(pool) = pool.or_else(|| (0..asked.len()).min_by_key(key)) else { return };
+            let Some(pool) = pool.or_else(|| (0..asked.len()).min_by_key(key)) else { break };
             // A table that nobody holds costs nothing to bring up to date.
             if !self.proxies.values().any(|x| x.bound && x.pool == Some(pool)) {
                 let wanted = self.compose(&self.pools[pool]);
@@ -495,13 +499,15 @@
             let lines = self.pools[pool].lines.iter().filter(|l| l.written > 0.0).count();
             let cost = 2.0 + lines as f64 + self.channel.pace.head;
             if !self.channel.room(now, cost, 0.8) {
-                return self.wake_urgent(now);
+                self.wake_urgent(now);
+                break;
             }
             self.channel.add(cost);
             self.host.bind(proxy, self.pools[pool].table, 0);
             self.proxies.entry(proxy).and_modify(|p| (p.pool, p.bound) = (Some(pool), true));
             self.unbound.pop_front();
         }
+        self.unbound.len() < before
     }
 
     fn wake_urgent(&mut self, now: Duration) {
@@ -538,7 +544,7 @@
             zone if zone == pool.zone => 1.0,
             // A route that may not leave the zone shares its table with the others.
             _ if left > 0.0 && self.routes.iter().any(|r| r.stays_local) => 0.0,
-            zone if self.zones.bad.contains_key(&(pool.zone, zone)) => Zones::FAR.2,
+            zone if self.zones.bad.contains_key(&(pool.zone, zone)) => Zones::FAR.2.max(far * lost.powi(2)),
             _ => far,
         };
         let weights: Vec<f32> = pool.lines.iter().map(|l| (l.learnt * place(l) * part(l)) as f32).collect();
@@ -609,10 +615,9 @@
                 self.wake_urgent(now);
             }
         }
-        if mark {
+        if self.bind_waiting(now) || mark {
             self.host.mark(self.channel.mark(before));
         }
-        self.bind_waiting(now);
     }
 
     fn write(&mut self, pool: usize, lines: impl Iterator<Item = (usize, f32)>) {
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -16,6 +16,7 @@
     pub bound: BTreeMap<Proxy, BTreeSet<Table>>,
     pub levels: BTreeMap<RouteSet, (f32, Tries)>,
     pub probes: Vec<Server>,
+    pub marks: Vec<u16>,
     pub asked: usize,
     /// When lines or levels were written, by calls of the planner.
     pub written_at: BTreeSet<Duration>,
@@ -47,7 +48,9 @@
         kept.written_at.insert(now);
         kept.levels.insert(routes, (level, tries));
     }
-    fn mark(&mut self, _: u16) {}
+    fn mark(&mut self, number: u16) {
+        self.0.borrow_mut().marks.push(number);
+    }
     fn probe(&mut self, server: Server) {
         self.0.borrow_mut().probes.push(server);
     }
@@ -120,6 +123,8 @@
         let end = self.now + length;
         while self.now < end {
             self.now += ms(500);
+            let marks = std::mem::take(&mut self.kept.borrow_mut().marks);
+            marks.into_iter().for_each(|m| self.planner.applied(m));
             loop {
                 let due = self.kept.borrow().wakes.iter().next().copied().filter(|w| w.0 <= self.now);
                 let Some((at, token)) = due else { break };
