--- a/src/decide.rs
+++ b/src/decide.rs
@@ -74,7 +74,7 @@
 
     fn add(&mut self, server: Server) {
         let learnt = self.mean();
-        self.lines.push(Line { server, learnt, changed: Duration::ZERO, written: 0.0 });
+        self.lines.push(Line { server, learnt, changed: Duration::ZERO, written: 0.0, leaving: false });
     }
 
     /// The mechanism, one interval: each server's weight times the pool's mean load over its own.
@@ -430,8 +430,8 @@
             let mut group: Vec<&mut Pool> = self.pools.iter_mut().filter(|p| p.zone == zone).collect();
             let mut holders = vec![0; peers.len()];
             for pool in &mut group {
-                pool.lines.retain(|l| l.written > 0.0 || peers[l.server].ready());
-                pool.lines.iter().for_each(|l| holders[l.server] += 1);
+                pool.lines.retain(|l| l.written > 0.0 || (peers[l.server].ready() && !l.leaving));
+                pool.lines.iter().filter(|l| !l.leaving).for_each(|l| holders[l.server] += 1);
             }
             for s in order.iter().copied().filter(|s| near(*s)) {
                 let held = |p: &&mut &mut Pool| p.lines.iter().filter(|l| near(l.server)).count();
@@ -443,9 +443,18 @@
             let reached = (zones.reach[usize::from(zone)] * self.width.0.min(peers.len()) as f64) as usize;
             for pool in group {
                 for (nearby, width) in [(true, self.width.0), (false, self.width.1.saturating_add(reached))] {
+                    let there = |l: &Line| !l.leaving && peers[l.server].open() && near(l.server) == nearby;
+                    let count = pool.lines.iter().filter(|l| there(l)).count();
+                    // What came in for lost ones goes when these are back; every pool would go on asking it.
+                    for _ in width.saturating_add(1)..count {
+                        let spare = |l: &&mut Line| nearby && there(l) && holders[l.server] > 1;
+                        if let Some(l) = pool.lines.iter_mut().filter(spare).max_by_key(|l| holders[l.server])
+                        {
+                            (l.leaving, holders[l.server]) = (true, holders[l.server] - 1);
+                        }
+                    }
+                    let short = width.saturating_sub(count);
                     let held = |s: Server| pool.lines.iter().any(|l| l.server == s);
-                    let open = |l: &&Line| peers[l.server].open() && near(l.server) == nearby;
-                    let short = width.saturating_sub(pool.lines.iter().filter(open).count());
                     let may = |s: &Server| peers[*s].open() && (nearby || !near(*s)) && !held(*s);
                     let mut may: Vec<Server> = order.iter().copied().filter(may).collect();
                     may.sort_by_key(|s| {
@@ -541,6 +550,7 @@
         let most = if near.iter().any(|l| peer(l).ramp.cold) { 1.0 } else { Zones::FAR.1 };
         let far = Zones::FAR.0 + ((most - Zones::FAR.0) * lost).max((1.0 - Zones::FAR.0) * reach);
         let place = |l: &Line| match peer(l).zone {
+            _ if l.leaving => 0.0,
             zone if zone == pool.zone => 1.0,
             // A route that may not leave the zone shares its table with the others.
             _ if left > 0.0 && self.routes.iter().any(|r| r.stays_local) => 0.0,
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -76,6 +76,8 @@
     pub learnt: f64,
     pub changed: Duration,
     pub written: f32,
+    /// Not needed here any more; goes once that is written.
+    pub leaving: bool,
 }
 
 /// One shared table of many proxies of a zone.
