--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,10 +28,6 @@
         Peer { zone, phase, warm_at, doubted, load, health, ramp }
     }
 
-    fn ready(&self) -> bool {
-        self.phase == Phase::Ready
-    }
-
     fn open(&self) -> bool {
         self.ready() && self.ramp.step > 0
     }
@@ -68,10 +64,6 @@
     const FILLED: f64 = 0.4;
     const NEAR: f64 = 0.75;
 
-    fn mean(&self) -> f64 {
-        mean(self.lines.iter().map(|l| l.learnt)).unwrap_or(1.0)
-    }
-
     fn add(&mut self, server: Server) {
         let learnt = self.mean();
         self.lines.push(Line { server, learnt, changed: Duration::ZERO, written: 0.0, leaving: false });
@@ -201,10 +193,6 @@
     const STEP: f64 = 0.05;
     const EASY: f64 = 0.8;
 
-    fn throttled(&self) -> bool {
-        self.wanted.iter().any(|w| *w < 1.0)
-    }
-
     /// Lets in what fits, the most important routes first. What servers are able to and what came are known
     /// by the same late reports, so their ratio holds while those are late.
     fn fit(&mut self, now: Duration, cycle: Duration, peers: &[Peer], routes: &[Route], slo: f64) {
@@ -442,26 +430,23 @@
             }
             let reached = (zones.reach[usize::from(zone)] * self.width.0.min(peers.len()) as f64) as usize;
             for pool in group {
-                for (nearby, width) in [(true, self.width.0), (false, self.width.1.saturating_add(reached))] {
-                    let there = |l: &Line| !l.leaving && peers[l.server].open() && near(l.server) == nearby;
-                    let count = pool.lines.iter().filter(|l| there(l)).count();
-                    // What came in for lost ones goes when these are back; every pool would go on asking it.
-                    for _ in width.saturating_add(1)..count {
-                        let spare = |l: &&mut Line| nearby && there(l) && holders[l.server] > 1;
-                        if let Some(l) = pool.lines.iter_mut().filter(spare).max_by_key(|l| holders[l.server])
-                        {
-                            (l.leaving, holders[l.server]) = (true, holders[l.server] - 1);
-                        }
+                let open = |l: &Line| !l.leaving && peers[l.server].open();
+                // What came in for lost ones goes when these are back; every pool would go on asking it.
+                let many = pool.lines.iter().filter(|l| open(l) && near(l.server)).count();
+                for _ in self.width.0.saturating_add(1)..many {
+                    let spare = |l: &&mut Line| open(l) && near(l.server) && holders[l.server] > 1;
+                    if let Some(l) = pool.lines.iter_mut().filter(spare).max_by_key(|l| holders[l.server]) {
+                        (l.leaving, holders[l.server]) = (true, holders[l.server] - 1);
                     }
-                    let short = width.saturating_sub(count);
-                    let held = |s: Server| pool.lines.iter().any(|l| l.server == s);
-                    let may = |s: &Server| peers[*s].open() && (nearby || !near(*s)) && !held(*s);
+                }
+                for (nearby, width) in [(true, self.width.0), (false, self.width.1.saturating_add(reached))] {
+                    let there = pool.lines.iter().filter(|l| open(l) && near(l.server) == nearby).count();
+                    let held: BTreeSet<Server> = pool.lines.iter().map(|l| l.server).collect();
+                    let may = |s: &Server| peers[*s].open() && (nearby || !near(*s)) && !held.contains(s);
                     let mut may: Vec<Server> = order.iter().copied().filter(may).collect();
-                    may.sort_by_key(|s| {
-                        let zone = peers[*s].zone;
-                        (!near(*s), zones.bad.contains_key(&(pool.zone, zone)), holders[*s])
-                    });
-                    for s in may.into_iter().take(short) {
+                    let bad = |s: Server| zones.bad.contains_key(&(zone, peers[s].zone));
+                    may.sort_by_key(|s| (!near(*s), bad(*s), holders[*s]));
+                    for s in may.into_iter().take(width.saturating_sub(there)) {
                         pool.add(s);
                         holders[s] += 1;
                     }
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -70,6 +70,12 @@
     pub ramp: Ramp,
 }
 
+impl Peer {
+    pub fn ready(&self) -> bool {
+        self.phase == Phase::Ready
+    }
+}
+
 /// A server in a pool: the weight it has earned there, apart from all exceptions, and what was sent.
 pub struct Line {
     pub server: Server,
@@ -89,6 +95,12 @@
     pub sent: VecDeque<Duration>,
 }
 
+impl Pool {
+    pub fn mean(&self) -> f64 {
+        mean(self.lines.iter().map(|l| l.learnt)).unwrap_or(1.0)
+    }
+}
+
 /// What zones make of each other.
 pub struct Zones {
     /// From which zone to which calls fared badly, and until when that counts.
@@ -131,6 +143,12 @@
     pub written: Vec<(f32, Tries)>,
 }
 
+impl Levels {
+    pub fn throttled(&self) -> bool {
+        self.wanted.iter().any(|w| *w < 1.0)
+    }
+}
+
 /// What may be sent now.
 pub struct Channel {
     pub pace: Pace,
