--- a/src/decide.rs
+++ b/src/decide.rs
@@ -687,7 +687,7 @@
             self.ask_at = Some(now + within / 2);
             self.host.watch_list();
         }
-        let slo = self.routes.iter().map(|r| r.slo.as_secs_f64()).fold(f64::MAX, f64::min);
+        let slo = mean(self.routes.iter().map(|r| r.slo.as_secs_f64())).unwrap_or(1.0);
         self.levels.fit(now, self.sight.cycle, &self.peers, &self.routes, slo);
         for p in &mut self.peers {
             let by_age = Ramp::allowed(now, p.warm_at, self.graces.warm_up);
