--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -5,6 +5,7 @@
 use grebespool::host::*;
 use helpers::*;
 use rstest::rstest;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 const QUIET: Told = Some((5, 0, [0.5, 0.0]));
@@ -306,6 +307,134 @@
     assert!(rig.kept.borrow().levels.values().all(|l| l.0 == 1.0));
 }
 
+// Many proxies.
+#[rstest]
+#[case::few_proxies(40, 4, 1)]
+#[case::many_proxies(40, 80, 4)]
+#[case::more_still(120, 360, 10)]
+fn proxies_beyond_the_connections_share_several_pools(
+    #[case] servers: usize,
+    #[case] proxies: usize,
+    #[case] least: usize,
+) {
+    let rig = Rig::grown(servers, proxies, PACE, true);
+    let tables: BTreeSet<Table> = rig.kept.borrow().bound.values().flatten().copied().collect();
+    assert!(tables.len() >= 2 * least && tables.len() <= proxies / 2, "{} tables", tables.len());
+    let held: BTreeSet<Server> = tables.iter().flat_map(|t| rig.held(*t)).collect();
+    assert_eq!(held.len(), servers, "every server has a pool");
+}
+
+#[rstest]
+fn a_pool_that_loses_its_servers_gets_others_and_gives_them_back() {
+    // Found by a hunt: the first servers to come back were put into every pool, and stayed there.
+    let mut rig = Rig::grown(40, 80, PACE, true);
+    let zone = |rig: &mut Rig, phase, age| {
+        let entries: Vec<Listed> = (0..20).map(|s| listed(2 * s, 0, phase, age)).collect();
+        rig.list(false, &entries[..3]);
+        rig.run(Duration::from_secs(2), |s| QUIET.filter(|_| s < 40));
+        rig.list(false, &entries);
+        rig.run(Duration::from_secs(30), |s| QUIET.filter(|_| s < 40));
+    };
+    zone(&mut rig, Phase::Gone, None);
+    let tables: BTreeSet<Table> = rig.kept.borrow().bound.values().flatten().copied().collect();
+    assert!(tables.iter().all(|t| rig.held(*t).len() >= 3), "lost servers are made up for");
+    zone(&mut rig, Phase::Ready, Some(ms(1000)));
+    let near = tables.iter().take(tables.len() / 2);
+    let shares = |s: Server| near.clone().filter(|t| rig.held(**t).contains(&s)).count();
+    let most = (0..20).map(|s| shares(2 * s)).max().unwrap();
+    assert!(most < 4, "a server is in all {most} tables of its zone");
+}
+
+#[rstest]
+#[case::binds(true, false, 0.0)]
+#[case::does_not_bind(false, false, 1.0)]
+#[case::seen_draining_before(false, true, 0.0)]
+fn a_list_that_calls_servers_gone(#[case] binds: bool, #[case] drained: bool, #[case] weight: f32) {
+    let mut rig = Rig::grown(6, 2, PACE, binds);
+    if drained {
+        rig.list(false, &[listed(0, 0, Phase::Draining, None)]);
+    }
+    rig.list(false, &[listed(0, 0, Phase::Gone, None)]);
+    rig.run(Duration::from_secs(4), |s| QUIET.filter(|_| s < 6));
+    assert_eq!(rig.weight(0, 0), weight);
+    rig.run(
+        Duration::from_secs(8),
+        |s| if s == 0 { Some((9, 9, [0.0, 0.0])) } else { QUIET.filter(|_| s < 6) },
+    );
+    assert_eq!(rig.weight(0, 0), 0.0, "one that fails as well is gone");
+}
+
+#[rstest]
+fn lines_that_no_mark_shows_to_have_left_still_wait() {
+    // Found on an overloaded day: the channel was counted at its stated pace while it was far slower.
+    let narrow = Pace { lines_per_s: 2000.0, most_waiting: 2000.0, most_messages: 0, ..PACE };
+    let mut rig = Rig::grown(40, 80, narrow, true);
+    rig.run(Duration::from_secs(10), |s| QUIET.filter(|_| s < 40));
+    rig.marks = false;
+    let before = rig.kept.borrow().sent;
+    for round in 0..10 {
+        rig.run(Duration::from_secs(1), |s| {
+            (s < 40).then_some((8, 0, [if (s + round) % 2 == 0 { 0.1 } else { 0.9 }, 0.0]))
+        });
+    }
+    // Each line goes to ten proxies or so; an eighth of the pace leaves 2,500 lines in ten seconds.
+    let lines = (rig.kept.borrow().sent - before) * 80 / 12;
+    assert!(lines <= 4500, "{lines} lines");
+}
+
+// Zones.
+#[rstest]
+#[case::well((10, 0), 0.5, 200, 0.15, 0.25)]
+#[case::lossy((10, 6), 0.5, 200, 0.0, 0.01)]
+#[case::slow((10, 0), 0.5, 1200, 0.0, 0.05)]
+#[case::full_ones_are_no_bad_way((10, 6), 0.99, 200, 0.02, 0.25)]
+fn a_way_that_fares_badly_gets_a_trickle(
+    #[case] far: (u32, u32),
+    #[case] busy: f32,
+    #[case] wait: u64,
+    #[case] least: f32,
+    #[case] most: f32,
+) {
+    let mut rig = Rig::with_servers(6, 2);
+    for _ in 0..8 {
+        rig.wait = ms(200);
+        rig.run(ms(500), |s| (s < 6 && s % 2 == 0).then_some((10, 0, [0.5, 0.0])));
+        rig.wait = ms(wait);
+        rig.run(ms(500), |s| (s < 6 && s % 2 == 1).then_some((far.0, far.1, [busy, 0.0])));
+    }
+    let weight = rig.weight(0, 1);
+    assert!((least..=most).contains(&weight), "{weight}");
+}
+
+#[rstest]
+#[case::the_others_have_room(0.2, 0.5, 9.0)]
+#[case::the_others_are_full_too(0.97, 0.1, 0.3)]
+fn a_full_zone_leans_on_one_with_room(#[case] far: f32, #[case] least: f32, #[case] most: f32) {
+    let mut rig = Rig::with_servers(6, 2);
+    rig.run(Duration::from_secs(8), |s| {
+        (s < 6).then_some((10, 0, [if s % 2 == 0 { 0.98 } else { far }, 0.0]))
+    });
+    let weight = rig.weight(0, 1) / rig.weight(0, 0);
+    assert!((least..=most).contains(&weight), "{weight}");
+}
+
+#[rstest]
+fn a_route_that_was_shut_out_comes_back() {
+    // Found on a recorded day: growth by a tenth of nothing is nothing.
+    let mut rig = Rig::with_servers(4, 1);
+    let rounds = |rig: &mut Rig, n, told: (u32, u32, [f32; 2])| {
+        for _ in 0..n {
+            rig.planner.came(rig.now, 0, 400);
+            rig.planner.came(rig.now, 1, 40);
+            rig.run(Duration::from_secs(1), |s| (s < 4).then_some(told));
+        }
+    };
+    rounds(&mut rig, 8, (10, 8, [1.0, 9.0]));
+    assert!(rig.kept.borrow().levels[&1].0 <= 0.05);
+    rounds(&mut rig, 12, (12, 0, [0.2, 0.0]));
+    assert!(rig.kept.borrow().levels[&1].0 > 0.2);
+}
+
 // Odd but legal.
 #[rstest]
 fn odd_events_do_no_harm() {
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -17,6 +17,8 @@
     pub levels: BTreeMap<RouteSet, (f32, Tries)>,
     pub probes: Vec<Server>,
     pub marks: Vec<u16>,
+    /// How many lines were set.
+    pub sent: usize,
     pub asked: usize,
     /// When lines or levels were written, by calls of the planner.
     pub written_at: BTreeSet<Duration>,
@@ -36,6 +38,7 @@
         let mut kept = self.0.borrow_mut();
         let now = kept.now;
         kept.written_at.insert(now);
+        kept.sent += 1;
         kept.lines.insert((table, server), weight);
     }
     fn bind(&mut self, proxy: Proxy, table: Table, _: RouteSet) {
@@ -75,29 +78,54 @@
     window: Duration::from_secs(10),
     worst_transit: Duration::from_millis(500),
 };
-pub const GRACES: Graces = Graces { warm_up: Duration::from_secs(16), gone_binds: true };
-
 pub struct Rig {
     pub planner: Planner<Desk>,
     pub kept: Rc<RefCell<Kept>>,
     pub now: Duration,
     pub answers: bool,
+    /// Whether proxies answer marks.
+    pub marks: bool,
     pub wait: Duration,
 }
 
 impl Rig {
     pub fn new(zones: usize, pace: Pace, routes: Vec<Route>, try_factor: f64) -> Rig {
+        let plane = DataPlane { zones, slices: 0, levels: true, try_factor, proxies: 4, least_conns: 200.0 };
+        Rig::on(plane, pace, routes, true)
+    }
+
+    pub fn on(plane: DataPlane, pace: Pace, routes: Vec<Route>, gone_binds: bool) -> Rig {
         let desk = Desk::default();
         let kept = desk.0.clone();
-        let plane = DataPlane { zones, slices: 0, levels: true, try_factor, proxies: 4, least_conns: 200.0 };
         let sight = Sight {
             fields: vec![Field::CpuShare, Field::Pending],
             cycle: ms(500),
             probing: true,
             ask_within: Some(Duration::from_secs(10)),
         };
-        let planner = Planner::start(desk, 7, routes, plane, GRACES, pace, sight);
-        Rig { planner, kept, now: Duration::ZERO, answers: true, wait: ms(200) }
+        let graces = Graces { warm_up: Duration::from_secs(16), gone_binds };
+        let planner = Planner::start(desk, 7, routes, plane, graces, pace, sight);
+        Rig { planner, kept, now: Duration::ZERO, answers: true, marks: true, wait: ms(200) }
+    }
+
+    /// Far more proxies than servers have connections for, in two zones.
+    pub fn grown(servers: usize, proxies: usize, pace: Pace, gone_binds: bool) -> Rig {
+        let plane =
+            DataPlane { zones: 2, slices: 0, levels: true, try_factor: 1.2, proxies, least_conns: 20.0 };
+        let mut rig = Rig::on(plane, pace, vec![route(1.0, Effect::Repeatable)], gone_binds);
+        let entries: Vec<Listed> =
+            (0..servers).map(|s| listed(s, (s % 2) as Zone, Phase::Ready, None)).collect();
+        rig.list(true, &entries);
+        for proxy in 0..proxies {
+            rig.planner.joined(rig.now, proxy as Proxy, (proxy % 2) as Zone, true, 1.0);
+        }
+        rig
+    }
+
+    /// The servers with a line above nought in a table.
+    pub fn held(&self, table: Table) -> Vec<Server> {
+        let kept = self.kept.borrow();
+        kept.lines.iter().filter(|l| l.0.0 == table && *l.1 > 0.0).map(|l| l.0.1).collect()
     }
 
     /// `servers` warm servers, dealt over the zones, and a joined proxy in each zone.
@@ -124,7 +152,7 @@
         while self.now < end {
             self.now += ms(500);
             let marks = std::mem::take(&mut self.kept.borrow_mut().marks);
-            marks.into_iter().for_each(|m| self.planner.applied(m));
+            marks.into_iter().filter(|_| self.marks).for_each(|m| self.planner.applied(m));
             loop {
                 let due = self.kept.borrow().wakes.iter().next().copied().filter(|w| w.0 <= self.now);
                 let Some((at, token)) = due else { break };
