Count an unanswered channel at a thirtieth of its pace

Cause: two spells of slow orders at once made the channel slower than an eighth, and 19,256 lines waited where 18,600 may. Harm: where no mark comes back, orders almost stop but for drains. What was under way to proxies that all left counts as lost.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,8 +13,7 @@
 use std::time::Duration;
 
 const LOOK: Duration = Duration::from_secs(1);
-/// The mechanism's interval, in looks.
-const INTERVAL: u32 = 2;
+const INTERVAL_IN_LOOKS: u32 = 2;
 const TOKEN_LOOK: u32 = 1;
 const TOKEN_URGENT: u32 = 2;
 
@@ -180,8 +179,6 @@
     }
 }
 
-// Levels and further tries.
-
 impl Levels {
     const WINDOW: Duration = Duration::from_secs(2);
     const FULL: f64 = 0.85;
@@ -253,8 +250,8 @@
     const BINDING: f64 = 1.0;
     const RETRY: Duration = Duration::from_millis(100);
 
-    /// As slow as a channel may get, as a part of its stated pace.
-    const SLOWEST: f64 = 0.125;
+    /// As slow as a channel may get, as a part of its stated pace: two troubles of it multiply.
+    const SLOWEST: f64 = 0.03;
 
     /// Against a channel that is slower than stated: what no answered mark shows to have left still waits.
     fn room(&mut self, now: Duration, lines: f64, share: f64) -> bool {
@@ -472,6 +469,8 @@
     pub fn left(&mut self, proxy: Proxy) {
         self.proxies.entry(proxy).and_modify(|p| p.bound = false);
         self.unbound.retain(|p| *p != proxy);
+        // What was under way to a proxy that left is lost.
+        self.channel.waiting *= f64::from(u8::from(self.proxies.values().any(|p| p.bound)));
     }
 
     /// Whether any were bound.
@@ -700,7 +699,7 @@
         self.look_afar(now, slo);
         self.deal();
         self.looks += 1;
-        if self.looks.is_multiple_of(INTERVAL) {
+        if self.looks.is_multiple_of(INTERVAL_IN_LOOKS) {
             self.scale(now);
         }
     }
