Keep messages apart past a quarter of the cap

Should also hold against any run of urgent orders; harms where the first drain after such a run waits up to a tenth of the window.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -248,7 +248,6 @@
     const GUARDING: f64 = 0.6;
     const CROWDED: f64 = 0.85;
     const BINDING: f64 = 1.0;
-    const RETRY: Duration = Duration::from_millis(100);
 
     /// As slow as a channel may get, as a part of its stated pace: two troubles of it multiply.
     const SLOWEST: f64 = 0.03;
@@ -264,11 +263,14 @@
         (self.waiting, self.ordered) = (self.waiting + lines, self.ordered + lines);
     }
 
-    /// One message stays for binding.
+    /// Two messages stay for binding; past a quarter of the cap they keep apart, against lists that come one
+    /// after another and leave none for a drain.
     fn may_message(&self, now: Duration, sent: &mut VecDeque<Duration>, share: f64) -> bool {
         drop_old(sent, now, self.pace.window, |t| *t);
-        let most = self.pace.most_messages;
-        most == 0 || (sent.len() as f64) < most.saturating_sub(1) as f64 * share
+        let (most, used) = (self.pace.most_messages as f64, sent.len() as f64);
+        let apart = self.pace.window.as_secs_f64() / (most - 2.0).max(1.0);
+        let late = sent.back().is_none_or(|t| (now - *t).as_secs_f64() >= apart);
+        most == 0.0 || (used < (most - 1.0) * share && used < most - 2.0 && (late || used < most / 4.0))
     }
 
     fn mark(&mut self, ordered_before: f64) -> u16 {
@@ -506,7 +508,7 @@
     fn wake_urgent(&mut self, now: Duration) {
         if !self.channel.urgent_set {
             self.channel.urgent_set = true;
-            self.host.wake(now + Channel::RETRY, TOKEN_URGENT);
+            self.host.wake(now + LOOK / 10, TOKEN_URGENT);
         }
     }
 
@@ -751,10 +753,8 @@
         };
         let ready: Vec<Server> = (0..self.peers.len()).filter(|s| self.peers[*s].ready()).collect();
         let seen: Vec<Option<(f64, Option<f64>)>> = ready.iter().map(|s| evidence(&self.peers[*s])).collect();
-        let pool = (
-            median(seen.iter().flatten().map(|e| e.0)).unwrap_or(1.0),
-            median(seen.iter().flatten().filter_map(|e| e.1)),
-        );
+        let good = median(seen.iter().flatten().map(|e| e.0)).unwrap_or(1.0);
+        let wait = median(seen.iter().flatten().filter_map(|e| e.1));
         let last = |p: &Peer| p.load.0.back().map_or(Duration::ZERO, |x| x.at).max(p.health.fresh_from);
         let newest = ready.iter().map(|s| last(&self.peers[*s])).max().unwrap_or(Duration::ZERO);
         let silence = |p: &Peer| newest.saturating_sub(last(p));
@@ -778,7 +778,7 @@
                 }
                 continue;
             }
-            let mut steps = seen.map_or(p.health.allowed, |own| Health::steps(own, pool, slo));
+            let mut steps = seen.map_or(p.health.allowed, |own| Health::steps(own, (good, wait), slo));
             if silent && p.health.misses < 2 {
                 unsure.push(s);
             } else if silent {
