--- a/src/decide.rs
+++ b/src/decide.rs
@@ -247,7 +247,7 @@
     const ORDINARY: f64 = 0.4;
     const GUARDING: f64 = 0.6;
     const CROWDED: f64 = 0.85;
-    const BINDING: f64 = 1.0;
+    const BINDING: f64 = 0.95;
 
     /// As slow as a channel may get, as a part of its stated pace: two troubles of it multiply.
     const SLOWEST: f64 = 0.03;
