--- a/crates/wirehost/src/hosted.rs
+++ b/crates/wirehost/src/hosted.rs
@@ -209,7 +209,7 @@
                 self.planner.joined(now, event.u16(2), event.u16(4), event.u8(6) != 0, rate);
             }
             1070 => self.planner.left(event.u16(2)),
-            1080 => self.planner.applied(event.u32(2) as u16),
+            1080 => self.planner.applied(now, event.u32(2) as u16),
             1090 => {
                 let wait = Some(event.f64(8)).filter(|w| *w > 0.0).map(span);
                 let report = event.report(34)?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,8 +1,8 @@
 //! The decisions of one planner.
 //!
 //! Start a [`Planner`] with a [`Host`] and what the deployment states, then call one method for each thing
-//! that happens; it answers by calling the host before it returns. The interface is `host.rs`. Times are
-//! spans since the planner's start. Nothing is shared between planners.
+//! that happens; it answers by calling the host before it returns. The interface is `host.rs`, the plain
+//! data kept `kept.rs`. Times are spans since the planner's start. Nothing is shared between planners.
 
 use crate::host::*;
 use crate::kept::*;
@@ -249,12 +249,15 @@
     const CROWDED: f64 = 0.85;
     const BINDING: f64 = 0.95;
 
-    /// As slow as a channel may get, as a part of its stated pace: two troubles of it multiply.
-    const SLOWEST: f64 = 0.03;
+    /// As slow as a channel may get, as a part of its stated pace, while marks are answered and while none
+    /// is: two troubles of it multiply.
+    const SLOWEST: (f64, f64) = (0.125, 0.03);
 
     /// Against a channel that is slower than stated: what no answered mark shows to have left still waits.
     fn room(&mut self, now: Duration, lines: f64, share: f64) -> bool {
-        let gone = (now - self.drained_at).as_secs_f64() * self.pace.lines_per_s * Self::SLOWEST;
+        let heard = now.saturating_sub(self.answered_at) < self.pace.worst_transit * 2;
+        let rate = self.pace.lines_per_s * if heard { Self::SLOWEST.0 } else { Self::SLOWEST.1 };
+        let gone = (now - self.drained_at).as_secs_f64() * rate;
         (self.waiting, self.drained_at) = ((self.waiting - gone).max(0.0), now);
         self.waiting + lines <= self.pace.most_waiting * share
     }
@@ -337,8 +340,6 @@
         planner
     }
 
-    // Roster.
-
     pub fn list(&mut self, now: Duration, whole: bool, entries: &[Listed]) {
         // What was held from before the start answers no call.
         self.ask_at = self.ask_at.filter(|_| now.is_zero());
@@ -377,8 +378,6 @@
         self.ask_at = Some(now);
     }
 
-    // Pools.
-
     /// One pool of all servers for each zone, as long as servers accept the connections that this takes.
     /// Past that each proxy pays a handshake for nearly every call and servers turn connections away, so
     /// the zone's servers are dealt out to several pools.
@@ -454,8 +453,6 @@
         }
     }
 
-    // Joining.
-
     /// `bare` tells that the proxy has only just started, `rate` how many calls a second it usually gets.
     pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone, bare: bool, rate: f64) {
         if !bare && self.proxies.values().all(|p| !p.bound || p.zone != zone) {
@@ -512,16 +509,14 @@
         }
     }
 
-    pub fn applied(&mut self, number: u16) {
+    pub fn applied(&mut self, now: Duration, number: u16) {
         let channel = &mut self.channel;
         if let Some(i) = channel.unanswered.iter().position(|m| m.0 == number) {
             let before = channel.unanswered.drain(..=i).next_back().map_or(0.0, |m| m.1);
-            channel.waiting = channel.waiting.min(channel.ordered - before);
+            (channel.waiting, channel.answered_at) = (channel.waiting.min(channel.ordered - before), now);
         }
     }
 
-    // Writing.
-
     /// The one place where written weights are made: what was learnt times the exceptions.
     fn compose(&self, pool: &Pool) -> Vec<f32> {
         let peer = |l: &Line| &self.peers[l.server];
@@ -648,8 +643,6 @@
         bound > 0.0
     }
 
-    // Time and reports.
-
     pub fn woken(&mut self, now: Duration, token: u32) {
         if token == TOKEN_LOOK {
             self.host.wake(now + LOOK, TOKEN_LOOK);
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -156,6 +156,7 @@
     /// All lines ever ordered.
     pub ordered: f64,
     pub drained_at: Duration,
+    pub answered_at: Duration,
     pub marks: u16,
     /// Numbers of marks, and what had been ordered before each.
     pub unanswered: VecDeque<(u16, f64)>,
@@ -164,8 +165,18 @@
 
 impl Channel {
     pub fn new(pace: Pace) -> Channel {
-        let (drained_at, unanswered) = (Duration::ZERO, VecDeque::new());
-        Channel { pace, waiting: 0.0, ordered: 0.0, drained_at, marks: 0, unanswered, urgent_set: false }
+        let (start, unanswered) = (Duration::ZERO, VecDeque::new());
+        let (drained_at, answered_at) = (start, start);
+        Channel {
+            pace,
+            waiting: 0.0,
+            ordered: 0.0,
+            drained_at,
+            answered_at,
+            marks: 0,
+            unanswered,
+            urgent_set: false,
+        }
     }
 }
 
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -454,7 +454,7 @@
     let mut rig = Rig::with_servers(3, 1);
     rig.list(false, &[]);
     rig.planner.left(99);
-    rig.planner.applied(12);
+    rig.planner.applied(rig.now, 12);
     rig.planner.probed(77, Probed::Failed);
     rig.planner.came(rig.now, 9, 4);
     rig.planner.met(
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -152,7 +152,7 @@
         while self.now < end {
             self.now += ms(500);
             let marks = std::mem::take(&mut self.kept.borrow_mut().marks);
-            marks.into_iter().filter(|_| self.marks).for_each(|m| self.planner.applied(m));
+            marks.into_iter().filter(|_| self.marks).for_each(|m| self.planner.applied(self.now, m));
             loop {
                 let due = self.kept.borrow().wakes.iter().next().copied().filter(|w| w.0 <= self.now);
                 let Some((at, token)) = due else { break };
