--- a/src/decide.rs
+++ b/src/decide.rs
@@ -259,7 +259,8 @@
         let rate = self.pace.lines_per_s * if heard { Self::SLOWEST.0 } else { Self::SLOWEST.1 };
         let gone = (now - self.drained_at).as_secs_f64() * rate;
         (self.waiting, self.drained_at) = ((self.waiting - gone).max(0.0), now);
-        self.waiting + lines <= self.pace.most_waiting * share
+        // Some leave later than counted even so: the last three tenths are not used.
+        self.waiting + lines <= self.pace.most_waiting * share.min(0.7)
     }
 
     fn add(&mut self, lines: f64) {
