--- a/src/decide.rs
+++ b/src/decide.rs
@@ -99,7 +99,7 @@
 
     /// Guards against ways between zones that are cut, slow or lossy; and against a zone that is full while
     /// another has time to spare, as its traffic or its servers are shared out unevenly, move, or slow down
-    /// together. `met` gives tries, answered ones and these one's waits together, from zone to zone.
+    /// together. `met` gives, from zone to zone, the tries, the answered ones and the sum of their waits.
     fn judge(&mut self, now: Duration, slo: f64, throttled: bool, met: impl Fn(usize, usize) -> [f64; 3]) {
         // Where a trickle is too little to tell, the way is tried again in full after a while.
         self.bad.retain(|_, until| *until > now);
@@ -248,6 +248,7 @@
     const GUARDING: f64 = 0.6;
     const CROWDED: f64 = 0.85;
     const BINDING: f64 = 0.95;
+    const USED: f64 = 0.7;
 
     /// As slow as a channel may get, as a part of its stated pace, while marks are answered and while none
     /// is: two troubles of it multiply.
@@ -260,7 +261,7 @@
         let gone = (now - self.drained_at).as_secs_f64() * rate;
         (self.waiting, self.drained_at) = ((self.waiting - gone).max(0.0), now);
         // Some leave later than counted even so: the last three tenths are not used.
-        self.waiting + lines <= self.pace.most_waiting * share.min(0.7)
+        self.waiting + lines <= self.pace.most_waiting * share.min(Self::USED)
     }
 
     fn add(&mut self, lines: f64) {
@@ -469,7 +470,7 @@
     pub fn left(&mut self, proxy: Proxy) {
         self.proxies.entry(proxy).and_modify(|p| p.bound = false);
         self.unbound.retain(|p| *p != proxy);
-        // What was under way to a proxy that left is lost.
+        // Once all have left, what was under way is lost.
         self.channel.waiting *= f64::from(u8::from(self.proxies.values().any(|p| p.bound)));
     }
 
@@ -478,20 +479,19 @@
         let before = self.unbound.len();
         while let Some(&proxy) = self.unbound.front() {
             let Joined { zone, pool, .. } = self.proxies[&proxy];
-            // The pool of the zone that is asked for the least.
-            let mut asked = vec![0.0; self.pools.len()];
-            let bound = self.proxies.values().filter(|p| p.bound);
-            bound.filter_map(|p| Some((p.pool?, p.rate))).for_each(|(i, rate)| asked[i] += rate);
-            let key = |i: &usize| (self.pools[*i].zone != zone, (1000.0 * asked[*i]) as u64);
-            let Some(pool) = pool.or_else(|| (0..asked.len()).min_by_key(key)) else { break };
+            // A new one gets the pool of its zone that is asked for the least.
+            let holders = |i: usize| self.proxies.values().filter(move |p| p.bound && p.pool == Some(i));
+            let asked = |i: usize| holders(i).map(|p| p.rate).sum::<f64>();
+            let key = |i: &usize| (self.pools[*i].zone != zone, (1000.0 * asked(*i)) as u64);
+            let Some(pool) = pool.or_else(|| (0..self.pools.len()).min_by_key(key)) else { break };
             // A table that nobody holds costs nothing to bring up to date.
-            if !self.proxies.values().any(|x| x.bound && x.pool == Some(pool)) {
+            if holders(pool).next().is_none() {
                 let wanted = self.compose(&self.pools[pool]);
                 self.write(pool, wanted.into_iter().enumerate());
             }
             let lines = self.pools[pool].lines.iter().filter(|l| l.written > 0.0).count();
             let cost = 2.0 + lines as f64 + self.channel.pace.head;
-            if !self.channel.room(now, cost, 0.8) {
+            if !self.channel.room(now, cost, Channel::BINDING) {
                 self.wake_urgent(now);
                 break;
             }
