Add the planner's own protocol and the engine between it and the decisions

Change: crates/wire reads and writes the frames of the planner's protocol, free of I/O; crates/engine holds everything between those messages and the module (indices, timers, one message a turn for each proxy, the channel's queue and pace, what is believed of lists and sums). The module is untouched.

--- /dev/null
+++ b/crates/engine/src/engine.rs
@@ -0,0 +1,468 @@
+//! The engine: the wire's messages in, the decisions' orders out.
+
+use crate::admission::Admission;
+use crate::channel::{Channel, Overrun};
+use crate::door::{Proxies, Servers};
+use crate::gather::Gather;
+use crate::trust::{ListSense, ReportSense, Untrusted};
+use grebespool::decide::Planner;
+use grebespool::host::*;
+use grebespool_wire as wire;
+use grebespool_wire::{Cause, Entry, Level, MetLine, Order, Orders, Reason, ServerId};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+
+/// One stream of a proxy, from its connection to its end; numbers are not used again.
+pub type StreamId = u32;
+
+/// What the engine asks of what hosts it.
+pub trait Outlet {
+    /// The proxy of this stream is joined.
+    fn welcome(&mut self, stream: StreamId);
+    fn send(&mut self, stream: StreamId, orders: Orders);
+    /// The stream is not to be used again; `left` need not be called for it.
+    fn close(&mut self, stream: StreamId, reason: Reason, text: &str);
+    fn probe(&mut self, server: ServerId);
+    /// Ask for the list, given the version that is known: 0 for a whole one.
+    fn ask_list(&mut self, have: u64);
+    /// Something was not believed or not done.
+    fn refused(&mut self, text: &str);
+}
+
+/// This run of the planner: an id that no other run has, and the seed of its chance.
+#[derive(Debug, Clone, Copy)]
+pub struct Start {
+    pub id: u64,
+    pub seed: u64,
+}
+
+/// What is held at the most.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    pub servers: usize,
+    pub proxies: usize,
+    /// Joins of one proxy within the window of the message cap, or ten seconds where there is none.
+    pub joins: usize,
+}
+
+/// What a proxy says of itself when it joins.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival<'a> {
+    pub name: &'a str,
+    pub zone: &'a str,
+    pub rate: f32,
+    /// It holds only the table that it started with.
+    pub bare: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Unsupported {
+    #[error(
+        "the deployment has {0} slices; sites with slices are not planned for yet, so nothing is started"
+    )]
+    Slices(usize),
+    #[error("{0} routes are stated; 1 to 16 are possible")]
+    Routes(usize),
+    #[error("no zone is stated")]
+    Zones,
+}
+
+#[derive(Default)]
+struct Book {
+    version: u64,
+    lines: BTreeMap<Server, f32>,
+    changed: BTreeSet<Server>,
+}
+
+struct Joined {
+    stream: StreamId,
+    zone: Zone,
+    seq: u64,
+    table: Option<(Table, RouteSet)>,
+    /// Bound in this turn: a whole table is due.
+    fresh: bool,
+}
+
+/// What is ordered, as it stands. The decisions write it through [`Host`]; the engine sends what changed.
+#[derive(Default)]
+struct Books {
+    tables: BTreeMap<Table, Book>,
+    levels: BTreeMap<RouteSet, (f32, Tries)>,
+    levels_changed: BTreeSet<RouteSet>,
+    proxies: BTreeMap<Proxy, Joined>,
+    mark: Option<u16>,
+    wakes: BTreeSet<(Duration, u32)>,
+    probes: BTreeSet<Server>,
+    ask: bool,
+}
+
+#[derive(Clone, Default)]
+struct Desk(Rc<RefCell<Books>>);
+
+impl Host for Desk {
+    fn wake(&mut self, at: Duration, token: u32) {
+        self.0.borrow_mut().wakes.insert((at, token));
+    }
+    fn set_line(&mut self, table: Table, server: Server, weight: f32) {
+        let mut books = self.0.borrow_mut();
+        let book = books.tables.entry(table).or_default();
+        match weight > 0.0 {
+            true => book.lines.insert(server, weight),
+            false => book.lines.remove(&server),
+        };
+        book.changed.insert(server);
+    }
+    fn bind(&mut self, proxy: Proxy, table: Table, routes: RouteSet) {
+        if let Some(joined) = self.0.borrow_mut().proxies.get_mut(&proxy) {
+            (joined.table, joined.fresh) = (Some((table, routes)), true);
+        }
+    }
+    fn admit(&mut self, routes: RouteSet, level: f32, tries: Tries) {
+        let mut books = self.0.borrow_mut();
+        books.levels.insert(routes, (level, tries));
+        books.levels_changed.insert(routes);
+    }
+    fn mark(&mut self, number: u16) {
+        self.0.borrow_mut().mark = Some(number);
+    }
+    fn probe(&mut self, server: Server) {
+        self.0.borrow_mut().probes.insert(server);
+    }
+    fn watch_list(&mut self) {
+        self.0.borrow_mut().ask = true;
+    }
+}
+
+pub struct Engine<O> {
+    outlet: O,
+    start: Start,
+    bounds: Bounds,
+    routes: usize,
+    fields: Vec<Field>,
+    planner: Planner<Desk>,
+    books: Rc<RefCell<Books>>,
+    channel: Channel,
+    list: ListSense,
+    reports: ReportSense,
+    gather: Gather,
+    tell_every: Duration,
+    tell_at: Duration,
+    admission: Admission,
+    servers: Servers,
+    proxies: Proxies,
+    streams: BTreeMap<StreamId, Proxy>,
+}
+
+impl<O: Outlet> Engine<O> {
+    /// Starts with nothing known: the list is asked for at once, and no proxy is bound before one came.
+    ///
+    /// # Errors
+    ///
+    /// A deployment of a kind that nothing is decided for.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "each part takes its own few settings; none holds them all"
+    )]
+    pub fn start(
+        mut outlet: O,
+        start: Start,
+        bounds: Bounds,
+        zones: Vec<String>,
+        routes: Vec<Route>,
+        plane: DataPlane,
+        graces: Graces,
+        pace: Pace,
+        sight: Sight,
+    ) -> Result<Self, Unsupported> {
+        if plane.slices > 0 {
+            return Err(Unsupported::Slices(plane.slices));
+        }
+        if routes.is_empty() || routes.len() > 16 {
+            return Err(Unsupported::Routes(routes.len()));
+        }
+        if zones.is_empty() {
+            return Err(Unsupported::Zones);
+        }
+        let desk = Desk::default();
+        let books = desk.0.clone();
+        let (n, fields, tell_every) = (routes.len(), sight.fields.clone(), sight.cycle / 4);
+        let window = if pace.window.is_zero() { Duration::from_secs(10) } else { pace.window };
+        let planner = Planner::start(desk, start.seed, routes, plane, graces, pace, sight);
+        outlet.ask_list(0);
+        Ok(Engine {
+            outlet,
+            start,
+            bounds,
+            routes: n,
+            fields,
+            planner,
+            books,
+            channel: Channel::new(pace),
+            list: ListSense::new(zones, bounds.servers),
+            reports: ReportSense::default(),
+            gather: Gather::default(),
+            tell_every,
+            tell_at: tell_every,
+            admission: Admission::new(bounds.joins, window),
+            servers: Servers::default(),
+            proxies: Proxies::default(),
+            streams: BTreeMap::new(),
+        })
+    }
+
+    /// The version of the list that is believed.
+    pub fn list_version(&self) -> u64 {
+        self.list.version()
+    }
+
+    pub fn zone(&self, name: &str) -> Option<Zone> {
+        self.list.zone(name)
+    }
+
+    /// Lines that wait in the channel.
+    pub fn waiting(&self) -> f64 {
+        self.channel.waiting()
+    }
+
+    pub fn joined_proxies(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// When [`Engine::woken`] is to be called next.
+    pub fn due(&self) -> Duration {
+        let wake = self.books.borrow().wakes.first().map(|w| w.0);
+        [wake, self.channel.due()].into_iter().flatten().fold(self.tell_at, Duration::min)
+    }
+
+    /// A proxy that showed the key asks to join.
+    pub fn joined(&mut self, now: Duration, stream: StreamId, arrival: Arrival) {
+        let Some(zone) = self.list.zone(arrival.zone) else {
+            return self.turn_away(stream, Reason::Refused, &format!("no zone {:?}", arrival.zone));
+        };
+        let Some(proxy) = self.proxies.enter(arrival.name, self.bounds.proxies) else {
+            let text = format!("{} proxies are known, as many as may be", self.bounds.proxies);
+            return self.turn_away(stream, Reason::Refused, &text);
+        };
+        if let Err(wait) = self.admission.ask(now, proxy) {
+            let text = format!("joins too often; again in {} ms", wait.as_millis());
+            return self.turn_away(stream, Reason::Busy, &text);
+        }
+        let old = self.books.borrow().proxies.get(&proxy).map(|j| j.stream);
+        if let Some(old) = old {
+            self.cut(old, Reason::Superseded, "the same name has joined on a newer stream");
+        }
+        let joined = Joined { stream, zone, seq: 0, table: None, fresh: false };
+        self.books.borrow_mut().proxies.insert(proxy, joined);
+        self.streams.insert(stream, proxy);
+        self.outlet.welcome(stream);
+        self.planner.joined(now, proxy, zone, arrival.bare, f64::from(arrival.rate.max(0.0)));
+        self.settle(now, Cause::Join);
+    }
+
+    fn turn_away(&mut self, stream: StreamId, reason: Reason, text: &str) {
+        self.outlet.close(stream, reason, text);
+        self.outlet.refused(&format!("stream {stream} may not join: {text}"));
+    }
+
+    fn cut(&mut self, stream: StreamId, reason: Reason, text: &str) {
+        self.outlet.close(stream, reason, text);
+        self.left(stream);
+    }
+
+    /// The stream ended, for whatever reason.
+    pub fn left(&mut self, stream: StreamId) {
+        if let Some(proxy) = self.streams.remove(&stream) {
+            self.books.borrow_mut().proxies.remove(&proxy);
+            self.channel.drop_stream(stream);
+            self.planner.left(proxy);
+        }
+    }
+
+    /// The proxy has all orders up to a mark in force. One for another start or stream tells nothing.
+    pub fn applied(&mut self, now: Duration, stream: StreamId, told: (u64, StreamId), mark: u16) {
+        if told == (self.start.id, stream) && self.streams.contains_key(&stream) {
+            self.planner.applied(now, mark);
+            self.settle(now, Cause::Interval);
+        }
+    }
+
+    pub fn sums(&mut self, stream: StreamId, met: &[MetLine], came: &[wire::CameLine]) {
+        let Some(proxy) = self.streams.get(&stream) else { return };
+        let Some(zone) = self.books.borrow().proxies.get(proxy).map(|j| j.zone) else { return };
+        let mut wrong = 0;
+        for m in met {
+            let Some(server) = self.servers.find(m.server).filter(|_| self.list.lists(m.server)) else {
+                continue;
+            };
+            if m.dropped > m.tries || m.tries > ReportSense::MOST_TRIES {
+                wrong += 1;
+                continue;
+            }
+            let figures = m.report.as_ref().and_then(|r| self.reports.figures(server, r, &self.fields));
+            self.gather.met((zone, server), m.tries, m.dropped, m.wait_us, figures.unwrap_or_default());
+        }
+        for c in came.iter().filter(|c| usize::from(c.route) < self.routes) {
+            self.gather.came(usize::from(c.route), c.calls.min(ReportSense::MOST_TRIES));
+        }
+        if wrong > 0 {
+            self.outlet.refused(&format!("stream {stream}: {wrong} lines of sums that cannot be"));
+        }
+    }
+
+    /// The list, whole (`base` 0) or its changes since `base`, sent at `now_ms` by its own clock.
+    pub fn list(&mut self, now: Duration, version: u64, base: u64, now_ms: u64, entries: &[Entry]) {
+        let (servers, reports) = (&mut self.servers, &mut self.reports);
+        let mut listed = vec![];
+        let taken = self.list.take(now, (version, base, now_ms), entries, |id, entry| {
+            let server = servers.enter(now, id);
+            if entry.phase == Phase::Gone {
+                servers.gone(now, server);
+                reports.forget(server);
+            }
+            listed.push(Listed { server, ..entry });
+        });
+        match taken {
+            Ok(()) => {
+                // What the list left out was put as gone, so all that is whole about it is in the entries.
+                self.planner.list(now, false, &listed);
+                self.settle(now, Cause::List);
+            }
+            Err(why) => {
+                self.outlet.refused(&why.to_string());
+                if matches!(why, Untrusted::Gap { .. }) {
+                    self.outlet.ask_list(0);
+                }
+                self.list_failed(now);
+            }
+        }
+    }
+
+    /// A call for the list failed, or its watch ended.
+    pub fn list_failed(&mut self, now: Duration) {
+        self.planner.list_failed(now);
+        self.settle(now, Cause::List);
+    }
+
+    pub fn probed(&mut self, now: Duration, server: ServerId, result: Probed) {
+        if let Some(server) = self.servers.find(server) {
+            self.planner.probed(server, result);
+            self.settle(now, Cause::Interval);
+        }
+    }
+
+    /// Time has passed: wakes what is due, each once however late, and lets go what has left the channel.
+    pub fn woken(&mut self, now: Duration) {
+        self.leave(now);
+        if now >= self.tell_at {
+            // From now on, so that a stall of the machine makes no burst of intervals after it.
+            self.tell_at = now + self.tell_every;
+            let planner = RefCell::new(&mut self.planner);
+            self.gather.tell(
+                |server, met| planner.borrow_mut().met(now, server, met),
+                |route, calls| planner.borrow_mut().came(now, route, calls),
+            );
+        }
+        let due: Vec<(Duration, u32)> = {
+            let wakes = &mut self.books.borrow_mut().wakes;
+            let later = wakes.split_off(&(now + Duration::from_nanos(1), 0));
+            std::mem::replace(wakes, later).into_iter().collect()
+        };
+        let tokens: BTreeSet<u32> = due.into_iter().map(|w| w.1).collect();
+        for token in tokens {
+            self.planner.woken(now, token);
+            self.settle(now, Cause::Interval);
+        }
+    }
+
+    fn leave(&mut self, now: Duration) {
+        while let Some((stream, orders)) = self.channel.leave(now) {
+            self.outlet.send(stream, orders);
+        }
+    }
+
+    /// Makes one message for each proxy concerned of what this turn changed.
+    fn settle(&mut self, now: Duration, cause: Cause) {
+        let (mut messages, probes, ask) = {
+            let books = &mut *self.books.borrow_mut();
+            let changed = books.tables.values_mut().filter(|b| !b.changed.is_empty());
+            changed.for_each(|b| b.version += 1);
+            let mut messages = vec![];
+            for joined in books.proxies.values_mut() {
+                let Some((table, routes)) = joined.table else { continue };
+                let book = books.tables.entry(table).or_default();
+                let level = |(routes, l): (&RouteSet, &(f32, Tries))| Level {
+                    routes: *routes,
+                    share: l.0,
+                    tries: tries(l.1),
+                };
+                let version = book.version;
+                let (mut parts, cost);
+                if std::mem::take(&mut joined.fresh) {
+                    let lines: Vec<_> = book.lines.iter().map(|(s, w)| (self.servers.id(*s), *w)).collect();
+                    let levels: Vec<Level> = books.levels.iter().map(level).collect();
+                    cost = 1 + lines.len() + levels.len();
+                    parts = vec![Order::Bind { table, version, routes, lines, levels }];
+                } else {
+                    let line = |s: &Server| {
+                        let weight = book.lines.get(s).copied().unwrap_or(0.0);
+                        Order::Line { table, version, server: self.servers.id(*s), weight }
+                    };
+                    parts = book.changed.iter().map(line).collect();
+                    let changed = books.levels.iter().filter(|l| books.levels_changed.contains(l.0));
+                    parts.extend(changed.map(level).map(Order::Level));
+                    cost = parts.len();
+                }
+                if parts.is_empty() {
+                    continue;
+                }
+                parts.extend(books.mark.map(Order::Mark));
+                joined.seq += 1;
+                let orders = Orders {
+                    start: self.start.id,
+                    stream: joined.stream,
+                    seq: joined.seq,
+                    ordered_us: now.as_micros() as u64,
+                    list: self.list.version(),
+                    cause,
+                    parts,
+                };
+                messages.push((joined.stream, orders, cost + usize::from(books.mark.is_some())));
+            }
+            books.tables.values_mut().for_each(|b| b.changed.clear());
+            books.levels_changed.clear();
+            books.mark = None;
+            (messages, std::mem::take(&mut books.probes), std::mem::take(&mut books.ask))
+        };
+        for (stream, orders, lines) in messages.drain(..) {
+            if let Err(overrun) = self.channel.put(now, stream, orders, lines) {
+                let text = match overrun {
+                    Overrun::Lines => "the channel is full",
+                    Overrun::Messages => "as many messages were sent as may be",
+                };
+                self.outlet.refused(&format!("stream {stream} is cut off: {text}"));
+                self.cut(stream, Reason::Busy, text);
+            }
+        }
+        probes.into_iter().for_each(|s| self.outlet.probe(self.servers.id(s)));
+        if ask {
+            self.outlet.ask_list(self.list.version());
+        }
+        self.leave(now);
+    }
+
+    /// How many servers have an index.
+    pub fn known_servers(&self) -> usize {
+        self.servers.len()
+    }
+}
+
+fn tries(tries: Tries) -> wire::Tries {
+    match tries {
+        Tries::One => wire::Tries::One,
+        Tries::AfterProof => wire::Tries::AfterProof,
+        Tries::AfterFailure => wire::Tries::AfterFailure,
+    }
+}
--- /dev/null
+++ b/crates/engine/src/gather.rs
@@ -0,0 +1,53 @@
+//! Sums of many proxies, put together by zone and server until the planner is told.
+
+use grebespool::host::{Met, Server, Zone};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+#[derive(Default)]
+struct Sum {
+    tries: u32,
+    dropped: u32,
+    waited: f64,
+    answered: f64,
+    report: Vec<f32>,
+}
+
+/// As many sums as there are zones and listed servers at the most, however many proxies tell.
+#[derive(Default)]
+pub struct Gather {
+    met: BTreeMap<(Zone, Server), Sum>,
+    came: BTreeMap<usize, u32>,
+}
+
+impl Gather {
+    pub fn met(&mut self, at: (Zone, Server), tries: u32, dropped: u32, wait_us: u32, report: Vec<f32>) {
+        let sum = self.met.entry(at).or_default();
+        sum.tries = sum.tries.saturating_add(tries);
+        sum.dropped = sum.dropped.saturating_add(dropped);
+        let answered = f64::from(tries - dropped);
+        if wait_us > 0 {
+            sum.waited += answered * f64::from(wait_us) / 1e6;
+            sum.answered += answered;
+        }
+        if !report.is_empty() {
+            sum.report = report;
+        }
+    }
+
+    pub fn came(&mut self, route: usize, calls: u32) {
+        let sum = self.came.entry(route).or_default();
+        *sum = sum.saturating_add(calls);
+    }
+
+    pub fn tell(&mut self, mut met: impl FnMut(Server, &Met), mut came: impl FnMut(usize, u32)) {
+        for ((from, server), sum) in std::mem::take(&mut self.met) {
+            let wait = (sum.answered > 0.0).then(|| Duration::from_secs_f64(sum.waited / sum.answered));
+            let (tries, dropped) = (sum.tries, sum.dropped);
+            met(server, &Met { from, tries, dropped, wait, report: &sum.report });
+        }
+        for (route, calls) in std::mem::take(&mut self.came) {
+            came(route, calls);
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,20 @@
+//! Everything between the wire's messages and the decisions ([`grebespool::decide`]): indices for ids,
+//! timers, one message a turn for each proxy, the channel's queue and its pace, and what is believed of
+//! lists, sums and reports. Free of I/O and clocks: time comes in as spans since the planner's start.
+//!
+//! Call one method of [`Engine`] for each thing that happens; it acts by calling the [`Outlet`] that it was
+//! started with. Call [`Engine::woken`] at [`Engine::due`]; later is no harm beyond the delay.
+
+mod admission;
+mod channel;
+mod door;
+mod engine;
+mod gather;
+mod patience;
+mod trust;
+
+pub use admission::Admission;
+pub use channel::{Channel, Overrun};
+pub use engine::{Arrival, Bounds, Engine, Outlet, Start, StreamId, Unsupported};
+pub use patience::{Patience, Verdict};
+pub use trust::{ListSense, ReportSense, Untrusted};
