--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::Admission;
 use crate::channel::{Channel, Overrun};
+use crate::confirm::Confirm;
 use crate::door::{Proxies, Servers};
 use crate::gather::Gather;
 use crate::trust::{ListSense, ReportSense, Untrusted};
@@ -46,6 +47,9 @@
     pub proxies: usize,
     /// Joins of one proxy within the window of the message cap, or ten seconds where there is none.
     pub joins: usize,
+    /// How long a proxy may leave orders unconfirmed; at most the grace for drains, and well above the worst
+    /// transit.
+    pub unconfirmed: Duration,
 }
 
 /// What a proxy says of itself when it joins.
@@ -151,12 +155,16 @@
     tell_every: Duration,
     tell_at: Duration,
     admission: Admission,
+    confirm: Confirm,
+    woken_at: Duration,
     servers: Servers,
     proxies: Proxies,
     streams: BTreeMap<StreamId, Proxy>,
 }
 
 impl<O: Outlet> Engine<O> {
+    const STALLED: Duration = Duration::from_millis(400);
+
     /// Starts with nothing known: the list is asked for at once, and no proxy is bound before one came.
     ///
     /// # Errors
@@ -207,6 +215,8 @@
             tell_every,
             tell_at: tell_every,
             admission: Admission::new(bounds.joins, window),
+            confirm: Confirm::new(bounds.unconfirmed),
+            woken_at: Duration::ZERO,
             servers: Servers::default(),
             proxies: Proxies::default(),
             streams: BTreeMap::new(),
@@ -234,7 +244,7 @@
     /// When [`Engine::woken`] is to be called next.
     pub fn due(&self) -> Duration {
         let wake = self.books.borrow().wakes.first().map(|w| w.0);
-        [wake, self.channel.due()].into_iter().flatten().fold(self.tell_at, Duration::min)
+        [wake, self.channel.due(), self.confirm.due()].into_iter().flatten().fold(self.tell_at, Duration::min)
     }
 
     /// A proxy that showed the key asks to join.
@@ -277,14 +287,24 @@
         if let Some(proxy) = self.streams.remove(&stream) {
             self.books.borrow_mut().proxies.remove(&proxy);
             self.channel.drop_stream(stream);
+            self.confirm.ended(stream);
             self.planner.left(proxy);
         }
     }
 
-    /// The proxy has all orders up to a mark in force. One for another start or stream tells nothing.
-    pub fn applied(&mut self, now: Duration, stream: StreamId, told: (u64, StreamId), mark: u16) {
+    /// The proxy has all orders up to `seq` in force, a mark with them perhaps. What it tells of another start
+    /// or stream tells nothing.
+    pub fn applied(
+        &mut self,
+        now: Duration,
+        stream: StreamId,
+        told: (u64, StreamId),
+        seq: u64,
+        mark: Option<u16>,
+    ) {
         if told == (self.start.id, stream) && self.streams.contains_key(&stream) {
-            self.planner.applied(now, mark);
+            self.confirm.answered(stream, seq);
+            mark.into_iter().for_each(|m| self.planner.applied(now, m));
             self.settle(now, Cause::Interval);
         }
     }
@@ -355,7 +375,18 @@
 
     /// Time has passed: wakes what is due, each once however late, and lets go what has left the channel.
     pub fn woken(&mut self, now: Duration) {
+        // Woken at least four times a cycle; what is beyond that by far, the machine stood still.
+        let late = now.saturating_sub(self.woken_at.max(self.due()));
+        if late > Self::STALLED {
+            self.outlet.refused(&format!("the planner stood still for {} ms", late.as_millis()));
+            self.confirm.excuse(late);
+        }
+        self.woken_at = now;
         self.leave(now);
+        for stream in self.confirm.overdue(now) {
+            self.outlet.refused(&format!("stream {stream} is cut off: its orders stay unconfirmed"));
+            self.cut(stream, Reason::Slow, "orders stay unconfirmed");
+        }
         if now >= self.tell_at {
             // From now on, so that a stall of the machine makes no burst of intervals after it.
             self.tell_at = now + self.tell_every;
@@ -379,6 +410,7 @@
 
     fn leave(&mut self, now: Duration) {
         while let Some((stream, orders)) = self.channel.leave(now) {
+            self.confirm.sent(now, stream, orders.seq);
             self.outlet.send(stream, orders);
         }
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod channel;
+mod confirm;
 mod door;
 mod engine;
 mod gather;
@@ -15,6 +16,7 @@
 
 pub use admission::Admission;
 pub use channel::{Channel, Overrun};
+pub use confirm::Confirm;
 pub use engine::{Arrival, Bounds, Engine, Outlet, Start, StreamId, Unsupported};
 pub use patience::{Patience, Verdict};
 pub use trust::{ListSense, ReportSense, Untrusted};
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -187,6 +187,30 @@
     assert_eq!(rig.kept.borrow().refused.len(), 1);
 }
 
+#[rstest]
+#[case::answers(true, 1)]
+#[case::answers_nothing(false, 0)]
+fn a_proxy_that_confirms_nothing_is_cut_off(#[case] answers: bool, #[case] joined: usize) {
+    let mut rig = Rig::with_servers(4);
+    rig.join(2, "p", true);
+    rig.run(ms(3900), |_| answers);
+    assert_eq!(rig.engine.joined_proxies(), 1);
+    rig.run(ms(300), |_| answers);
+    assert_eq!(rig.engine.joined_proxies(), joined);
+}
+
+#[rstest]
+fn a_planner_that_stood_still_cuts_nobody_off_for_that() {
+    let mut rig = Rig::with_servers(4);
+    rig.join(2, "p", true);
+    rig.run(ms(100), |_| false);
+    rig.now += Duration::from_secs(9);
+    rig.engine.woken(rig.now);
+    assert_eq!(rig.engine.joined_proxies(), 1);
+    rig.run(ms(4500), |_| false);
+    assert_eq!(rig.engine.joined_proxies(), 0);
+}
+
 #[rstest]
 fn after_a_stall_each_timer_fires_once() {
     let mut rig = Rig::with_servers(4);
@@ -214,8 +238,8 @@
         }
         for _ in 0..20 {
             rig.run(ms(100), |_| false);
-            for mark in (0..500).filter(|_| answer) {
-                rig.engine.applied(rig.now, 2, (start, stream), mark);
+            for mark in (0..500u16).filter(|_| answer) {
+                rig.engine.applied(rig.now, 2, (start, stream), 0, Some(mark));
             }
         }
         rig.tables.len()
--- a/crates/engine/tests/helpers/mod.rs
+++ b/crates/engine/tests/helpers/mod.rs
@@ -87,7 +87,7 @@
         let engine = Engine::start(
             desk,
             Start { id: 77, seed: 1 },
-            Bounds { servers: 50, proxies: 200, joins: 4 },
+            Bounds { servers: 50, proxies: 200, joins: 4, unconfirmed: ms(4000) },
             vec!["a".into(), "b".into()],
             vec![route],
             plane,
@@ -123,18 +123,20 @@
     pub fn obey(&mut self, answers: impl Fn(StreamId) -> bool) {
         let sent: Vec<_> = std::mem::take(&mut self.kept.borrow_mut().sent);
         for (stream, orders) in sent {
+            let mut mark = None;
             for part in orders.parts {
                 let table = self.tables.entry(stream).or_default();
                 match part {
                     Order::Bind { lines, .. } => *table = lines.into_iter().collect(),
                     Order::Line { server, weight, .. } if weight > 0.0 => drop(table.insert(server, weight)),
                     Order::Line { server, .. } => drop(table.remove(&server)),
-                    Order::Mark(m) if answers(stream) => {
-                        self.engine.applied(self.now, stream, (orders.start, orders.stream), m);
-                    }
+                    Order::Mark(m) => mark = Some(m),
                     _ => {}
                 }
             }
+            if answers(stream) {
+                self.engine.applied(self.now, stream, (orders.start, orders.stream), orders.seq, mark);
+            }
         }
     }
 
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -1,1 +1,273 @@
+//! The planner on sockets: accepts proxies, follows the server list, probes servers, and carries out what the
+//! engine ([`grebespool_engine`]) asks. All decisions are the engine's and the module's; here are streams,
+//! timers and backpressure.
+//!
+//! Everything runs on one thread, as tasks of a `LocalSet`; [`serve`] never returns while its future is
+//! polled, and dropping that future ends the planner at once, as a kill would.
 
+pub mod dial;
+mod list;
+mod outgoing;
+mod probe;
+mod stream;
+
+use grebespool::host::Probed;
+use grebespool_engine::{Engine, Outlet, Start, StreamId, Unsupported};
+use grebespool_settings::{Deployment, ListSource, Listen};
+use grebespool_wire::{Key, Message, Orders, Reason, ServerId};
+use outgoing::Outgoing;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tracing::{debug, info, warn};
+
+/// Lets a test's host stand between the engine and the streams. The planner that is run has [`Untouched`].
+pub trait Passage: 'static {
+    fn pass(&mut self, stream: StreamId, orders: Orders) -> Option<Orders>;
+}
+
+pub struct Untouched;
+
+impl Passage for Untouched {
+    fn pass(&mut self, _: StreamId, orders: Orders) -> Option<Orders> {
+        Some(orders)
+    }
+}
+
+/// What the tasks of one planner share. All of it is on one thread, and no borrow lives over an await.
+struct Shared {
+    began: Instant,
+    start: Start,
+    key: Key,
+    listen: Listen,
+    engine: RefCell<Engine<Shell>>,
+    streams: Rc<RefCell<BTreeMap<StreamId, Rc<Outgoing>>>>,
+    next_stream: Cell<StreamId>,
+    unjoined: Cell<usize>,
+    /// The engine was called, so it may be due earlier.
+    called: Notify,
+    asks: Rc<Asks>,
+    probes: Rc<Probes>,
+}
+
+/// Asks for the list that wait for the list's task.
+#[derive(Default)]
+struct Asks {
+    have: Cell<Option<u64>>,
+    come: Notify,
+}
+
+#[derive(Default)]
+struct Probes {
+    waiting: RefCell<VecDeque<ServerId>>,
+    come: Notify,
+}
+
+/// What the engine asks, handed to the tasks concerned.
+struct Shell {
+    began: Instant,
+    start: Start,
+    streams: Rc<RefCell<BTreeMap<StreamId, Rc<Outgoing>>>>,
+    asks: Rc<Asks>,
+    probes: Rc<Probes>,
+    passage: Box<dyn Passage>,
+}
+
+impl Shell {
+    fn outgoing(&self, stream: StreamId) -> Option<Rc<Outgoing>> {
+        self.streams.borrow().get(&stream).cloned()
+    }
+}
+
+impl Outlet for Shell {
+    fn welcome(&mut self, stream: StreamId) {
+        if let Some(out) = self.outgoing(stream) {
+            out.put(self.began.elapsed(), &Message::Welcome { stream, proof: out.proof.get() });
+        }
+    }
+
+    fn send(&mut self, stream: StreamId, orders: Orders) {
+        let Some(orders) = self.passage.pass(stream, orders) else { return };
+        let Some(out) = self.outgoing(stream) else { return };
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            log_orders(stream, &orders);
+        }
+        out.put(self.began.elapsed(), &Message::Orders(orders));
+    }
+
+    fn close(&mut self, stream: StreamId, reason: Reason, text: &str) {
+        if let Some(out) = self.outgoing(stream) {
+            out.close(self.began.elapsed(), reason, text);
+        }
+    }
+
+    fn probe(&mut self, server: ServerId) {
+        self.probes.waiting.borrow_mut().push_back(server);
+        self.probes.come.notify_one();
+    }
+
+    fn ask_list(&mut self, have: u64) {
+        self.asks.have.set(Some(have));
+        self.asks.come.notify_one();
+    }
+
+    fn refused(&mut self, text: &str) {
+        warn!(start = self.start.id, "{text}");
+    }
+}
+
+fn log_orders(stream: StreamId, orders: &Orders) {
+    use grebespool_wire::Order::*;
+    for part in &orders.parts {
+        let cause = orders.cause;
+        match part {
+            Bind { table, version, lines, .. } => {
+                debug!(
+                    stream,
+                    table,
+                    version,
+                    ?cause,
+                    list = orders.list,
+                    lines = lines.len(),
+                    "table bound"
+                );
+            }
+            Line { table, version, server, weight } => {
+                debug!(stream, table, version, ?cause, list = orders.list, server = %server.addr, weight, "line");
+            }
+            Level(l) => debug!(stream, ?cause, routes = l.routes, share = l.share, tries = ?l.tries, "level"),
+            Withdraw { server, out } => debug!(stream, ?cause, server = %server.addr, out, "withdrawal"),
+            Mark(number) => debug!(stream, ?cause, number, "mark"),
+        }
+    }
+}
+
+impl Shared {
+    fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// Calls the engine at this moment, and has the clock look again at when it is due.
+    fn call<T>(&self, what: impl FnOnce(&mut Engine<Shell>, Duration) -> T) -> T {
+        let done = what(&mut self.engine.borrow_mut(), self.now());
+        self.called.notify_one();
+        done
+    }
+}
+
+/// Serves proxies on `listener` until it is dropped.
+///
+/// `passage` stands between the engine and the streams ([`Untouched`] but for tests). `probe_limit` is when a
+/// probe without an answer has failed.
+///
+/// # Errors
+///
+/// A deployment of a kind that nothing is decided for; nothing is listened to then.
+#[expect(clippy::too_many_arguments, reason = "each part takes its own few settings; none holds them all")]
+pub async fn serve(
+    listener: TcpListener,
+    start: Start,
+    key: Key,
+    deployment: Deployment,
+    listen: Listen,
+    source: ListSource,
+    probe_limit: Duration,
+    passage: impl Passage,
+) -> Result<(), Unsupported> {
+    let began = Instant::now();
+    let streams = Rc::new(RefCell::new(BTreeMap::new()));
+    let (asks, probes) = (Rc::new(Asks::default()), Rc::new(Probes::default()));
+    let shell = Shell {
+        began,
+        start,
+        streams: streams.clone(),
+        asks: asks.clone(),
+        probes: probes.clone(),
+        passage: Box::new(passage),
+    };
+    let engine = Engine::start(
+        shell,
+        start,
+        deployment.bounds(listen.stall.0),
+        deployment.zones.clone(),
+        deployment.routes(),
+        deployment.plane(),
+        deployment.graces(),
+        deployment.pace(),
+        deployment.sight(source.ask_within()),
+    )?;
+    let shared = Rc::new(Shared {
+        began,
+        start,
+        key,
+        listen,
+        engine: RefCell::new(engine),
+        streams,
+        next_stream: Cell::new(1),
+        unjoined: Cell::new(0),
+        called: Notify::new(),
+        asks,
+        probes,
+    });
+    info!(start = start.id, address = ?listener.local_addr().ok(), "planner started");
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(clock(shared.clone()));
+    tasks.spawn_local(list::follow(shared.clone(), source));
+    tasks.spawn_local(probe::run(shared.clone(), probe_limit));
+    accept(shared, listener, tasks).await;
+    Ok(())
+}
+
+/// Wakes the engine when it is due.
+async fn clock(shared: Rc<Shared>) {
+    loop {
+        let due = shared.engine.borrow().due();
+        tokio::select! {
+            () = tokio::time::sleep_until(shared.began + due) => {
+                let now = shared.now();
+                shared.engine.borrow_mut().woken(now);
+            }
+            () = shared.called.notified() => {}
+        }
+    }
+}
+
+async fn accept(shared: Rc<Shared>, listener: TcpListener, mut tasks: JoinSet<()>) {
+    let allowed = shared.listen.allowed();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((_, from)) if !allowed.holds(from.ip()) => {
+                    warn!(%from, "a connection from outside the allowed networks was closed");
+                }
+                // Against streams that are opened and left: those that do join are not kept out for long.
+                Ok((_, from)) if shared.unjoined.get() >= shared.listen.unjoined => {
+                    warn!(%from, "too many streams have not joined; one more was closed");
+                }
+                Ok((socket, from)) => {
+                    let _ = socket.set_nodelay(true);
+                    tasks.spawn_local(stream::run(shared.clone(), socket, from));
+                }
+                Err(error) => {
+                    // Out of descriptors, say: the streams that there are go on.
+                    warn!(%error, "a connection could not be accepted");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            },
+            Some(ended) = tasks.join_next() => if let Err(error) = ended && error.is_panic() {
+                std::panic::resume_unwind(error.into_panic());
+            },
+        }
+    }
+}
+
+impl Shared {
+    fn probed(&self, server: ServerId, result: Probed) {
+        self.call(|engine, now| engine.probed(now, server, result));
+    }
+}
--- /dev/null
+++ b/crates/settings/src/deployment.rs
@@ -0,0 +1,334 @@
+//! What a deployment states, and what a planner of it listens to.
+
+use crate::read::{Bad, field, read};
+use grebespool::host;
+use grebespool_engine::Bounds;
+use ipnet::IpNet;
+use iprange::IpRange;
+use serde::{Deserialize, Deserializer, de::Error as _};
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// A span as the records have it: a number and its unit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd)]
+pub struct Span(pub Duration);
+
+impl<'de> Deserialize<'de> for Span {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(from)?;
+        let unit = text.find(|c: char| c.is_ascii_alphabetic()).unwrap_or(text.len());
+        let scale = match &text[unit..] {
+            "us" => 1e-6,
+            "ms" => 1e-3,
+            "s" => 1.0,
+            "min" => 60.0,
+            _ => return Err(D::Error::custom(format!("{text:?} has no unit of time"))),
+        };
+        let value: f64 = text[..unit].parse().map_err(D::Error::custom)?;
+        Duration::try_from_secs_f64(value * scale).map(Span).map_err(D::Error::custom)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+pub enum Repeats {
+    Freely,
+    Marked,
+    Never,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Route {
+    pub name: String,
+    pub importance: f64,
+    pub slo: Span,
+    pub time_limit: Span,
+    pub repeats: Repeats,
+    pub group: Group,
+    pub window: Span,
+    pub stays_local: bool,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Proxies {
+    pub expected: usize,
+    pub most: usize,
+    pub joins: usize,
+    pub levels: bool,
+    pub try_factor: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Servers {
+    pub most: usize,
+    pub least_connections: f64,
+    pub warm_up: Span,
+    pub gone_binds: bool,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Channel {
+    pub lines_per_s: f64,
+    pub most_waiting: f64,
+    pub head: f64,
+    pub most_messages: usize,
+    pub window: Span,
+    pub worst_transit: Span,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub enum Figure {
+    Busy,
+    Pending,
+    CpuShare,
+    ServiceMs,
+    AnsweredPerS,
+    ErrorsPerS,
+    Other,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Reports {
+    pub fields: Vec<Figure>,
+    pub cycle: Span,
+    pub probing: bool,
+}
+
+/// What a deployment is like, whoever plans for it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Deployment {
+    pub zones: Vec<String>,
+    pub routes: Vec<Route>,
+    pub slices: usize,
+    pub proxies: Proxies,
+    pub servers: Servers,
+    pub channel: Channel,
+    pub reports: Reports,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+pub enum ListMode {
+    Pushed,
+    Asked,
+}
+
+/// Where the planner listens, to whom, and how patient it is with them.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Listen {
+    pub address: SocketAddr,
+    allowed: Vec<IpNet>,
+    pub key_file: PathBuf,
+    pub handshake: Span,
+    pub unjoined: usize,
+    pub silence: Span,
+    pub stall: Span,
+    pub stall_bytes: usize,
+}
+
+/// Where the server list is.
+#[derive(Debug, Clone, Deserialize)]
+pub struct ListSource {
+    pub address: SocketAddr,
+    pub mode: ListMode,
+    pub ask_within: Span,
+    pub redial: Span,
+    pub patience: Span,
+}
+
+/// A settings file, to be taken apart by what starts a planner.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Planned {
+    pub deployment: Deployment,
+    pub listen: Listen,
+    pub list: ListSource,
+    pub probe_limit: Span,
+}
+
+impl Planned {
+    /// Reads a settings file; relative paths in it are from its folder.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong, by file, line and field.
+    pub fn read(path: &Path) -> Result<Planned, Bad> {
+        let mut planned: Planned = read(path, "Settings")?;
+        planned.deployment.check(path)?;
+        if let Some(folder) = path.parent() {
+            planned.listen.key_file = folder.join(&planned.listen.key_file);
+        }
+        Ok(planned)
+    }
+}
+
+impl Listen {
+    pub fn new(address: SocketAddr, key_file: PathBuf, stall: Duration, silence: Duration) -> Listen {
+        let allowed = ["127.0.0.0/8", "::1/128"].map(|n| n.parse().expect("a network"));
+        Listen {
+            address,
+            allowed: allowed.into(),
+            key_file,
+            handshake: Span(Duration::from_secs(3)),
+            unjoined: 1000,
+            silence: Span(silence),
+            stall: Span(stall),
+            stall_bytes: 4_000_000,
+        }
+    }
+
+    /// The networks that may connect.
+    pub fn allowed(&self) -> Allowed {
+        let mut allowed = Allowed { v4: IpRange::new(), v6: IpRange::new() };
+        for net in &self.allowed {
+            match net {
+                IpNet::V4(net) => drop(allowed.v4.add(*net)),
+                IpNet::V6(net) => drop(allowed.v6.add(*net)),
+            }
+        }
+        allowed.v4.simplify();
+        allowed.v6.simplify();
+        allowed
+    }
+}
+
+/// Who may connect, as sets of networks.
+pub struct Allowed {
+    v4: IpRange<ipnet::Ipv4Net>,
+    v6: IpRange<ipnet::Ipv6Net>,
+}
+
+impl Allowed {
+    /// An IPv4 address that comes in an IPv6 one counts as the former.
+    pub fn holds(&self, ip: IpAddr) -> bool {
+        match ip.to_canonical() {
+            IpAddr::V4(ip) => self.v4.contains(&ip),
+            IpAddr::V6(ip) => self.v6.contains(&ip),
+        }
+    }
+}
+
+impl ListSource {
+    pub fn new(address: SocketAddr, mode: ListMode, ask_within: Span) -> ListSource {
+        let (redial, patience) = (Span(Duration::from_millis(200)), Span(Duration::from_secs(3)));
+        ListSource { address, mode, ask_within, redial, patience }
+    }
+
+    /// How long the list may go unasked, where it has to be asked.
+    pub fn ask_within(&self) -> Option<Duration> {
+        (self.mode == ListMode::Asked).then_some(self.ask_within.0)
+    }
+}
+
+impl Deployment {
+    pub(crate) fn check(&self, path: &Path) -> Result<(), Bad> {
+        let bad = |name: &str, why: String| Err(field(path, &format!("deployment.{name}"), why));
+        for (i, zone) in self.zones.iter().enumerate() {
+            if self.zones[..i].contains(zone) {
+                return bad("zones", format!("zone {zone:?} stands twice"));
+            }
+        }
+        for (i, route) in self.routes.iter().enumerate() {
+            if self.routes[..i].iter().any(|r| r.name == route.name) {
+                return bad(&format!("routes[{i}].name"), format!("route {:?} stands twice", route.name));
+            }
+            if route.time_limit.0 < route.slo.0 {
+                let why = "the time limit is shorter than the SLO time".to_string();
+                return bad(&format!("routes[{i}].time_limit"), why);
+            }
+            if route.repeats == Repeats::Marked && route.window.0.is_zero() {
+                let why = "a marked route needs the window in which repeats are dropped".to_string();
+                return bad(&format!("routes[{i}].window"), why);
+            }
+        }
+        if self.slices > 0 {
+            let why = format!("{} slices: sites with slices are not planned for yet", self.slices);
+            return bad("slices", why);
+        }
+        if self.proxies.expected > self.proxies.most {
+            let why = "more proxies are expected than may be known (proxies.most)".to_string();
+            return bad("proxies.expected", why);
+        }
+        let needed = self.channel.head + 3.0;
+        if self.channel.most_waiting < needed {
+            return bad("channel.most_waiting", format!("no message fits; {needed} lines at the least"));
+        }
+        Ok(())
+    }
+
+    pub fn routes(&self) -> Vec<host::Route> {
+        let group = |g| match g {
+            Group::All => host::Group::All,
+            Group::Zone => host::Group::Zone,
+            Group::Cell => host::Group::Cell,
+        };
+        let effect = |r: &Route| match r.repeats {
+            Repeats::Freely => host::Effect::Repeatable,
+            Repeats::Marked => host::Effect::Marked { group: group(r.group), window: r.window.0 },
+            Repeats::Never => host::Effect::Mutating,
+        };
+        let route = |r: &Route| host::Route {
+            importance: r.importance,
+            slo: r.slo.0,
+            effect: effect(r),
+            stays_local: r.stays_local,
+        };
+        self.routes.iter().map(route).collect()
+    }
+
+    pub fn plane(&self) -> host::DataPlane {
+        host::DataPlane {
+            zones: self.zones.len(),
+            slices: self.slices,
+            levels: self.proxies.levels,
+            try_factor: self.proxies.try_factor,
+            proxies: self.proxies.expected,
+            least_conns: self.servers.least_connections,
+        }
+    }
+
+    pub fn graces(&self) -> host::Graces {
+        host::Graces { warm_up: self.servers.warm_up.0, gone_binds: self.servers.gone_binds }
+    }
+
+    pub fn pace(&self) -> host::Pace {
+        let c = &self.channel;
+        host::Pace {
+            lines_per_s: c.lines_per_s,
+            most_waiting: c.most_waiting,
+            head: c.head,
+            most_messages: c.most_messages,
+            window: c.window.0,
+            worst_transit: c.worst_transit.0,
+        }
+    }
+
+    pub fn sight(&self, ask_within: Option<Duration>) -> host::Sight {
+        let field = |f: &Figure| match f {
+            Figure::Busy => host::Field::Busy,
+            Figure::Pending => host::Field::Pending,
+            Figure::CpuShare => host::Field::CpuShare,
+            Figure::ServiceMs => host::Field::ServiceMs,
+            Figure::AnsweredPerS => host::Field::AnsweredPerS,
+            Figure::ErrorsPerS => host::Field::ErrorsPerS,
+            Figure::Other => host::Field::Other,
+        };
+        host::Sight {
+            fields: self.reports.fields.iter().map(field).collect(),
+            cycle: self.reports.cycle.0,
+            probing: self.reports.probing,
+            ask_within,
+        }
+    }
+
+    /// `unconfirmed`: how long a proxy may leave orders unconfirmed.
+    pub fn bounds(&self, unconfirmed: Duration) -> Bounds {
+        let (servers, proxies, joins) = (self.servers.most, self.proxies.most, self.proxies.joins);
+        Bounds { servers, proxies, joins, unconfirmed }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/read.rs
@@ -0,0 +1,58 @@
+//! Evaluating a file against its records.
+
+use nickel_lang::{Context, ErrorFormat, Expr};
+use serde::de::DeserializeOwned;
+use std::path::Path;
+use thiserror::Error;
+
+const RECORDS: &str = include_str!("records.ncl");
+
+/// What is wrong with a file.
+#[derive(Debug, Error)]
+pub enum Bad {
+    #[error("{path} cannot be read: {why}")]
+    Unreadable { path: String, why: std::io::Error },
+    /// Already says where: file, line, field and the constraint.
+    #[error("{0}")]
+    Record(String),
+    #[error("{path}: {field}: {why}")]
+    Field { path: String, field: String, why: String },
+}
+
+fn evaluate(path: &Path, record: &str) -> Result<(Context, Expr), Bad> {
+    let unreadable = |why| Bad::Unreadable { path: path.display().to_string(), why };
+    let whole = path.canonicalize().map_err(unreadable)?;
+    std::fs::read_to_string(&whole).map_err(unreadable)?;
+    let quoted = serde_json::to_string(&whole.display().to_string()).expect("a text");
+    let mut context = Context::new().with_source_name("grebespool's records".into());
+    let source = format!("let records = {RECORDS}\nin (import {quoted} as 'Nickel) | records.{record}");
+    match context.eval_deep_for_export(&source) {
+        Ok(expr) => Ok((context, expr)),
+        Err(error) => {
+            let mut text = Vec::new();
+            if error.format(&mut text, ErrorFormat::Text).is_err() {
+                text = b"the file cannot be evaluated".to_vec();
+            }
+            Err(Bad::Record(format!("{}: {}", path.display(), String::from_utf8_lossy(&text).trim_end())))
+        }
+    }
+}
+
+pub(crate) fn read<T: DeserializeOwned>(path: &Path, record: &str) -> Result<T, Bad> {
+    let (_, expr) = evaluate(path, record)?;
+    expr.to_serde().map_err(|e| field(path, "the record", e))
+}
+
+/// The file with all defaults filled in, as JSON (which is a Nickel file too). `record`: "Settings" or "Day".
+///
+/// # Errors
+///
+/// As for reading it.
+pub fn show(path: &Path, record: &str) -> Result<String, Bad> {
+    let (context, expr) = evaluate(path, record)?;
+    context.expr_to_json(&expr).map_err(|e| field(path, "the record", format!("{e:?}")))
+}
+
+pub(crate) fn field(path: &Path, field: &str, why: impl ToString) -> Bad {
+    Bad::Field { path: path.display().to_string(), field: field.into(), why: why.to_string() }
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -224,11 +224,12 @@
         proof: Proof,
     },
     Orders(Orders),
+    /// All orders of the stream up to `seq` are in force; sent for each message of orders, with its mark.
     Applied {
         start: u64,
         stream: u32,
         seq: u64,
-        mark: u16,
+        mark: Option<u16>,
     },
     Sums {
         met: Vec<MetLine>,
@@ -473,7 +474,10 @@
                 start: f.u64("a start")?,
                 stream: f.u32("a stream")?,
                 seq: f.u64("a sequence number")?,
-                mark: f.u16("a mark")?,
+                mark: match f.flag("whether there is a mark")? {
+                    true => Some(f.u16("a mark")?),
+                    false => None,
+                },
             },
             7 => Message::Sums {
                 met: f.many("sums", LEAST_SERVER + 13, |f| {
@@ -586,7 +590,8 @@
                 p.u64(*start);
                 p.u32(*stream);
                 p.u64(*seq);
-                p.u16(*mark);
+                p.u8(mark.is_some().into());
+                mark.iter().for_each(|m| p.u16(*m));
             }
             Message::Sums { met, came } => {
                 p.u8(7);
