--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,128 @@
-fn main() {}
+//! The command line.
+
+mod rehearse;
+mod serve;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use std::io::IsTerminal;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tracing_subscriber::EnvFilter;
+
+/// A table manager that assigns servers to proxies
+#[derive(Parser)]
+#[command(name = "grebespool", version, arg_required_else_help = true)]
+struct Cli {
+    /// How logs are written
+    #[arg(long, global = true, value_enum, default_value = "text")]
+    log_format: LogFormat,
+    /// What is logged: error, warn, info, debug (which names each order), or a filter by module
+    #[arg(long, global = true, value_name = "FILTER")]
+    log: Option<String>,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a planner
+    Serve {
+        /// A settings file
+        settings: PathBuf,
+        /// Listen here instead of at the address in the settings
+        #[arg(long, value_name = "ADDRESS")]
+        listen: Option<std::net::SocketAddr>,
+    },
+    /// Play a day on loopback and check the five rules; exit 0: kept, 1: one broken, 2: bad input
+    Rehearse {
+        /// A day file; the built-in bad day if left out
+        day: Option<PathBuf>,
+        /// Run the planner as a process of its own, or as a thread of this one
+        #[arg(long, value_enum, default_value = "process")]
+        planner: rehearse::Runs,
+        /// Another seed than the day's
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+    /// Check or show settings and day files
+    Settings {
+        #[command(subcommand)]
+        command: SettingsCommand,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Kind {
+    Settings,
+    Day,
+}
+
+#[derive(Subcommand)]
+enum SettingsCommand {
+    /// Say what is wrong with a file; exit 0 if nothing is, else 2
+    Check {
+        file: PathBuf,
+        #[arg(long, value_enum, default_value = "settings")]
+        kind: Kind,
+    },
+    /// Print a file with its defaults filled in
+    Show { file: PathBuf },
+}
+
+const BAD_INPUT: u8 = 2;
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    if let Err(what) = log_to_stderr(&cli) {
+        return bad_input(&what);
+    }
+    let done = match cli.command {
+        Command::Serve { settings, listen } => serve::serve(&settings, listen),
+        Command::Rehearse { day, planner, seed } => rehearse::rehearse(day.as_deref(), planner, seed),
+        Command::Settings { command: SettingsCommand::Check { file, kind } } => check(&file, kind),
+        Command::Settings { command: SettingsCommand::Show { file } } => {
+            grebespool_settings::Planned::read(&file)
+                .and_then(|_| grebespool_settings::show(&file, "Settings"))
+                .map(|text| {
+                    println!("{text}");
+                    ExitCode::SUCCESS
+                })
+                .map_err(|bad| bad.to_string())
+        }
+    };
+    done.unwrap_or_else(|what| bad_input(&what))
+}
+
+fn bad_input(what: &str) -> ExitCode {
+    eprintln!("grebespool: {what}");
+    ExitCode::from(BAD_INPUT)
+}
+
+fn check(file: &std::path::Path, kind: Kind) -> Result<ExitCode, String> {
+    let checked = match kind {
+        Kind::Settings => grebespool_settings::Planned::read(file).map(|_| ()),
+        Kind::Day => grebespool_settings::Day::read(file).map(|_| ()),
+    };
+    checked.map_err(|bad| bad.to_string())?;
+    println!("{}: no fault found", file.display());
+    Ok(ExitCode::SUCCESS)
+}
+
+fn log_to_stderr(cli: &Cli) -> Result<(), String> {
+    // A rehearsal shows its own progress; a planner's log is for its operators.
+    let usual = if matches!(cli.command, Command::Serve { .. }) { "info" } else { "error" };
+    let text = cli.log.as_deref().unwrap_or(usual);
+    let filter = EnvFilter::try_new(text).map_err(|e| format!("--log {text:?}: {e}"))?;
+    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match cli.log_format {
+        LogFormat::Json => logs.json().init(),
+        LogFormat::Text => logs.with_ansi(std::io::stderr().is_terminal()).init(),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/rehearse.rs
@@ -0,0 +1,166 @@
+//! `rehearse`: a day on loopback.
+
+use clap::ValueEnum;
+use grebespool_rules::Verdict;
+use grebespool_settings::{Day, Deployment, ListSource, What, settings_text};
+use grebespool_standin::{PlannerHost, Played, Progress, ThreadHost, rehearse as play};
+use indicatif::{ProgressBar, ProgressStyle};
+use std::io::{self, BufRead, BufReader, IsTerminal};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, ExitCode, Stdio};
+use std::time::Duration;
+
+const BAD_DAY: &str = include_str!("../../../examples/bad-day.ncl");
+
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Runs {
+    Process,
+    Thread,
+}
+
+pub fn rehearse(file: Option<&Path>, runs: Runs, seed: Option<u64>) -> Result<ExitCode, String> {
+    let mut day = match file {
+        Some(file) => Day::read(file).map_err(|bad| bad.to_string())?,
+        None => Day::parse(BAD_DAY, "the built-in bad day").map_err(|bad| bad.to_string())?,
+    };
+    day.seed = seed.unwrap_or(day.seed);
+    let stall = day.rules.grace.0.mul_f64(0.75);
+    let host: Box<dyn PlannerHost> = match runs {
+        Runs::Thread => Box::new(ThreadHost::new(day.seed, stall)),
+        Runs::Process => Box::new(ProcessHost::new(stall).map_err(|e| e.to_string())?),
+    };
+    println!(
+        "{}: {} servers, {} proxies, {} zones, {} troubles, {:.0} s",
+        day.name,
+        day.server_count(),
+        day.proxy_count(),
+        day.deployment.zones.len(),
+        day.troubles.len(),
+        day.length.0.as_secs_f64()
+    );
+    let played =
+        play(&day, host, Some(Box::new(Shown::new()))).map_err(|e| format!("the day broke off: {e}"))?;
+    print(&played);
+    Ok(if played.kept() { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
+/// Progress: a bar on a terminal, else a line for each trouble.
+struct Shown {
+    bar: ProgressBar,
+}
+
+impl Shown {
+    fn new() -> Shown {
+        let bar = if io::stderr().is_terminal() { ProgressBar::new(1) } else { ProgressBar::hidden() };
+        if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} s  {msg}") {
+            bar.set_style(style);
+        }
+        Shown { bar }
+    }
+}
+
+impl Progress for Shown {
+    fn at(&mut self, now: Duration, of: Duration) {
+        self.bar.set_length(of.as_secs());
+        self.bar.set_position(now.as_secs().min(of.as_secs()));
+    }
+    fn trouble(&mut self, now: Duration, what: &What) {
+        let text = format!("{:5.1} s  {what:?}", now.as_secs_f64());
+        match self.bar.is_hidden() {
+            true => println!("  {text}"),
+            false => self.bar.println(&text),
+        }
+        self.bar.set_message(format!("{what:?}").split(' ').next().unwrap_or_default().to_string());
+    }
+}
+
+fn print(played: &Played) {
+    let s = &played.service;
+    println!("\nservice {:.3}, worst ten seconds {:.3}", s.whole, s.worst);
+    for r in &s.routes {
+        println!(
+            "  {:<16} {:>6} calls  {:>6} answered  {:>6} in time  {:>5} throttled  p50 {:.0} ms  p99 {:.0} ms",
+            r.name, r.asked, r.answered, r.in_time, r.throttled, r.p50_ms, r.p99_ms
+        );
+    }
+    println!("orders: {} messages, {} lines; {} joins\n", played.messages, played.lines, played.joins);
+    for verdict in &played.verdicts {
+        print_verdict(verdict);
+    }
+}
+
+fn print_verdict(verdict: &Verdict) {
+    let Verdict { rule, first, breaches, checked } = verdict;
+    match first {
+        None => println!("rule {rule}: kept ({checked} checked)"),
+        Some(breach) => {
+            println!("rule {rule}: BROKEN, {breaches} breaches ({checked} checked)");
+            println!("  first at {:.3} s: {}", breach.at.as_secs_f64(), breach.what);
+            breach.before.iter().for_each(|line| println!("    before: {line}"));
+        }
+    }
+}
+
+/// A planner as a process of its own, killed and stopped as an operator's would be.
+struct ProcessHost {
+    folder: tempfile::TempDir,
+    stall: Duration,
+    child: Option<Child>,
+}
+
+impl ProcessHost {
+    fn new(stall: Duration) -> io::Result<ProcessHost> {
+        Ok(ProcessHost { folder: tempfile::tempdir()?, stall, child: None })
+    }
+
+    fn signal(&self, name: &str) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").args([name, &child.id().to_string()]).status();
+        }
+    }
+}
+
+impl PlannerHost for ProcessHost {
+    fn start(
+        &mut self,
+        deployment: &Deployment,
+        list: &ListSource,
+        key_file: &Path,
+    ) -> io::Result<SocketAddr> {
+        self.kill();
+        let file = self.folder.path().join("settings.json");
+        std::fs::write(&file, settings_text(deployment, list, key_file, self.stall))?;
+        let mut command = Command::new(std::env::current_exe()?);
+        command.args(["--log", "error", "serve", "--listen", "127.0.0.1:0"]).arg(&file);
+        let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()?;
+        let mut line = String::new();
+        if let Some(out) = child.stdout.take() {
+            BufReader::new(out).read_line(&mut line)?;
+        }
+        self.child = Some(child);
+        let address = line.trim().strip_prefix("listening at ").and_then(|a| a.parse().ok());
+        address.ok_or_else(|| io::Error::other(format!("the planner did not start ({line:?})")))
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    fn stall(&mut self, _: Duration) {
+        self.signal("-STOP");
+    }
+
+    fn resume(&mut self) {
+        self.signal("-CONT");
+    }
+}
+
+impl Drop for ProcessHost {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -1,7 +1,7 @@
 //! A day to rehearse: a deployment's servers, proxies and callers, and the troubles that come over them.
 
 use crate::deployment::{Deployment, ListMode, Span};
-use crate::read::{Bad, field, read};
+use crate::read::{Bad, field, parse, read};
 use serde::Deserialize;
 use std::path::Path;
 
@@ -124,6 +124,17 @@
         Ok(day)
     }
 
+    /// Reads a day from its text. `name` stands for it in what is said of faults.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong, by line and field.
+    pub fn parse(text: &str, name: &str) -> Result<Day, Bad> {
+        let day: Day = parse(text, name, "Day")?;
+        day.check(Path::new(name))?;
+        Ok(day)
+    }
+
     fn check(&self, path: &Path) -> Result<(), Bad> {
         self.deployment.check(path)?;
         let zones = &self.deployment.zones;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,7 +8,9 @@
 mod day;
 mod deployment;
 mod read;
+mod text;
 
 pub use day::*;
 pub use deployment::*;
 pub use read::{Bad, show};
+pub use text::settings_text;
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -19,13 +19,18 @@
     Field { path: String, field: String, why: String },
 }
 
-fn evaluate(path: &Path, record: &str) -> Result<(Context, Expr), Bad> {
+fn evaluate_file(path: &Path, record: &str) -> Result<(Context, Expr), Bad> {
     let unreadable = |why| Bad::Unreadable { path: path.display().to_string(), why };
     let whole = path.canonicalize().map_err(unreadable)?;
     std::fs::read_to_string(&whole).map_err(unreadable)?;
     let quoted = serde_json::to_string(&whole.display().to_string()).expect("a text");
+    let form = if whole.extension().is_some_and(|e| e == "json") { "Json" } else { "Nickel" };
+    evaluate(&format!("(import {quoted} as '{form})"), &path.display().to_string(), record)
+}
+
+fn evaluate(file: &str, name: &str, record: &str) -> Result<(Context, Expr), Bad> {
     let mut context = Context::new().with_source_name("grebespool's records".into());
-    let source = format!("let records = {RECORDS}\nin (import {quoted} as 'Nickel) | records.{record}");
+    let source = format!("let records = {RECORDS}\nin {file} | records.{record}");
     match context.eval_deep_for_export(&source) {
         Ok(expr) => Ok((context, expr)),
         Err(error) => {
@@ -33,23 +38,28 @@
             if error.format(&mut text, ErrorFormat::Text).is_err() {
                 text = b"the file cannot be evaluated".to_vec();
             }
-            Err(Bad::Record(format!("{}: {}", path.display(), String::from_utf8_lossy(&text).trim_end())))
+            Err(Bad::Record(format!("{name}: {}", String::from_utf8_lossy(&text).trim_end())))
         }
     }
 }
 
+pub(crate) fn parse<T: DeserializeOwned>(text: &str, name: &str, record: &str) -> Result<T, Bad> {
+    let (_, expr) = evaluate(&format!("({text})"), name, record)?;
+    expr.to_serde().map_err(|e| field(Path::new(name), "the record", e))
+}
+
 pub(crate) fn read<T: DeserializeOwned>(path: &Path, record: &str) -> Result<T, Bad> {
-    let (_, expr) = evaluate(path, record)?;
+    let (_, expr) = evaluate_file(path, record)?;
     expr.to_serde().map_err(|e| field(path, "the record", e))
 }
 
-/// The file with all defaults filled in, as JSON (which is a Nickel file too). `record`: "Settings" or "Day".
+/// The file with all defaults filled in, as JSON, which is read as well (by its ending, `.json`). `record`: "Settings" or "Day".
 ///
 /// # Errors
 ///
 /// As for reading it.
 pub fn show(path: &Path, record: &str) -> Result<String, Bad> {
-    let (context, expr) = evaluate(path, record)?;
+    let (context, expr) = evaluate_file(path, record)?;
     context.expr_to_json(&expr).map_err(|e| field(path, "the record", format!("{e:?}")))
 }
 
--- /dev/null
+++ b/crates/settings/src/text.rs
@@ -0,0 +1,57 @@
+//! A settings file for a deployment that is held as a value, for those who start a planner of it.
+
+use crate::deployment::{Deployment, ListSource, Span};
+use serde_json::{Value, json};
+use std::path::Path;
+use std::time::Duration;
+
+impl Span {
+    fn text(&self) -> String {
+        format!("{}us", self.0.as_micros())
+    }
+}
+
+/// The text of a settings file (JSON; the file's name has to end so). `stall`: how long a proxy may leave
+/// bytes untaken or orders unconfirmed.
+pub fn settings_text(deployment: &Deployment, list: &ListSource, key_file: &Path, stall: Duration) -> String {
+    let d = deployment;
+    let route = |r: &crate::Route| {
+        json!({
+            "name": r.name, "importance": r.importance, "slo": r.slo.text(),
+            "time_limit": r.time_limit.text(), "repeats": format!("{:?}", r.repeats),
+            "group": format!("{:?}", r.group), "window": r.window.text(), "stays_local": r.stays_local,
+        })
+    };
+    let routes: Vec<Value> = d.routes.iter().map(route).collect();
+    let fields: Vec<String> = d.reports.fields.iter().map(|f| format!("{f:?}")).collect();
+    let (p, s, c, r) = (&d.proxies, &d.servers, &d.channel, &d.reports);
+    let text = json!({
+        "deployment": {
+            "zones": d.zones, "routes": routes, "slices": d.slices,
+            "proxies": {
+                "expected": p.expected, "most": p.most, "joins": p.joins, "levels": p.levels,
+                "try_factor": p.try_factor,
+            },
+            "servers": {
+                "most": s.most, "least_connections": s.least_connections, "warm_up": s.warm_up.text(),
+                "gone_binds": s.gone_binds,
+            },
+            "channel": {
+                "lines_per_s": c.lines_per_s, "most_waiting": c.most_waiting, "head": c.head,
+                "most_messages": c.most_messages, "window": c.window.text(),
+                "worst_transit": c.worst_transit.text(),
+            },
+            "reports": { "fields": fields, "cycle": r.cycle.text(), "probing": r.probing },
+        },
+        "listen": {
+            "address": "127.0.0.1:0", "key_file": key_file, "stall": Span(stall).text(), "silence": "6s",
+        },
+        "list": {
+            "address": list.address.to_string(), "mode": format!("{:?}", list.mode),
+            "ask_within": list.ask_within.text(), "redial": list.redial.text(),
+            "patience": list.patience.text(),
+        },
+        "probe_limit": "500ms",
+    });
+    text.to_string()
+}
--- /dev/null
+++ b/crates/standin/src/host.rs
@@ -0,0 +1,152 @@
+//! What runs the planner of a rehearsal, and can kill or stall it.
+
+use grebespool_engine::Start;
+use grebespool_planner::{Passage, Untouched, serve};
+use grebespool_settings::{Deployment, ListSource, Listen};
+use grebespool_wire::Key;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Runs one planner at a time.
+pub trait PlannerHost {
+    /// Starts a planner of the deployment that follows the list at `list`, with the key in `key_file`. Gives
+    /// the address that it listens at.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be started.
+    fn start(
+        &mut self,
+        deployment: &Deployment,
+        list: &ListSource,
+        key_file: &std::path::Path,
+    ) -> io::Result<SocketAddr>;
+    /// Ends it outright: nothing is said to anybody.
+    fn kill(&mut self);
+    /// It stands still from now until it is resumed, at the latest after `most`.
+    fn stall(&mut self, most: Duration);
+    fn resume(&mut self);
+}
+
+enum Command {
+    Stall(Duration, std::sync::mpsc::Receiver<()>),
+    Die,
+}
+
+struct Running {
+    commands: mpsc::UnboundedSender<Command>,
+    thread: JoinHandle<()>,
+    resume: Option<std::sync::mpsc::Sender<()>>,
+}
+
+/// A planner on a thread of its own, with a runtime of its own. A test may set what stands between its engine
+/// and its streams.
+pub struct ThreadHost {
+    starts: u64,
+    seed: u64,
+    stall: Duration,
+    passage: fn() -> Box<dyn Passage>,
+    running: Option<Running>,
+}
+
+impl ThreadHost {
+    /// `stall`: how long proxies may leave bytes untaken or orders unconfirmed.
+    pub fn new(seed: u64, stall: Duration) -> ThreadHost {
+        Self::with_passage(seed, stall, || Box::new(Untouched))
+    }
+
+    pub fn with_passage(seed: u64, stall: Duration, passage: fn() -> Box<dyn Passage>) -> ThreadHost {
+        ThreadHost { starts: 0, seed, stall, passage, running: None }
+    }
+}
+
+impl PlannerHost for ThreadHost {
+    fn start(
+        &mut self,
+        deployment: &Deployment,
+        list: &ListSource,
+        key_file: &std::path::Path,
+    ) -> io::Result<SocketAddr> {
+        self.kill();
+        self.starts += 1;
+        let start = Start { id: 1000 * self.seed + self.starts, seed: self.seed + self.starts };
+        let key = Key::derive(&std::fs::read(key_file)?);
+        let listener = std::net::TcpListener::bind(("127.0.0.1", 0))?;
+        listener.set_nonblocking(true)?;
+        let addr = listener.local_addr()?;
+        let listen = Listen::new(addr, PathBuf::new(), self.stall, Duration::from_secs(6));
+        let (commands, mut told) = mpsc::unbounded_channel();
+        let (deployment, list, passage) = (deployment.clone(), list.clone(), self.passage);
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let thread = std::thread::spawn(move || {
+            let tasks = tokio::task::LocalSet::new();
+            tasks.block_on(&runtime, async move {
+                let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+                let probe_limit = Duration::from_millis(500);
+                let passage = Boxed(passage());
+                let serving = serve(listener, start, key, deployment, listen, list, probe_limit, passage);
+                let commanded = async {
+                    loop {
+                        match told.recv().await {
+                            // The whole thread stands still, as the machine would.
+                            Some(Command::Stall(most, resumed)) => drop(resumed.recv_timeout(most)),
+                            Some(Command::Die) | None => return,
+                        }
+                    }
+                };
+                tokio::select! {
+                    ended = serving => if let Err(why) = ended {
+                        eprintln!("the planner cannot be started: {why}");
+                    },
+                    () = commanded => {}
+                }
+            });
+        });
+        self.running = Some(Running { commands, thread, resume: None });
+        Ok(addr)
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut running) = self.running.take() {
+            running.resume.take();
+            let _ = running.commands.send(Command::Die);
+            let _ = running.thread.join();
+        }
+    }
+
+    fn stall(&mut self, most: Duration) {
+        if let Some(running) = &mut self.running {
+            let (resume, resumed) = std::sync::mpsc::channel();
+            running.resume = Some(resume);
+            let _ = running.commands.send(Command::Stall(most, resumed));
+        }
+    }
+
+    fn resume(&mut self) {
+        if let Some(running) = &mut self.running {
+            running.resume.take();
+        }
+    }
+}
+
+impl Drop for ThreadHost {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+struct Boxed(Box<dyn Passage>);
+
+impl Passage for Boxed {
+    fn pass(
+        &mut self,
+        stream: grebespool_engine::StreamId,
+        orders: grebespool_wire::Orders,
+    ) -> Option<grebespool_wire::Orders> {
+        self.0.pass(stream, orders)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/list.rs
@@ -0,0 +1,163 @@
+//! The server list on a socket.
+
+use crate::world::World;
+use grebespool_planner::dial::next;
+use grebespool_rules::{List, Passed};
+use grebespool_wire::{Entry, Inbox, Join, MOST_BODY, Message, Phase, Reason, ServerId, VERSION};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+pub struct ServerList {
+    world: Rc<World>,
+    pub addr: SocketAddr,
+    entries: RefCell<BTreeMap<ServerId, Entry>>,
+    version: Cell<u64>,
+    pub late: Cell<Duration>,
+    pub fails: Cell<bool>,
+    watchers: RefCell<Vec<mpsc::UnboundedSender<Message>>>,
+    changes: mpsc::UnboundedSender<(Duration, Vec<Entry>)>,
+}
+
+impl ServerList {
+    pub async fn new(world: Rc<World>, late: Duration) -> io::Result<Rc<ServerList>> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let (changes, changed) = mpsc::unbounded_channel();
+        let list = Rc::new(ServerList {
+            world,
+            addr: listener.local_addr()?,
+            entries: RefCell::default(),
+            version: Cell::new(1),
+            late: Cell::new(late),
+            fails: Cell::new(false),
+            watchers: RefCell::default(),
+            changes,
+        });
+        spawn_local(list.clone().publish(changed));
+        let serving = list.clone();
+        spawn_local(async move {
+            loop {
+                if let Ok((socket, _)) = listener.accept().await {
+                    let serving = serving.clone();
+                    spawn_local(async move { drop(serving.talk(socket).await) });
+                }
+            }
+        });
+        Ok(list)
+    }
+
+    /// What was there before the day began.
+    pub fn begin(&self, entries: Vec<Entry>) {
+        self.entries.borrow_mut().extend(entries.into_iter().map(|e| (e.server, e)));
+    }
+
+    /// A change, told as late as the list is at this moment, and never before an earlier one.
+    pub fn change(&self, changed: Vec<Entry>) {
+        let _ = self.changes.send((self.world.now() + self.late.get(), changed));
+    }
+
+    async fn publish(self: Rc<Self>, mut changes: mpsc::UnboundedReceiver<(Duration, Vec<Entry>)>) {
+        while let Some((due, changed)) = changes.recv().await {
+            tokio::time::sleep_until(self.world.began + due).await;
+            for e in &changed {
+                let mut entries = self.entries.borrow_mut();
+                match e.phase {
+                    Phase::Gone => drop(entries.remove(&e.server)),
+                    _ => drop(entries.insert(e.server, e.clone())),
+                }
+            }
+            let base = self.version.get();
+            self.version.set(base + 1);
+            self.tell(base + 1, base, changed);
+        }
+    }
+
+    /// The whole list once more, under a version: the present one again, or an older.
+    pub fn repeat(&self, version: u64) {
+        let entries = self.entries.borrow().values().cloned().collect();
+        self.tell(version, 0, entries);
+    }
+
+    /// An older whole list, in which nothing has happened yet.
+    pub fn tell_old(&self, entries: Vec<Entry>) {
+        self.tell(1, 0, entries);
+    }
+
+    pub fn version(&self) -> u64 {
+        self.version.get()
+    }
+
+    fn tell(&self, version: u64, base: u64, entries: Vec<Entry>) {
+        if self.fails.get() {
+            return;
+        }
+        let message = Message::List { version, base, now_ms: self.world.now_ms(), entries };
+        self.watchers.borrow_mut().retain(|w| w.send(message.clone()).is_ok());
+    }
+
+    async fn talk(&self, mut socket: TcpStream) -> io::Result<()> {
+        socket.set_nodelay(true)?;
+        let mut inbox = Inbox::new(MOST_BODY);
+        let key = &self.world.key;
+        let Message::Hello { name, nonce, .. } = next(&mut socket, &mut inbox).await? else {
+            return Err(io::ErrorKind::InvalidData.into());
+        };
+        let challenge = Message::Challenge { version: VERSION, start: 1, nonce: [7; 16] };
+        socket.write_all(&challenge.frame()).await?;
+        let Message::Join(Join { zone, proof, .. }) = next(&mut socket, &mut inbox).await? else {
+            return Err(io::ErrorKind::InvalidData.into());
+        };
+        let nonces = [&nonce, &[7; 16]];
+        if !proof.holds(&key.peer(nonces, 1, &name, &zone)) {
+            let bye = Message::Bye { reason: Reason::Refused, text: "another key".into() };
+            return socket.write_all(&bye.frame()).await;
+        }
+        let proof = key.planner(nonces, 1, &name, &zone);
+        socket.write_all(&Message::Welcome { stream: 1, proof }.frame()).await?;
+        let (mut from, mut to) = socket.into_split();
+        let (sender, mut waiting) = mpsc::unbounded_channel::<Message>();
+        let writing = async {
+            while let Some(message) = waiting.recv().await {
+                to.write_all(&message.frame()).await?;
+                if let Message::List { version, base, now_ms, entries } = message {
+                    self.world.put(Passed::ListTold(List { version, base, now_ms, entries }));
+                }
+            }
+            io::Result::Ok(())
+        };
+        let reading = async {
+            loop {
+                match next(&mut from, &mut inbox).await? {
+                    Message::AskList { have, watch } => {
+                        let (version, now_ms) = (self.version.get(), self.world.now_ms());
+                        let answer = if self.fails.get() {
+                            Message::ListFailed { text: "the list is out of order".into() }
+                        } else if have == version {
+                            Message::List { version, base: version, now_ms, entries: vec![] }
+                        } else {
+                            let entries = self.entries.borrow().values().cloned().collect();
+                            Message::List { version, base: 0, now_ms, entries }
+                        };
+                        let _ = sender.send(answer);
+                        let watched = self.watchers.borrow().iter().any(|w| w.same_channel(&sender));
+                        if watch && !watched && !self.fails.get() {
+                            self.watchers.borrow_mut().push(sender.clone());
+                        }
+                    }
+                    _ => return io::Result::<()>::Err(io::ErrorKind::InvalidData.into()),
+                }
+            }
+        };
+        tokio::select! {
+            ended = writing => ended,
+            ended = reading => ended,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/proxy.rs
@@ -0,0 +1,363 @@
+//! A proxy on sockets: callers on one side, servers on the other, and a stream to the planner.
+
+use crate::held::Held;
+use crate::link::Link;
+use crate::world::World;
+use grebespool_planner::dial::{Peer, next, shake_hands};
+use grebespool_rules::Passed;
+use grebespool_settings::ProxyKind;
+use grebespool_wire::{
+    Answer, Call, CameLine, Inbox, MOST_BODY, Message, MetLine, Outcome, Report, Role, ServerId, Tries,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+#[derive(Default)]
+struct Met {
+    tries: u32,
+    dropped: u32,
+    waited: Duration,
+    report: Option<Report>,
+}
+
+/// What is wanted of a server's answer: who waits, by call, attempt and try.
+type Asked = Rc<RefCell<BTreeMap<(u64, u8, u8), oneshot::Sender<Answer>>>>;
+
+struct Conn {
+    calls: mpsc::UnboundedSender<Call>,
+    asked: Asked,
+    task: AbortHandle,
+}
+
+pub struct Proxy {
+    world: Rc<World>,
+    pub number: u16,
+    pub zone: u16,
+    kind: ProxyKind,
+    pub addr: SocketAddr,
+    pub link: Rc<Link>,
+    held: RefCell<Held>,
+    rng: RefCell<Pcg64Mcg>,
+    conns: RefCell<BTreeMap<ServerId, Conn>>,
+    zones: Rc<RefCell<BTreeMap<ServerId, u16>>>,
+    met: RefCell<BTreeMap<ServerId, Met>>,
+    came: RefCell<BTreeMap<u8, u32>>,
+    nonces: Cell<u64>,
+    rate: f32,
+}
+
+/// How one try ended.
+enum Tried {
+    Answered(Outcome),
+    /// Proven not to have run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Proxy {
+    const CONNECT: Duration = Duration::from_millis(300);
+
+    #[expect(clippy::too_many_arguments, reason = "each is its own")]
+    pub async fn new(
+        world: Rc<World>,
+        number: u16,
+        zone: u16,
+        kind: ProxyKind,
+        link: Rc<Link>,
+        standing: Vec<ServerId>,
+        zones: Rc<RefCell<BTreeMap<ServerId, u16>>>,
+        seed: u64,
+        rate: f32,
+    ) -> io::Result<Rc<Proxy>> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let lines = standing.iter().map(|s| (*s, 1.0)).collect();
+        world.put(Passed::Began { proxy: number, lines });
+        let held = Held::new(kind.picks, (kind.avoids, kind.avoids_for.0), &standing);
+        let proxy = Rc::new(Proxy {
+            addr: listener.local_addr()?,
+            world,
+            number,
+            zone,
+            kind,
+            link,
+            held: RefCell::new(held),
+            rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+            conns: RefCell::default(),
+            zones,
+            met: RefCell::default(),
+            came: RefCell::default(),
+            nonces: Cell::new(seed << 32),
+            rate,
+        });
+        spawn_local(proxy.clone().follow());
+        let serving = proxy.clone();
+        spawn_local(async move {
+            loop {
+                if let Ok((socket, _)) = listener.accept().await {
+                    let _ = socket.set_nodelay(true);
+                    spawn_local(serving.clone().serve(socket));
+                }
+            }
+        });
+        Ok(proxy)
+    }
+
+    pub fn name(&self) -> String {
+        format!("proxy-{}", self.number)
+    }
+
+    fn nonce(&self) -> [u8; 16] {
+        self.nonces.set(self.nonces.get() + 1);
+        (u128::from(self.number) << 64 | u128::from(self.nonces.get())).to_be_bytes()
+    }
+
+    // The planner's side.
+
+    async fn follow(self: Rc<Self>) {
+        loop {
+            let joined = Cell::new(false);
+            let _ = self.stream(&joined).await;
+            if joined.get() {
+                self.world.put(Passed::Left { proxy: self.number });
+                self.held.borrow_mut().left();
+            }
+            let most = self.kind.redial.0;
+            let wait = most.mul_f64(self.rng.borrow_mut().random_range(0.2..1.0));
+            sleep(wait).await;
+        }
+    }
+
+    async fn stream(&self, joined: &Cell<bool>) -> io::Result<()> {
+        let mut socket = TcpStream::connect(self.link.addr).await?;
+        socket.set_nodelay(true)?;
+        let dialled = timeout(Duration::from_secs(3), self.join(&mut socket, &self.name())).await??;
+        let mut inbox = dialled.inbox;
+        self.held.borrow_mut().welcomed(dialled.start, dialled.stream);
+        joined.set(true);
+        let (mut from, mut to) = socket.into_split();
+        let mut sums = tokio::time::interval(self.world.deployment.reports.cycle.0);
+        loop {
+            tokio::select! {
+                message = next(&mut from, &mut inbox) => match message? {
+                    Message::Orders(orders) => {
+                        let obeyed = self.held.borrow_mut().obey(&orders);
+                        if let Ok(mark) = obeyed {
+                            let (start, stream, seq) = (orders.start, orders.stream, orders.seq);
+                            to.write_all(&Message::Applied { start, stream, seq, mark }.frame()).await?;
+                            self.close_unnamed();
+                        }
+                    }
+                    _ => return Ok(()),
+                },
+                _ = sums.tick() => to.write_all(&self.sums().frame()).await?,
+            }
+        }
+    }
+
+    async fn join(
+        &self,
+        socket: &mut TcpStream,
+        name: &str,
+    ) -> io::Result<grebespool_planner::dial::Dialled> {
+        let (bare, held) = (self.held.borrow().bare(), self.held.borrow().last);
+        let zone = &self.world.deployment.zones[usize::from(self.zone)];
+        let peer = Peer { role: Role::Proxy, name, zone, rate: self.rate, bare, held };
+        shake_hands(socket, &self.world.key, self.nonce(), &peer).await
+    }
+
+    fn sums(&self) -> Message {
+        let met = std::mem::take(&mut *self.met.borrow_mut());
+        let line = |(server, m): (ServerId, Met)| MetLine {
+            server,
+            tries: m.tries,
+            dropped: m.dropped,
+            wait_us: match m.tries - m.dropped {
+                0 => 0,
+                n => (m.waited / n).as_micros().max(1) as u32,
+            },
+            report: m.report,
+        };
+        let came = std::mem::take(&mut *self.came.borrow_mut());
+        let came = came.into_iter().map(|(route, calls)| CameLine { route, calls }).collect();
+        Message::Sums { met: met.into_iter().map(line).collect(), came }
+    }
+
+    fn close_unnamed(&self) {
+        let held = self.held.borrow();
+        self.conns.borrow_mut().retain(|server, conn| {
+            // What is in hand there is answered first.
+            held.names(*server) || !conn.asked.borrow().is_empty()
+        });
+    }
+
+    // The callers' side.
+
+    async fn serve(self: Rc<Self>, socket: TcpStream) {
+        let (mut from, mut to) = socket.into_split();
+        let (answers, mut waiting) = mpsc::unbounded_channel::<Answer>();
+        spawn_local(async move {
+            while let Some(answer) = waiting.recv().await {
+                if to.write_all(&Message::Answer(answer).frame()).await.is_err() {
+                    break;
+                }
+            }
+        });
+        let mut inbox = Inbox::new(MOST_BODY);
+        while let Ok(Message::Call(call)) = next(&mut from, &mut inbox).await {
+            let (proxy, answers) = (self.clone(), answers.clone());
+            spawn_local(async move {
+                let outcome = proxy.carry_out(call).await;
+                let (id, attempt) = (call.id, call.attempt);
+                let _ = answers.send(Answer { id, attempt, tried: 0, outcome, report: None });
+            });
+        }
+    }
+
+    async fn carry_out(&self, call: Call) -> Outcome {
+        *self.came.borrow_mut().entry(call.route).or_default() += 1;
+        let (share, tries) = self.held.borrow().level(call.route);
+        if self.rng.borrow_mut().random_range(0.0..1.0) >= share {
+            return Outcome::Throttled;
+        }
+        let most = if tries == Tries::One { 1 } else { 2 };
+        let route = &self.world.deployment.routes[usize::from(call.route)];
+        let began = self.world.now();
+        let limit = Duration::from_micros(call.time_limit_us.into());
+        let mut tried = vec![];
+        loop {
+            let left = limit.saturating_sub(self.world.now() - began);
+            let picked = self.pick(call.route, &tried);
+            let Some(server) = picked.filter(|_| left > limit / 8) else { return Outcome::Throttled };
+            let last = tried.len() + 1 >= most;
+            let wait = match tries {
+                Tries::AfterFailure if !last => {
+                    left.min(route.slo.0.mul_f64(self.world.deployment.proxies.try_factor))
+                }
+                _ => left,
+            };
+            let sent = Call { tried: tried.len() as u8, proxy: self.number, ..call };
+            tried.push(server);
+            match self.attempt(server, sent, wait).await {
+                Tried::Answered(outcome) => return outcome,
+                Tried::NotRun if !last => {}
+                Tried::Unknown if !last && tries == Tries::AfterFailure => {}
+                Tried::NotRun => return Outcome::Throttled,
+                Tried::Unknown => return Outcome::Failed,
+            }
+        }
+    }
+
+    fn pick(&self, route: u8, tried: &[ServerId]) -> Option<ServerId> {
+        let conns = self.conns.borrow();
+        let in_hand = |s| conns.get(&s).map_or(0, |c: &Conn| c.asked.borrow().len());
+        let (now, rng) = (self.world.now(), &mut *self.rng.borrow_mut());
+        self.held.borrow_mut().pick(now, rng, route, tried, in_hand)
+    }
+
+    async fn attempt(&self, server: ServerId, call: Call, wait: Duration) -> Tried {
+        let from = self.world.now();
+        let ended = timeout(wait, self.ask(server, call)).await;
+        let took = self.world.now() - from;
+        let mut met = self.met.borrow_mut();
+        let met = met.entry(server).or_default();
+        met.tries += 1;
+        let (tried, good) = match ended {
+            Ok(Ok(answer)) => {
+                met.report = answer.report.or(met.report.take());
+                match answer.outcome {
+                    Outcome::Answered | Outcome::Repeat => (Tried::Answered(Outcome::Answered), true),
+                    Outcome::Throttled => (Tried::NotRun, false),
+                    Outcome::Failed => (Tried::Unknown, false),
+                }
+            }
+            Ok(Err(not_run)) => (if not_run { Tried::NotRun } else { Tried::Unknown }, false),
+            Err(_) => (Tried::Unknown, false),
+        };
+        if good {
+            met.waited += took;
+        } else {
+            met.dropped += 1;
+        }
+        self.held.borrow_mut().met(self.world.now(), server, good);
+        tried
+    }
+
+    /// The server's answer; an error tells whether it is proven that the call did not run.
+    async fn ask(&self, server: ServerId, call: Call) -> Result<Answer, bool> {
+        let (sender, answer) = oneshot::channel();
+        let place = (call.id, call.attempt, call.tried);
+        let known = self.conns.borrow().get(&server).filter(|c| !c.task.is_finished()).is_some();
+        if !known {
+            let far = self.zones.borrow().get(&server).copied().unwrap_or(self.zone);
+            if self.world.apart(self.zone, far) {
+                // Over a cut no connection is made, and that takes its time to show.
+                sleep(Self::CONNECT).await;
+                return Err(true);
+            }
+            let socket = match timeout(Self::CONNECT, TcpStream::connect(server.addr)).await {
+                Ok(Ok(socket)) => socket,
+                _ => return Err(true),
+            };
+            let _ = socket.set_nodelay(true);
+            self.open(server, far, socket);
+        }
+        {
+            let conns = self.conns.borrow();
+            let Some(conn) = conns.get(&server) else { return Err(true) };
+            conn.asked.borrow_mut().insert(place, sender);
+            if conn.calls.send(call).is_err() {
+                return Err(true);
+            }
+        }
+        self.world.put(Passed::Sent { proxy: self.number, server, call });
+        answer.await.map_err(|_| false)
+    }
+
+    fn open(&self, server: ServerId, far: u16, socket: TcpStream) {
+        let (calls, mut waiting) = mpsc::unbounded_channel::<Call>();
+        let asked = Asked::default();
+        let (mut from, mut to) = socket.into_split();
+        let (world, zone, waiters) = (self.world.clone(), self.zone, asked.clone());
+        let task = spawn_local(async move {
+            let writing = async {
+                while let Some(call) = waiting.recv().await {
+                    if !world.apart(zone, far) && to.write_all(&Message::Call(call).frame()).await.is_err() {
+                        break;
+                    }
+                }
+            };
+            let reading = async {
+                let mut inbox = Inbox::new(MOST_BODY);
+                while let Ok(Message::Answer(answer)) = next(&mut from, &mut inbox).await {
+                    if world.apart(zone, far) {
+                        continue;
+                    }
+                    let place = (answer.id, answer.attempt, answer.tried);
+                    let waiter = waiters.borrow_mut().remove(&place);
+                    if let Some(waiter) = waiter {
+                        let _ = waiter.send(answer);
+                    }
+                }
+            };
+            tokio::select! {
+                () = writing => {}
+                () = reading => {}
+            }
+            waiters.borrow_mut().clear();
+        })
+        .abort_handle();
+        self.conns.borrow_mut().insert(server, Conn { calls, asked, task });
+    }
+}
--- /dev/null
+++ b/crates/standin/src/visitor.rs
@@ -0,0 +1,37 @@
+//! One that joins, does as it is told, forwards no call and leaves: for joins in a loop and stolen names.
+
+use crate::link::Link;
+use crate::world::World;
+use grebespool_planner::dial::{Peer, next, shake_hands};
+use grebespool_rules::Passed;
+use grebespool_wire::{Message, Role};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Joins once, under `name`, and stays for so long. `number`: its own in the record.
+pub async fn visit(world: Rc<World>, link: Rc<Link>, number: u16, name: String, nonce: u64, stays: Duration) {
+    let mut joined = false;
+    let _ = timeout(stays, stay(&world, &link, &name, nonce, &mut joined)).await;
+    if joined {
+        world.put(Passed::Left { proxy: number });
+    }
+}
+
+async fn stay(world: &World, link: &Link, name: &str, nonce: u64, joined: &mut bool) -> io::Result<()> {
+    let mut socket = TcpStream::connect(link.addr).await?;
+    let zone = &world.deployment.zones[usize::from(link.zone)];
+    let peer = Peer { role: Role::Proxy, name, zone, rate: 1.0, bare: false, held: (0, 0) };
+    let nonce = (u128::MAX - u128::from(nonce)).to_be_bytes();
+    let mut dialled = shake_hands(&mut socket, &world.key, nonce, &peer).await?;
+    *joined = true;
+    loop {
+        if let Message::Orders(o) = next(&mut socket, &mut dialled.inbox).await? {
+            let applied = Message::Applied { start: o.start, stream: o.stream, seq: o.seq, mark: None };
+            socket.write_all(&applied.frame()).await?;
+        }
+    }
+}
