--- a/crates/rules/src/check.rs
+++ b/crates/rules/src/check.rs
@@ -305,7 +305,8 @@
                     let kept = match routes.get(usize::from(call.route)) {
                         Some(RouteFacts::Freely) => true,
                         Some(RouteFacts::Marked { window, by_zone }) => {
-                            at.saturating_sub(*sent) <= *window && (!by_zone || zones.get(where_to) == zones.get(server))
+                            at.saturating_sub(*sent) <= *window
+                                && (!by_zone || zones.get(where_to) == zones.get(server))
                         }
                         Some(RouteFacts::Never) | None => false,
                     };
--- /dev/null
+++ b/crates/rules/tests/rules.rs
@@ -0,0 +1,185 @@
+//! The checker over small days: a clean one, and the same with one breach planted.
+
+use grebespool_rules::*;
+use grebespool_wire::*;
+use rstest::rstest;
+use std::time::Duration;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn id(n: u32) -> ServerId {
+    ServerId { addr: ([127, 0, 0, 1], 9000 + n as u16).into(), number: n }
+}
+
+fn facts() -> Facts {
+    let limits = Limits {
+        unserved: ms(2000),
+        grace: ms(3000),
+        fall_multiple: 4.0,
+        fall: ms(1000),
+        knowing: ms(3000),
+        warm_up: ms(6000),
+        most_waiting: 100.0,
+        head: 4.0,
+        most_messages: 5,
+        window: ms(10_000),
+    };
+    let marked = RouteFacts::Marked { window: ms(1000), by_zone: true };
+    Facts { limits, routes: vec![RouteFacts::Freely, marked, RouteFacts::Never] }
+}
+
+fn entry(n: u32, phase: Phase, started_ms: u64) -> Entry {
+    Entry { server: id(n), zone: if n < 3 { "a" } else { "b" }.into(), phase, started_ms }
+}
+
+fn list(version: u64, base: u64, entries: Vec<Entry>) -> Passed {
+    Passed::ListTold(List { version, base, now_ms: 1_000_000, entries })
+}
+
+fn orders(start: u64, seq: u64, ordered: u64, list: u64, parts: Vec<Order>) -> Orders {
+    Orders { start, stream: 1, seq, ordered_us: ordered * 1000, list, cause: Cause::List, parts }
+}
+
+fn bind(lines: &[u32]) -> Order {
+    let lines = lines.iter().map(|n| (id(*n), 1.0)).collect();
+    Order::Bind { table: 0, version: 1, routes: 0, lines, levels: vec![] }
+}
+
+fn weight(n: u32, weight: f32) -> Order {
+    Order::Line { table: 0, version: 2, server: id(n), weight }
+}
+
+fn call(id: u64, route: u8, tried: u8, proxy: u16) -> Call {
+    let (key, work_us, time_limit_us) = (0, 100_000, 1_000_000);
+    Call { id, attempt: 0, tried, route, key, work_us, time_limit_us, proxy }
+}
+
+fn sent(n: u32, id_: u64, route: u8, tried: u8) -> Passed {
+    Passed::Sent { proxy: 1, server: id(n), call: call(id_, route, tried, 1) }
+}
+
+fn answered(n: u32, id_: u64, route: u8, tried: u8, outcome: Outcome) -> Passed {
+    Passed::Answered { server: id(n), call: call(id_, route, tried, 1), outcome }
+}
+
+fn delivered(at: u64, o: Orders) -> Vec<(u64, Passed)> {
+    vec![
+        (at, Passed::Ordered { proxy: 1, orders: o.clone() }),
+        (at + 5, Passed::Delivered { proxy: 1, orders: o }),
+    ]
+}
+
+/// A list of four, a proxy that joins and is bound, a drain of one that is told in time.
+fn day() -> Vec<(u64, Passed)> {
+    let all = (1..=4).map(|n| entry(n, Phase::Ready, 0)).collect();
+    let mut day = vec![
+        (0, Passed::Began { proxy: 1, lines: vec![(id(1), 1.0)] }),
+        (10, list(1, 0, all)),
+        (100, Passed::Joined { proxy: 1, start: 7 }),
+    ];
+    day.extend(delivered(110, orders(7, 1, 105, 1, vec![bind(&[1, 2, 3, 4])])));
+    day.extend([
+        (500, sent(2, 1, 0, 0)),
+        (520, answered(2, 1, 0, 0, Outcome::Throttled)),
+        (530, sent(3, 1, 0, 1)),
+        (600, sent(2, 2, 2, 0)),
+        (610, answered(2, 2, 2, 0, Outcome::Throttled)),
+        (620, sent(3, 2, 2, 1)),
+        (700, sent(1, 3, 1, 0)),
+        (1200, sent(2, 3, 1, 1)),
+        (2000, list(2, 1, vec![entry(4, Phase::Draining, 0)])),
+        (2300, sent(4, 9, 0, 0)),
+    ]);
+    day.extend(delivered(2500, orders(7, 2, 2100, 2, vec![weight(4, 0.0), Order::Mark(1)])));
+    day
+}
+
+fn verdicts(mut day: Vec<(u64, Passed)>) -> Vec<Rule> {
+    day.sort_by_key(|p| p.0);
+    let mut record = Record::default();
+    day.into_iter().for_each(|(at, p)| record.put(ms(at), p));
+    // Time goes on: what is lacking shows when something else passes.
+    record.put(ms(60_000), Passed::Left { proxy: 9 });
+    check(&record, &facts()).into_iter().filter(|v| v.first.is_some()).map(|v| v.rule).collect()
+}
+
+#[rstest]
+fn a_clean_day_breaks_nothing_and_puts_each_rule_but_the_fourth_to_the_test() {
+    let mut record = Record::default();
+    day().into_iter().for_each(|(at, p)| record.put(ms(at), p));
+    let verdicts = check(&record, &facts());
+    assert!(verdicts.iter().all(|v| v.first.is_none()), "{verdicts:?}");
+    assert!(verdicts.iter().filter(|v| v.rule != Rule::Cold).all(|v| v.checked > 0), "{verdicts:?}");
+}
+
+fn emptied() -> Vec<(u64, Passed)> {
+    delivered(3000, orders(7, 3, 2900, 2, (1..=4).map(|n| weight(n, 0.0)).collect()))
+}
+
+fn messages(count: u64, ordered: impl Fn(u64) -> u64, at: impl Fn(u64) -> u64) -> Vec<(u64, Passed)> {
+    let one = |i: u64| delivered(at(i), orders(7, 3 + i, ordered(i), 2, vec![weight(1, 1.0); 6]));
+    (0..count).flat_map(one).collect()
+}
+
+fn cold(multiple: u64, knowing: bool) -> Vec<(u64, Passed)> {
+    let mut day = vec![
+        (20_000, Passed::Up { server: id(2), capacity: 2.0, cold: 0.3 }),
+        (20_100, list(3, 2, vec![entry(2, Phase::Ready, 999_900)])),
+    ];
+    if knowing {
+        day.extend(delivered(20_200, orders(7, 3, 20_150, 3, vec![weight(2, 0.2)])));
+    }
+    day.extend(
+        (0..multiple).map(|i| (20_300 + i, Passed::Received { server: id(2), call: call(100 + i, 0, 0, 1) })),
+    );
+    day.push((20_400, Passed::Fell { server: id(2) }));
+    day
+}
+
+#[rstest]
+#[case::a_table_emptied(emptied(), &[Rule::Served])]
+#[case::a_table_emptied_while_not_joined([vec![(2950, Passed::Left { proxy: 1 })], emptied()].concat(), &[])]
+#[case::a_mutating_call_sent_again_unproven(vec![(4000, sent(1, 50, 2, 0)), (4100, sent(2, 50, 2, 1))], &[Rule::Once])]
+#[case::after_an_error(
+    vec![(4000, sent(1, 50, 2, 0)), (4050, answered(1, 50, 2, 0, Outcome::Failed)), (4100, sent(2, 50, 2, 1))],
+    &[Rule::Once])]
+#[case::a_repeatable_one(vec![(4000, sent(1, 50, 0, 0)), (4100, sent(2, 50, 0, 1))], &[])]
+#[case::a_marked_one_past_its_window(vec![(4000, sent(1, 50, 1, 0)), (5100, sent(2, 50, 1, 1))], &[Rule::Once])]
+#[case::a_marked_one_to_another_group(vec![(4000, sent(1, 50, 1, 0)), (4100, sent(3, 50, 1, 1))], &[Rule::Once])]
+#[case::orders_twice(delivered(4000, orders(7, 2, 2100, 2, vec![])), &[Rule::Once])]
+#[case::orders_of_a_former_start(
+    [delivered(4000, orders(8, 1, 10, 2, vec![bind(&[1, 2])])), delivered(4100, orders(7, 3, 2200, 2, vec![]))].concat(),
+    &[Rule::Once])]
+#[case::sent_to_a_drained_server(vec![(5001, sent(4, 60, 0, 0))], &[Rule::Drained])]
+#[case::within_the_grace(vec![(4999, sent(4, 60, 0, 0))], &[])]
+#[case::by_one_that_joined_since(vec![(4900, Passed::Joined { proxy: 1, start: 7 }), (7000, sent(4, 60, 0, 0))], &[])]
+#[case::by_one_without_a_planner(vec![(4000, Passed::Left { proxy: 1 }), (7000, sent(4, 60, 0, 0))], &[])]
+#[case::a_planner_that_stood_still(
+    vec![(2100, Passed::PlannerStalled), (4000, Passed::PlannerResumed), (6500, sent(4, 60, 0, 0))], &[])]
+#[case::a_list_told_again_restarts_no_clock(
+    vec![(4900, list(3, 2, vec![entry(4, Phase::Gone, 0)])), (5100, sent(4, 60, 0, 0))], &[Rule::Drained])]
+#[case::pushed_over_knowing(cold(30, true), &[Rule::Cold])]
+#[case::pushed_over_unknowing(cold(30, false), &[])]
+#[case::a_long_queue(messages(12, |_| 12_000, |i| 12_100 + 3000 * i), &[Rule::Queue])]
+#[case::many_messages(messages(6, |i| 12_000 + 100 * i, |i| 12_000 + 100 * i), &[Rule::Queue])]
+#[case::few_messages(messages(5, |i| 13_000 + 100 * i, |i| 13_000 + 100 * i), &[])]
+fn a_planted_breach_is_found(#[case] planted: Vec<(u64, Passed)>, #[case] rules: &[Rule]) {
+    let mut day = day();
+    day.extend(planted);
+    assert_eq!(verdicts(day), rules);
+}
+
+#[rstest]
+fn the_first_breach_is_shown_in_its_context() {
+    let mut record = Record::default();
+    let mut all = day();
+    all.push((6000, sent(4, 60, 0, 0)));
+    all.into_iter().for_each(|(at, p)| record.put(ms(at), p));
+    let drained = &check(&record, &facts())[2];
+    let first = drained.first.as_ref().unwrap();
+    assert_eq!((first.at, drained.breaches), (ms(6000), 1));
+    assert!(first.what.contains("4.000 s after"), "{}", first.what);
+    assert!(first.before.iter().any(|b| b.contains("Draining")), "{:?}", first.before);
+}
--- /dev/null
+++ b/crates/standin/tests/days.rs
@@ -0,0 +1,256 @@
+//! Days on loopback around the real planner: each fault alone, several together, and planners with one guard
+//! removed, which the checker has to find.
+
+use grebespool_planner::{Passage, Untouched};
+use grebespool_rules::{Passed, Rule};
+use grebespool_settings::{Day, Deployment, ListSource};
+use grebespool_standin::{PlannerHost, Played, ThreadHost, rehearse};
+use grebespool_wire::{Level, Order, Orders, ServerId, Tries};
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+const SMALL: &str = include_str!("small.ncl");
+const BAD: &str = include_str!("../../../examples/bad-day.ncl");
+
+fn day(troubles: &str) -> Day {
+    let text = format!("({SMALL}) & {{ troubles = [{troubles}] }}");
+    Day::parse(&text, "a test's day").unwrap_or_else(|bad| panic!("{bad}"))
+}
+
+fn host(passage: fn() -> Box<dyn Passage>) -> ThreadHost {
+    ThreadHost::with_passage(5, Duration::from_millis(1800), passage)
+}
+
+fn play(day: &Day) -> Played {
+    rehearse(day, Box::new(host(|| Box::new(Untouched))), None).unwrap()
+}
+
+fn assert_kept(played: &Played) {
+    let broken: Vec<_> = played.verdicts.iter().filter(|v| v.first.is_some()).collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+    assert!(played.verdicts[0].checked > 0 && played.verdicts[4].checked > 0, "nothing was checked");
+}
+
+#[rstest]
+#[case::silent_servers("{ at = \"3s\", lasts = \"5s\", what = 'Silent { servers = 2 } }", 0.5)]
+#[case::slow_servers("{ at = \"3s\", lasts = \"5s\", what = 'Slow { servers = 2, factor = 8 } }", 0.6)]
+#[case::erring_servers("{ at = \"3s\", lasts = \"5s\", what = 'Erring { servers = 2 } }", 0.6)]
+#[case::reports_of_nought("{ at = \"3s\", lasts = \"6s\", what = 'Lying { servers = 2, figure = 0 } }", 0.7)]
+#[case::huge_reports("{ at = \"3s\", lasts = \"6s\", what = 'Lying { servers = 2, figure = 1e30 } }", 0.7)]
+#[case::a_rolling_deploy(
+    "{ at = \"2s\", what = 'Deploy { servers = 3, every = \"2s\", drain = \"2500ms\", down = \"400ms\" } }",
+    0.7
+)]
+#[case::a_return_within_a_reports_delay(
+    "{ at = \"3s\", what = 'Deploy { servers = 3, every = \"100ms\", drain = \"60ms\", down = \"60ms\" } }",
+    0.6
+)]
+#[case::ports_that_come_back_as_other_servers("{ at = \"3s\", what = 'Replaced { servers = 3 } }", 0.6)]
+#[case::a_planner_killed("{ at = \"4s\", lasts = \"700ms\", what = 'PlannerKilled }", 0.8)]
+#[case::a_planner_killed_in_a_deploy(
+    "{ at = \"2s\", what = 'Deploy { servers = 3, every = \"1s\", drain = \"2500ms\", down = \"400ms\" } },
+     { at = \"4s\", lasts = \"500ms\", what = 'PlannerKilled }, { at = \"4s\", what = 'StreamsBreak { share = 0.4 } }",
+    0.6)]
+#[case::a_machine_that_stalls("{ at = \"4s\", lasts = \"3s\", what = 'PlannerStalled }", 0.8)]
+#[case::a_stall_in_a_deploy(
+    "{ at = \"3s\", what = 'Deploy { servers = 2, every = \"1s\", drain = \"2500ms\", down = \"400ms\" } },
+     { at = \"3500ms\", lasts = \"2s\", what = 'PlannerStalled }",
+    0.6
+)]
+#[case::a_rush_after_broken_streams("{ at = \"4s\", what = 'StreamsBreak { share = 0.9 } }", 0.8)]
+#[case::breaks_in_mid_frame("{ at = \"4s\", what = 'StreamsBreak { share = 0.9, mid_frame = true } }", 0.8)]
+#[case::no_planner_in_a_deploy(
+    "{ at = \"3s\", lasts = \"4s\", what = 'NoPlanner { share = 0.4 } },
+     { at = \"3s\", what = 'Deploy { servers = 3, every = \"1s\", drain = \"2500ms\", down = \"400ms\" } }",
+    0.6
+)]
+#[case::slow_orders_in_a_deploy(
+    "{ at = \"2s\", lasts = \"7s\", what = 'SlowOrders { delay = \"350ms\", bytes_per_s = 30000 } },
+     { at = \"3s\", what = 'Deploy { servers = 2, every = \"1s\", drain = \"2500ms\", down = \"400ms\" } }",
+    0.6
+)]
+#[case::a_late_list(
+    "{ at = \"2s\", lasts = \"6s\", what = 'ListLate { by = \"2s\" } },
+     { at = \"3s\", what = 'Deploy { servers = 2, every = \"1s\", drain = \"2500ms\", down = \"400ms\" } }",
+    0.5
+)]
+#[case::lists_old_and_twice(
+    "{ at = \"2s\", what = 'Deploy { servers = 2, every = \"1s\", drain = \"2500ms\", down = \"400ms\" } },
+     { at = \"3s\", what = 'ListOld }, { at = \"4s\", what = 'ListTwice }, { at = \"7s\", what = 'ListOld }",
+    0.6
+)]
+#[case::a_list_that_fails(
+    "{ at = \"2s\", lasts = \"4s\", what = 'ListFails },
+     { at = \"3s\", what = 'Deploy { servers = 2, every = \"1s\", drain = \"2500ms\", down = \"400ms\" } }",
+    0.5
+)]
+#[case::a_zone_cut("{ at = \"3s\", lasts = \"5s\", what = 'ZoneCut { zone = \"west\" } }", 0.6)]
+#[case::a_zone_lost("{ at = \"3s\", lasts = \"3s\", what = 'ZoneLoss { zone = \"west\" } }", 0.5)]
+#[case::a_burst("{ at = \"3s\", lasts = \"3s\", what = 'Burst { factor = 3 } }", 0.3)]
+#[case::marks_unanswered("{ at = \"3s\", lasts = \"6s\", what = 'Unmarked { proxies = 2 } }", 0.8)]
+#[case::one_byte_a_second(
+    "{ at = \"3s\", lasts = \"6s\", what = 'Trickle { proxies = 1, bytes_per_s = 1 } },
+     { at = \"4s\", what = 'Deploy { servers = 2, every = \"1s\", drain = \"2500ms\", down = \"400ms\" } }",
+    0.6
+)]
+#[case::joins_in_a_loop(
+    "{ at = \"3s\", lasts = \"6s\", what = 'JoinLoop { proxies = 3, every = \"100ms\" } }",
+    0.8
+)]
+#[case::the_same_proxy_twice("{ at = \"4s\", lasts = \"2s\", what = 'DoubleJoin { proxies = 2 } }", 0.8)]
+fn each_fault_alone_keeps_the_rules(#[case] troubles: &str, #[case] least: f64) {
+    let played = play(&day(troubles));
+    assert_kept(&played);
+    assert!(played.service.whole >= least, "service {:.3}", played.service.whole);
+}
+
+#[rstest]
+fn the_bad_day_keeps_the_rules() {
+    let played = play(&Day::parse(BAD, "the bad day").unwrap_or_else(|bad| panic!("{bad}")));
+    assert_kept(&played);
+    assert!(played.verdicts[2].checked > 5 && played.verdicts[3].checked > 5, "too little happened");
+    assert!(played.service.whole > 0.8, "service {:.3}", played.service.whole);
+}
+
+#[rstest]
+fn a_list_that_has_to_be_asked_is_followed() {
+    let mut day = day(
+        "{ at = \"3s\", what = 'Deploy { servers = 3, every = \"1s\", drain = \"2500ms\", down = \"400ms\" } }",
+    );
+    day.list.mode = grebespool_settings::ListMode::Asked;
+    let played = play(&day);
+    assert_kept(&played);
+    assert!(played.verdicts[2].checked > 0);
+}
+
+// One guard removed at a time, by what the test's host puts between the engine and the streams.
+
+struct NoDrains;
+
+impl Passage for NoDrains {
+    fn pass(&mut self, _: u32, mut orders: Orders) -> Option<Orders> {
+        orders.parts.retain(|p| !matches!(p, Order::Line { weight, .. } if *weight == 0.0));
+        Some(orders)
+    }
+}
+
+struct Emptied;
+
+impl Passage for Emptied {
+    fn pass(&mut self, _: u32, mut orders: Orders) -> Option<Orders> {
+        for part in &mut orders.parts {
+            match part {
+                Order::Bind { lines, .. } => lines.clear(),
+                Order::Line { weight, .. } => *weight = 0.0,
+                _ => {}
+            }
+        }
+        Some(orders)
+    }
+}
+
+struct TriesAlways;
+
+impl Passage for TriesAlways {
+    fn pass(&mut self, _: u32, mut orders: Orders) -> Option<Orders> {
+        let always = |l: &mut Level| l.tries = Tries::AfterFailure;
+        for part in &mut orders.parts {
+            match part {
+                Order::Bind { levels, .. } => levels.iter_mut().for_each(always),
+                Order::Level(level) => always(level),
+                _ => {}
+            }
+        }
+        Some(orders)
+    }
+}
+
+/// Without steps for servers that come back: they get many times what others have.
+#[derive(Default)]
+struct NoRamp(BTreeSet<ServerId>);
+
+impl Passage for NoRamp {
+    fn pass(&mut self, _: u32, mut orders: Orders) -> Option<Orders> {
+        for part in &mut orders.parts {
+            match part {
+                Order::Line { server, weight, .. } if *weight == 0.0 => drop(self.0.insert(*server)),
+                Order::Line { server, weight, .. } if self.0.contains(server) => *weight = 1000.0,
+                _ => {}
+            }
+        }
+        Some(orders)
+    }
+}
+
+/// A planner that is told of a slow channel without limits.
+struct Unlimited(ThreadHost);
+
+impl PlannerHost for Unlimited {
+    fn start(&mut self, deployment: &Deployment, list: &ListSource, key: &Path) -> io::Result<SocketAddr> {
+        let mut deployment = deployment.clone();
+        let channel = &mut deployment.channel;
+        (channel.lines_per_s, channel.most_waiting, channel.most_messages) = (25.0, 1e9, 0);
+        self.0.start(&deployment, list, key)
+    }
+    fn kill(&mut self) {
+        self.0.kill();
+    }
+    fn stall(&mut self, most: Duration) {
+        self.0.stall(most);
+    }
+    fn resume(&mut self) {
+        self.0.resume();
+    }
+}
+
+#[rstest]
+#[case::no_drains(
+    || Box::new(NoDrains) as Box<dyn Passage>,
+    "{ at = \"3s\", what = 'Deploy { servers = 3, every = \"500ms\", drain = \"4s\", down = \"400ms\" } }",
+    Rule::Drained)]
+#[case::empty_tables(|| Box::new(Emptied) as Box<dyn Passage>, "", Rule::Served)]
+#[case::tries_after_any_failure(
+    || Box::new(TriesAlways) as Box<dyn Passage>,
+    "{ at = \"3s\", lasts = \"6s\", what = 'Erring { servers = 4 } }",
+    Rule::Once)]
+#[case::no_ramp(
+    || Box::new(NoRamp::default()) as Box<dyn Passage>,
+    "{ at = \"8s\", what = 'Deploy { servers = 2, every = \"100ms\", drain = \"1s\", down = \"800ms\" } },
+     { at = \"8s\", lasts = \"6s\", what = 'Burst { factor = 2 } }",
+    Rule::Cold)]
+fn a_removed_guard_is_found(
+    #[case] passage: fn() -> Box<dyn Passage>,
+    #[case] troubles: &str,
+    #[case] rule: Rule,
+) {
+    let mut day = day(troubles);
+    day.length.0 += Duration::from_secs(4);
+    let played = rehearse(&day, Box::new(host(passage)), None).unwrap();
+    let verdict = played.verdicts.iter().find(|v| v.rule == rule).unwrap();
+    assert!(verdict.first.is_some(), "not found: {verdict:?}");
+}
+
+#[rstest]
+fn a_channel_without_limits_is_found() {
+    let mut day = day("{ at = \"3s\", what = 'StreamsBreak { share = 1 } }");
+    day.deployment.channel.most_waiting = 60.0;
+    let played = rehearse(&day, Box::new(Unlimited(host(|| Box::new(Untouched)))), None).unwrap();
+    assert!(played.verdicts[4].first.is_some(), "{:?}", played.verdicts[4]);
+}
+
+#[rstest]
+fn a_day_records_both_ends_and_every_call_comes_to_an_end() {
+    let played = play(&day(""));
+    let count = |of: fn(&Passed) -> bool| played.record.passed.iter().filter(|(_, p)| of(p)).count();
+    let asked = count(|p| matches!(p, Passed::Asked { .. }));
+    assert!(asked > 500, "{asked} calls");
+    assert_eq!(asked, count(|p| matches!(p, Passed::Done { .. })));
+    let (ordered, delivered) =
+        (count(|p| matches!(p, Passed::Ordered { .. })), count(|p| matches!(p, Passed::Delivered { .. })));
+    assert!(delivered > 0 && delivered <= ordered, "{delivered} of {ordered}");
+    assert!(played.service.whole > 0.95, "service {:.3}", played.service.whole);
+}
