--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -182,6 +182,11 @@
         }
     }
 
+    /// Lets nobody connect but from these networks.
+    pub fn allow_only(&mut self, networks: &[IpNet]) {
+        self.allowed = networks.to_vec();
+    }
+
     /// The networks that may connect.
     pub fn allowed(&self) -> Allowed {
         let mut allowed = Allowed { v4: IpRange::new(), v6: IpRange::new() };
--- a/crates/settings/src/text.rs
+++ b/crates/settings/src/text.rs
@@ -1,6 +1,7 @@
 //! A settings file for a deployment that is held as a value, for those who start a planner of it.
 
 use crate::deployment::{Deployment, ListSource, Span};
+use crate::read::nickel;
 use serde_json::{Value, json};
 use std::path::Path;
 use std::time::Duration;
@@ -11,7 +12,7 @@
     }
 }
 
-/// The text of a settings file (JSON; the file's name has to end so). `stall`: how long a proxy may leave
+/// The text of a settings file. `stall`: how long a proxy may leave
 /// bytes untaken or orders unconfirmed.
 pub fn settings_text(deployment: &Deployment, list: &ListSource, key_file: &Path, stall: Duration) -> String {
     let d = deployment;
@@ -53,5 +54,5 @@
         },
         "probe_limit": "500ms",
     });
-    text.to_string()
+    nickel(&text)
 }
--- /dev/null
+++ b/crates/settings/tests/files.rs
@@ -0,0 +1,99 @@
+//! Files that are right, and files that are wrong: the field, the line, and what was expected.
+
+use grebespool_settings::{Day, Planned, settings_text, show};
+use rstest::rstest;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name)
+}
+
+fn altered(name: &str, from: &str, to: &str) -> (tempfile::TempDir, PathBuf) {
+    let text = std::fs::read_to_string(example(name)).unwrap();
+    assert!(text.contains(from), "{from:?} is not in {name}");
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("altered.ncl");
+    std::fs::write(&file, text.replacen(from, to, 1)).unwrap();
+    (folder, file)
+}
+
+#[rstest]
+#[case::no_unit(r#"slo = "400ms""#, r#"slo = "400""#, &["altered.ncl:6", "expected a span from 1ms to 10min"])]
+#[case::a_number_for_a_span(r#"slo = "400ms""#, "slo = 400", &["altered.ncl:6", "such as \"250ms\""])]
+#[case::out_of_bounds("importance = 1,", "importance = -1,", &["altered.ncl:6", "expected a number from 0.001"])]
+#[case::not_whole("expected = 40", "expected = 4.5", &["altered.ncl:9", "expected a whole number"])]
+#[case::no_such_word("'Freely", "'Sometimes", &["altered.ncl:6", "Sometimes"])]
+#[case::no_such_field("zones =", "zoned =", &["zoned"])]
+#[case::a_field_missing(r#"key_file = "fleet.key""#, "", &["key_file"])]
+#[case::no_address(r#""127.0.0.1:7401""#, r#""somewhere""#, &["altered.ncl:15", "expected an address and a port"])]
+#[case::broken_text("routes = [", "routes = {", &["altered.ncl"])]
+#[case::a_zone_twice(r#""west"]"#, r#""east"]"#, &["deployment.zones", "\"east\" stands twice"])]
+#[case::a_limit_under_the_slo(r#"time_limit = "2s""#, r#"time_limit = "300ms""#,
+    &["deployment.routes[0].time_limit", "shorter than the SLO time"])]
+#[case::marked_without_window("'Freely", "'Marked", &["deployment.routes[0].window"])]
+#[case::slices("proxies = {", "slices = 12, proxies = {", &["deployment.slices", "not planned for yet"])]
+#[case::a_queue_that_holds_nothing("most_waiting = 18000", "most_waiting = 10, head = 20",
+    &["deployment.channel.most_waiting", "no message fits"])]
+fn bad_settings_are_named(#[case] from: &str, #[case] to: &str, #[case] says: &[&str]) {
+    let (_folder, file) = altered("serve.ncl", from, to);
+    let said = Planned::read(&file).unwrap_err().to_string();
+    for part in says {
+        assert!(said.contains(part), "{part:?} is not in:\n{said}");
+    }
+}
+
+#[rstest]
+#[case::a_zone("zone = \"east\", count = 5", "zone = \"north\", count = 5", &["servers[0].zone", "\"north\""])]
+#[case::a_route("route = 2, rate = 10", "route = 7, rate = 10", &["callers[2].route", "3 routes"])]
+#[case::a_trouble_after_the_end("at = \"46s\"", "at = \"99s\"", &["troubles[16]", "after the day has ended"])]
+#[case::a_trouble_of_no_length("lasts = \"8s\", what = 'Silent", "what = 'Silent", &["troubles[0]", "needs to last"])]
+#[case::no_such_trouble("'ListOld", "'ListBlue", &["ListBlue"])]
+#[case::a_trouble_in_no_zone("'ZoneCut { zone = \"west\"", "'ZoneCut { zone = \"moon\"", &["troubles[10]", "\"moon\""])]
+#[case::a_share("share = 0.6", "share = 6", &["expected a number from 0 to 1"])]
+fn bad_days_are_named(#[case] from: &str, #[case] to: &str, #[case] says: &[&str]) {
+    let (_folder, file) = altered("bad-day.ncl", from, to);
+    let said = Day::read(&file).unwrap_err().to_string();
+    for part in says {
+        assert!(said.contains(part), "{part:?} is not in:\n{said}");
+    }
+}
+
+#[rstest]
+fn a_file_that_is_not_there_is_named() {
+    let said = Planned::read(Path::new("no/such.ncl")).unwrap_err().to_string();
+    assert!(said.starts_with("no/such.ncl cannot be read"), "{said}");
+}
+
+#[rstest]
+fn what_is_shown_reads_the_same_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("shown.json");
+    std::fs::write(&file, show(&example("serve.ncl"), "Settings").unwrap()).unwrap();
+    let (first, again) = (Planned::read(&example("serve.ncl")).unwrap(), Planned::read(&file).unwrap());
+    assert_eq!(format!("{:?}", first.deployment), format!("{:?}", again.deployment));
+}
+
+#[rstest]
+fn the_text_of_a_deployment_reads_as_that_deployment() {
+    let day = Day::read(&example("bad-day.ncl")).unwrap();
+    let list = Planned::read(&example("serve.ncl")).unwrap().list;
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("settings.ncl");
+    let text = settings_text(&day.deployment, &list, Path::new("k"), Duration::from_millis(1234));
+    std::fs::write(&file, text).unwrap();
+    let read = Planned::read(&file).unwrap();
+    assert_eq!(format!("{:?}", read.deployment), format!("{:?}", day.deployment));
+    assert_eq!(read.listen.stall.0, Duration::from_millis(1234));
+}
+
+#[rstest]
+#[case::loopback("127.9.9.9", true)]
+#[case::the_same_in_ipv6("::ffff:127.0.0.1", true)]
+#[case::ipv6_loopback("::1", true)]
+#[case::elsewhere("10.0.0.1", false)]
+#[case::ipv6_elsewhere("2001:db8::1", false)]
+fn networks_are_held_to(#[case] ip: &str, #[case] holds: bool) {
+    let listen = Planned::read(&example("serve.ncl")).unwrap().listen;
+    assert_eq!(listen.allowed().holds(ip.parse().unwrap()), holds);
+}
