--- /dev/null
+++ b/crates/cli/benches/scale.rs
@@ -0,0 +1,225 @@
+//! A planner as a process of its own under many proxies and servers: joins all at once, a change until all who
+//! hold the server have it in force, CPU and memory. All sizes in one run, one after another.
+
+use grebespool_planner::dial::{Peer, next, shake_hands};
+use grebespool_settings::{Deployment, ListMode, ListSource, Planned, Span};
+use grebespool_standin::{PlannerHost, ProcessHost};
+use grebespool_wire::*;
+use hdrhistogram::Histogram;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+const KEY: &[u8] = b"the key of a benchmark";
+const CHANGES: usize = 24;
+
+/// What all proxies tell: when each was bound, and when a removed line was in force.
+#[derive(Default)]
+struct Seen {
+    bound: BTreeMap<usize, Instant>,
+    holders: BTreeMap<ServerId, BTreeSet<usize>>,
+    removed: Vec<(ServerId, usize, Instant)>,
+    lines: usize,
+}
+
+fn deployment(proxies: usize) -> Deployment {
+    let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/serve.ncl");
+    let mut deployment = Planned::read(&example).unwrap_or_else(|bad| panic!("{bad}")).deployment;
+    deployment.proxies.expected = proxies;
+    deployment.servers.least_connections = 300.0;
+    // Fast enough that it is the program that is measured, not the stated pace.
+    (deployment.channel.lines_per_s, deployment.channel.most_waiting) = (1e6, 1e6);
+    deployment.reports.probing = false;
+    deployment
+}
+
+fn entry(server: ServerId, phase: Phase) -> Entry {
+    let zone = if server.number.is_multiple_of(2) { "east" } else { "west" }.into();
+    Entry { server, zone, phase, started_ms: 0 }
+}
+
+async fn serve_list(
+    listener: TcpListener,
+    entries: Vec<Entry>,
+    mut changes: mpsc::UnboundedReceiver<Message>,
+) {
+    let (mut socket, _) = listener.accept().await.unwrap();
+    socket.set_nodelay(true).unwrap();
+    let (mut inbox, key) = (Inbox::new(MOST_BODY), Key::derive(KEY));
+    let Ok(Message::Hello { name, nonce, .. }) = next(&mut socket, &mut inbox).await else { return };
+    let challenge = Message::Challenge { version: VERSION, start: 1, nonce: [7; 16] };
+    socket.write_all(&challenge.frame()).await.unwrap();
+    let Ok(Message::Join(join)) = next(&mut socket, &mut inbox).await else { return };
+    let proof = key.planner([&nonce, &[7; 16]], 1, &name, &join.zone);
+    socket.write_all(&Message::Welcome { stream: 1, proof }.frame()).await.unwrap();
+    let list = Message::List { version: 1, base: 0, now_ms: 1, entries };
+    socket.write_all(&list.frame()).await.unwrap();
+    while let Some(change) = changes.recv().await {
+        socket.write_all(&change.frame()).await.unwrap();
+    }
+}
+
+/// Puts orders in force, notes what is of interest, and gives the mark to answer.
+fn obey(orders: &Orders, number: usize, table: &mut BTreeSet<ServerId>, seen: &mut Seen) -> Option<u16> {
+    let mut mark = None;
+    for part in &orders.parts {
+        match part {
+            Order::Bind { lines, .. } => {
+                seen.bound.entry(number).or_insert(Instant::now());
+                seen.lines += lines.len();
+                *table = lines.iter().map(|l| l.0).collect();
+                for s in &*table {
+                    seen.holders.entry(*s).or_default().insert(number);
+                }
+            }
+            Order::Line { server, weight, .. } if *weight == 0.0 => {
+                table.remove(server);
+                seen.removed.push((*server, number, Instant::now()));
+                seen.holders.entry(*server).or_default().remove(&number);
+            }
+            Order::Line { server, .. } => {
+                table.insert(*server);
+                seen.holders.entry(*server).or_default().insert(number);
+            }
+            Order::Mark(m) => mark = Some(*m),
+            _ => {}
+        }
+    }
+    mark
+}
+
+/// A proxy that obeys and tells sums of what it holds every second.
+async fn proxy(number: usize, to: std::net::SocketAddr, seen: Rc<RefCell<Seen>>) {
+    let mut socket = TcpStream::connect(to).await.unwrap();
+    socket.set_nodelay(true).unwrap();
+    let zone = if number.is_multiple_of(2) { "east" } else { "west" };
+    let (name, nonce) = (format!("p{number}"), (number as u128).to_be_bytes());
+    let peer = Peer { role: Role::Proxy, name: &name, zone, rate: 5.0, bare: true, held: (0, 0) };
+    let mut dialled = shake_hands(&mut socket, &Key::derive(KEY), nonce, &peer).await.unwrap();
+    let (mut from, mut to) = socket.into_split();
+    let mut table = BTreeSet::new();
+    let mut told = 0;
+    // Not all in the same instant.
+    let mut sums = tokio::time::interval_at(
+        Instant::now() + Duration::from_millis(1000 + number as u64 % 1000),
+        Duration::from_secs(1),
+    );
+    loop {
+        tokio::select! {
+            message = next(&mut from, &mut dialled.inbox) => {
+                let Ok(Message::Orders(orders)) = message else { return };
+                let mark = obey(&orders, number, &mut table, &mut seen.borrow_mut());
+                let applied =
+                    Message::Applied { start: orders.start, stream: orders.stream, seq: orders.seq, mark };
+                if to.write_all(&applied.frame()).await.is_err() {
+                    return;
+                }
+            }
+            _ = sums.tick() => {
+                told += 1;
+                let line = |s: &ServerId| {
+                    let load = 0.3 + 0.1 * (s.number % 5) as f32 + 0.001 * (told % 9) as f32;
+                    let report = Some(Report { start: 1, number: told, figures: vec![load, 0.0] });
+                    MetLine { server: *s, tries: 1, dropped: 0, wait_us: 40_000, report }
+                };
+                let met = table.iter().take(20).map(line).collect();
+                let sums = Message::Sums { met, came: vec![CameLine { route: 0, calls: 20 }] };
+                if to.write_all(&sums.frame()).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// CPU seconds used, and the most memory ever held, in MiB.
+fn usage(id: u32) -> (f64, f64) {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap();
+    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap().split(' ').collect();
+    let ticks: f64 = fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap();
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+    let kib: f64 = peak.trim().trim_end_matches(" kB").trim().parse().unwrap();
+    (ticks / 100.0, kib / 1024.0)
+}
+
+async fn measure(proxies: usize, servers: usize) {
+    let folder = tempfile::tempdir().unwrap();
+    let key_file = folder.path().join("key");
+    std::fs::write(&key_file, KEY).unwrap();
+    let ids: Vec<ServerId> = (0..servers as u32)
+        .map(|number| ServerId { addr: ([127, 1, (number >> 8) as u8, number as u8], 9000).into(), number })
+        .collect();
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let mode = ListMode::Pushed;
+    let source = ListSource::new(listener.local_addr().unwrap(), mode, Span(Duration::from_secs(10)));
+    let (changes, told) = mpsc::unbounded_channel();
+    let entries = ids.iter().map(|s| entry(*s, Phase::Ready)).collect();
+    spawn_local(serve_list(listener, entries, told));
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_grebespool-cli"));
+    let mut host = ProcessHost::new(program, Duration::from_secs(20)).unwrap();
+    let address = host.start(&deployment(proxies), &source, &key_file).unwrap();
+    sleep(Duration::from_millis(800)).await;
+    let id = host.id().unwrap();
+    let seen = Rc::new(RefCell::new(Seen::default()));
+    let began = Instant::now();
+    for number in 0..proxies {
+        spawn_local(proxy(number, address, seen.clone()));
+    }
+    let all = async {
+        while seen.borrow().bound.len() < proxies {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(Duration::from_secs(60), all).await.expect("not all are bound within a minute");
+    let last = seen.borrow().bound.values().max().copied().unwrap() - began;
+    let lines = seen.borrow().lines / proxies;
+    sleep(Duration::from_secs(4)).await;
+    let (cpu, _) = usage(id);
+    let from = Instant::now();
+    let mut took = Histogram::<u64>::new(3).unwrap();
+    let mut missed = 0;
+    for i in 0..CHANGES {
+        let server = ids[i * (servers / CHANGES).max(1) % servers];
+        let holders = seen.borrow().holders.get(&server).cloned().unwrap_or_default();
+        let told_at = Instant::now();
+        let version = 2 + i as u64;
+        let drained = vec![entry(server, Phase::Draining)];
+        changes.send(Message::List { version, base: version - 1, now_ms: 1, entries: drained }).unwrap();
+        sleep(Duration::from_millis(600)).await;
+        let seen = seen.borrow();
+        let gone: Vec<_> = seen.removed.iter().filter(|r| r.0 == server).collect();
+        missed += holders.len().saturating_sub(gone.len());
+        gone.iter().for_each(|r| took.record((r.2 - told_at).as_micros() as u64).unwrap());
+    }
+    let (after, peak) = usage(id);
+    let cpu = (after - cpu) / from.elapsed().as_secs_f64();
+    let ms = |q: f64| took.value_at_quantile(q) as f64 / 1000.0;
+    println!(
+        "| {proxies} | {servers} | {lines} | {:.0} | {:.1} | {:.1} | {:.1} | {missed} | {:.3} | {peak:.0} |",
+        last.as_secs_f64() * 1000.0,
+        ms(0.5),
+        ms(0.99),
+        took.max() as f64 / 1000.0,
+        cpu,
+    );
+    host.kill();
+}
+
+fn main() {
+    println!(
+        "| proxies | servers | lines a table | all bound, ms | change p50, ms | p99 | worst | not within 600 ms | CPU s/s | peak MiB |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    for (proxies, servers) in [(10, 100), (100, 100), (600, 545), (2000, 2000)] {
+        LocalSet::new().block_on(&runtime, measure(proxies, servers));
+    }
+}
--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -2,13 +2,12 @@
 
 use clap::ValueEnum;
 use grebespool_rules::Verdict;
-use grebespool_settings::{Day, Deployment, ListSource, What, settings_text};
-use grebespool_standin::{PlannerHost, Played, Progress, ThreadHost, rehearse as play};
+use grebespool_settings::{Day, What};
+use grebespool_standin::{PlannerHost, Played, ProcessHost, Progress, ThreadHost, rehearse as play};
 use indicatif::{ProgressBar, ProgressStyle};
-use std::io::{self, BufRead, BufReader, IsTerminal};
-use std::net::SocketAddr;
+use std::io::{self, IsTerminal};
 use std::path::Path;
-use std::process::{Child, Command, ExitCode, Stdio};
+use std::process::ExitCode;
 use std::time::Duration;
 
 const BAD_DAY: &str = include_str!("../../../examples/bad-day.ncl");
@@ -29,7 +28,10 @@
     let stall = day.rules.grace.0.mul_f64(0.75).max(Duration::from_millis(500));
     let host: Box<dyn PlannerHost> = match runs {
         Runs::Thread => Box::new(ThreadHost::new(day.seed, stall)),
-        Runs::Process => Box::new(ProcessHost::new(stall).map_err(|e| e.to_string())?),
+        Runs::Process => {
+            let program = std::env::current_exe().map_err(|e| e.to_string())?;
+            Box::new(ProcessHost::new(program, stall).map_err(|e| e.to_string())?)
+        }
     };
     println!(
         "{}: {} servers, {} proxies, {} zones, {} troubles, {:.0} s",
@@ -94,6 +96,8 @@
 fn print_verdict(verdict: &Verdict) {
     let Verdict { rule, first, breaches, checked } = verdict;
     match first {
+        // What nothing put to the test was not kept either.
+        None if *checked == 0 => println!("rule {rule}: not put to the test"),
         None => println!("rule {rule}: kept ({checked} checked)"),
         Some(breach) => {
             println!("rule {rule}: BROKEN, {breaches} breaches ({checked} checked)");
@@ -102,66 +106,3 @@
         }
     }
 }
-
-/// A planner as a process of its own, killed and stopped as an operator's would be.
-struct ProcessHost {
-    folder: tempfile::TempDir,
-    stall: Duration,
-    child: Option<Child>,
-}
-
-impl ProcessHost {
-    fn new(stall: Duration) -> io::Result<ProcessHost> {
-        Ok(ProcessHost { folder: tempfile::tempdir()?, stall, child: None })
-    }
-
-    fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill").args([name, &child.id().to_string()]).status();
-        }
-    }
-}
-
-impl PlannerHost for ProcessHost {
-    fn start(
-        &mut self,
-        deployment: &Deployment,
-        list: &ListSource,
-        key_file: &Path,
-    ) -> io::Result<SocketAddr> {
-        self.kill();
-        let file = self.folder.path().join("settings.ncl");
-        std::fs::write(&file, settings_text(deployment, list, key_file, self.stall))?;
-        let mut command = Command::new(std::env::current_exe()?);
-        command.args(["--log", "error", "serve", "--listen", "127.0.0.1:0"]).arg(&file);
-        let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()?;
-        let mut line = String::new();
-        if let Some(out) = child.stdout.take() {
-            BufReader::new(out).read_line(&mut line)?;
-        }
-        self.child = Some(child);
-        let address = line.trim().strip_prefix("listening at ").and_then(|a| a.parse().ok());
-        address.ok_or_else(|| io::Error::other(format!("the planner did not start ({line:?})")))
-    }
-
-    fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    fn stall(&mut self, _: Duration) {
-        self.signal("-STOP");
-    }
-
-    fn resume(&mut self) {
-        self.signal("-CONT");
-    }
-}
-
-impl Drop for ProcessHost {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -2,11 +2,12 @@
 
 use grebespool_engine::Start;
 use grebespool_planner::{Passage, Untouched, serve};
-use grebespool_settings::{Deployment, ListSource, Listen};
+use grebespool_settings::{Deployment, ListSource, Listen, settings_text};
 use grebespool_wire::Key;
-use std::io;
+use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
 use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -23,7 +24,7 @@
         &mut self,
         deployment: &Deployment,
         list: &ListSource,
-        key_file: &std::path::Path,
+        key_file: &Path,
     ) -> io::Result<SocketAddr>;
     /// Ends it outright: nothing is said to anybody.
     fn kill(&mut self);
@@ -32,13 +33,13 @@
     fn resume(&mut self);
 }
 
-enum Command {
+enum Told {
     Stall(Duration, std::sync::mpsc::Receiver<()>),
     Die,
 }
 
 struct Running {
-    commands: mpsc::UnboundedSender<Command>,
+    commands: mpsc::UnboundedSender<Told>,
     thread: JoinHandle<()>,
     resume: Option<std::sync::mpsc::Sender<()>>,
 }
@@ -69,7 +70,7 @@
         &mut self,
         deployment: &Deployment,
         list: &ListSource,
-        key_file: &std::path::Path,
+        key_file: &Path,
     ) -> io::Result<SocketAddr> {
         self.kill();
         self.starts += 1;
@@ -93,8 +94,8 @@
                     loop {
                         match told.recv().await {
                             // The whole thread stands still, as the machine would.
-                            Some(Command::Stall(most, resumed)) => drop(resumed.recv_timeout(most)),
-                            Some(Command::Die) | None => return,
+                            Some(Told::Stall(most, resumed)) => drop(resumed.recv_timeout(most)),
+                            Some(Told::Die) | None => return,
                         }
                     }
                 };
@@ -113,7 +114,7 @@
     fn kill(&mut self) {
         if let Some(mut running) = self.running.take() {
             running.resume.take();
-            let _ = running.commands.send(Command::Die);
+            let _ = running.commands.send(Told::Die);
             let _ = running.thread.join();
         }
     }
@@ -122,7 +123,7 @@
         if let Some(running) = &mut self.running {
             let (resume, resumed) = std::sync::mpsc::channel();
             running.resume = Some(resume);
-            let _ = running.commands.send(Command::Stall(most, resumed));
+            let _ = running.commands.send(Told::Stall(most, resumed));
         }
     }
 
@@ -150,3 +151,77 @@
         self.0.pass(stream, orders)
     }
 }
+
+/// A planner as a process of its own, killed and stopped as an operator's would be.
+pub struct ProcessHost {
+    program: PathBuf,
+    folder: tempfile::TempDir,
+    stall: Duration,
+    child: Option<Child>,
+}
+
+impl ProcessHost {
+    /// `program`: the command line. `stall`: how long proxies may leave bytes untaken or orders unconfirmed.
+    ///
+    /// # Errors
+    ///
+    /// No folder can be made for its settings.
+    pub fn new(program: PathBuf, stall: Duration) -> io::Result<ProcessHost> {
+        Ok(ProcessHost { program, folder: tempfile::tempdir()?, stall, child: None })
+    }
+
+    /// The process's id, while there is one.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    fn signal(&self, name: &str) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").args([name, &child.id().to_string()]).status();
+        }
+    }
+}
+
+impl PlannerHost for ProcessHost {
+    fn start(
+        &mut self,
+        deployment: &Deployment,
+        list: &ListSource,
+        key_file: &Path,
+    ) -> io::Result<SocketAddr> {
+        self.kill();
+        let file = self.folder.path().join("settings.ncl");
+        std::fs::write(&file, settings_text(deployment, list, key_file, self.stall))?;
+        let mut command = Command::new(&self.program);
+        command.args(["--log", "error", "serve", "--listen", "127.0.0.1:0"]).arg(&file);
+        let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()?;
+        let mut line = String::new();
+        if let Some(out) = child.stdout.take() {
+            BufReader::new(out).read_line(&mut line)?;
+        }
+        self.child = Some(child);
+        let address = line.trim().strip_prefix("listening at ").and_then(|a| a.parse().ok());
+        address.ok_or_else(|| io::Error::other(format!("the planner did not start ({line:?})")))
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    fn stall(&mut self, _: Duration) {
+        self.signal("-STOP");
+    }
+
+    fn resume(&mut self) {
+        self.signal("-CONT");
+    }
+}
+
+impl Drop for ProcessHost {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,7 +18,7 @@
 mod world;
 
 pub use held::{Held, Stale};
-pub use host::{PlannerHost, ThreadHost};
+pub use host::{PlannerHost, ProcessHost, ThreadHost};
 pub use machine::{Ability, Machine};
 pub use rehearsal::{Played, Progress, rehearse};
 pub use service::{RouteService, Service};
