--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,5 +20,5 @@
 pub use held::{Held, Stale};
 pub use host::{PlannerHost, ProcessHost, ThreadHost};
 pub use machine::{Ability, Machine};
-pub use rehearsal::{Played, Progress, rehearse};
+pub use rehearsal::{Played, Progress, facts, rehearse};
 pub use service::{RouteService, Service};
--- a/crates/standin/tests/days.rs
+++ b/crates/standin/tests/days.rs
@@ -2,10 +2,10 @@
 //! removed, which the checker has to find.
 
 use grebespool_planner::{Passage, Untouched};
-use grebespool_rules::{Passed, Rule};
+use grebespool_rules::{Passed, Record, Rule, check};
 use grebespool_settings::{Day, Deployment, ListSource};
-use grebespool_standin::{PlannerHost, Played, ThreadHost, rehearse};
-use grebespool_wire::{Level, Order, Orders, ServerId, Tries};
+use grebespool_standin::{PlannerHost, Played, ThreadHost, facts, rehearse};
+use grebespool_wire::{Call, Level, Order, Orders, Phase, ServerId, Tries};
 use rstest::rstest;
 use std::collections::BTreeSet;
 use std::io;
@@ -261,3 +261,83 @@
     assert!(delivered > 0 && delivered <= ordered, "{delivered} of {ordered}");
     assert!(played.service.whole > 0.95, "service {:.3}", played.service.whole);
 }
+
+type Events = Vec<(Duration, Passed)>;
+
+fn some_call(record: &Record) -> Call {
+    let sent = record.passed.iter().find_map(|(_, p)| match p {
+        Passed::Sent { call, .. } => Some(*call),
+        _ => None,
+    });
+    Call { proxy: 0, ..sent.unwrap() }
+}
+
+/// Every table that comes to proxy 0 from the middle of the day on is empty.
+fn empty(events: &mut Events, _: Call) {
+    for (_, passed) in events.iter_mut().filter(|(at, _)| at.as_secs() >= 3) {
+        if let Passed::Delivered { proxy: 0, orders } = passed {
+            let (table, version) = (0, 99);
+            orders.parts = vec![Order::Bind { table, version, routes: 0, lines: vec![], levels: vec![] }];
+        }
+    }
+}
+
+fn twice(events: &mut Events, _: Call) {
+    let delivered = events.iter().rev().find(|(_, p)| matches!(p, Passed::Delivered { proxy: 0, .. }));
+    let (at, passed) = delivered.cloned().unwrap();
+    events.push((at + Duration::from_millis(1), passed));
+}
+
+fn after_the_grace(events: &mut Events, call: Call) {
+    let drain = events.iter().find_map(|(at, p)| match p {
+        Passed::ListTold(list) => {
+            let drains = list.entries.iter().find(|e| e.phase == Phase::Draining);
+            drains.map(|e| (*at, e.server))
+        }
+        _ => None,
+    });
+    let (at, server) = drain.unwrap();
+    events.push((at + Duration::from_millis(2600), Passed::Sent { proxy: 0, server, call }));
+}
+
+fn pushed_over(events: &mut Events, call: Call) {
+    let up = events.iter().find_map(|(at, p)| match p {
+        Passed::Up { server, .. } => Some((*at, *server)),
+        _ => None,
+    });
+    let (at, server) = up.unwrap();
+    let late = |ms: u64| at + Duration::from_millis(2800 + ms);
+    events.extend((0..99).map(|i| (late(i), Passed::Received { server, call })));
+    events.push((late(100), Passed::Fell { server }));
+}
+
+fn too_many(events: &mut Events, _: Call) {
+    let ordered = events.iter().find(|(_, p)| matches!(p, Passed::Ordered { proxy: 0, .. }));
+    let one = ordered.cloned().unwrap();
+    events.extend(std::iter::repeat_n(one, 40));
+}
+
+#[rstest]
+fn a_breach_planted_in_a_recorded_day_is_found() {
+    let day = day(
+        "{ at = \"2s\", what = 'Deploy { servers = 2, every = \"100ms\", drain = \"4s\", down = \"400ms\" } }",
+    );
+    let played = play(&day);
+    assert_kept(&played);
+    let call = some_call(&played.record);
+    let plants: [(fn(&mut Events, Call), Rule); 5] = [
+        (empty, Rule::Served),
+        (twice, Rule::Once),
+        (after_the_grace, Rule::Drained),
+        (pushed_over, Rule::Cold),
+        (too_many, Rule::Queue),
+    ];
+    for (plant, rule) in plants {
+        let mut record = played.record.clone();
+        plant(&mut record.passed, call);
+        record.passed.sort_by_key(|p| p.0);
+        let broken: Vec<Rule> =
+            check(&record, &facts(&day)).into_iter().filter(|v| v.first.is_some()).map(|v| v.rule).collect();
+        assert_eq!(broken, [rule]);
+    }
+}
