--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod rehearse;
 mod serve;
+mod trace;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use std::io::IsTerminal;
@@ -49,6 +50,14 @@
         /// Another seed than the day's
         #[arg(long)]
         seed: Option<u64>,
+        /// Record the day in this file, to be replayed
+        #[arg(long, value_name = "FILE")]
+        record: Option<PathBuf>,
+    },
+    /// Look at recordings, and make recordings of recordings or logs
+    Trace {
+        #[command(subcommand)]
+        command: trace::TraceCommand,
     },
     /// Check or show settings and day files
     Settings {
@@ -84,7 +93,10 @@
     }
     let done = match cli.command {
         Command::Serve { settings, listen } => serve::serve(&settings, listen),
-        Command::Rehearse { day, planner, seed } => rehearse::rehearse(day.as_deref(), planner, seed),
+        Command::Rehearse { day, planner, seed, record } => {
+            rehearse::rehearse(day.as_deref(), planner, seed, record.as_deref())
+        }
+        Command::Trace { command } => trace::trace(command),
         Command::Settings { command: SettingsCommand::Check { file, kind } } => check(&file, kind),
         Command::Settings { command: SettingsCommand::Show { file } } => {
             grebespool_settings::Planned::read(&file)
--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -4,6 +4,7 @@
 use grebespool_rules::Verdict;
 use grebespool_settings::{Day, What};
 use grebespool_standin::{PlannerHost, Played, ProcessHost, Progress, ThreadHost, rehearse as play};
+use grebespool_trace::Recorder;
 use indicatif::{ProgressBar, ProgressStyle};
 use std::io::{self, IsTerminal};
 use std::path::Path;
@@ -18,7 +19,12 @@
     Thread,
 }
 
-pub fn rehearse(file: Option<&Path>, runs: Runs, seed: Option<u64>) -> Result<ExitCode, String> {
+pub fn rehearse(
+    file: Option<&Path>,
+    runs: Runs,
+    seed: Option<u64>,
+    record: Option<&Path>,
+) -> Result<ExitCode, String> {
     let mut day = match file {
         Some(file) => Day::read(file).map_err(|bad| bad.to_string())?,
         None => Day::parse(BAD_DAY, "the built-in bad day").map_err(|bad| bad.to_string())?,
@@ -42,8 +48,15 @@
         day.troubles.len(),
         day.length.0.as_secs_f64()
     );
-    let played =
-        play(&day, host, Some(Box::new(Shown::new()))).map_err(|e| format!("the day broke off: {e}"))?;
+    let recorder = match record {
+        Some(path) => {
+            let made = std::fs::File::create(path).and_then(Recorder::new);
+            Some(made.map_err(|e| format!("{}: {e}", path.display()))?)
+        }
+        None => None,
+    };
+    let played = play(&day, host, Some(Box::new(Shown::new())), recorder)
+        .map_err(|e| format!("the day broke off: {e}"))?;
     print(&played);
     Ok(if played.kept() { ExitCode::SUCCESS } else { ExitCode::from(1) })
 }
--- a/crates/rules/src/record.rs
+++ b/crates/rules/src/record.rs
@@ -67,11 +67,14 @@
     Fell {
         server: ServerId,
     },
-    /// A caller's call became due, and what became of it.
+    /// A caller's call became due, first at this proxy; and what became of it.
     Asked {
         id: u64,
         route: u8,
         zone: u16,
+        key: u64,
+        work_us: u32,
+        proxy: u16,
     },
     Done {
         id: u64,
@@ -108,11 +111,9 @@
     }
 
     /// What a tap on the proxy's end saw come.
-    pub fn delivered(&mut self, at: Duration, proxy: u16, start: u64, message: &Message) {
-        match message {
-            Message::Orders(orders) => self.put(at, Passed::Delivered { proxy, orders: orders.clone() }),
-            Message::Welcome { .. } => self.put(at, Passed::Joined { proxy, start }),
-            _ => {}
+    pub fn delivered(&mut self, at: Duration, proxy: u16, message: &Message) {
+        if let Message::Orders(orders) = message {
+            self.put(at, Passed::Delivered { proxy, orders: orders.clone() });
         }
     }
 }
--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -22,6 +22,7 @@
 
 /// A kept connection to one proxy.
 struct Way {
+    proxy: u16,
     calls: mpsc::UnboundedSender<Call>,
     asked: Asked,
 }
@@ -69,7 +70,7 @@
                     }
                 }
             });
-            ways.push(Way { calls, asked });
+            ways.push(Way { proxy: proxy.number, calls, asked });
         }
         let rng = RefCell::new(Pcg64Mcg::seed_from_u64(seed));
         Ok(Rc::new(Callers { world, kind, ways, rng, first, made: Cell::new(0), open: Cell::new(0) }))
@@ -98,39 +99,45 @@
 
     async fn call(self: Rc<Self>, id: u64, due: Duration) {
         let (route, zone) = (self.kind.route as u8, self.world.zone(&self.kind.zone));
-        self.world.record.borrow_mut().put(due, Passed::Asked { id, route, zone });
         let limit = self.world.deployment.routes[self.kind.route].time_limit.0;
         let key = self.rng.borrow_mut().random_range(0..self.kind.keys);
+        let work_us = self.kind.work.0.as_micros() as u32;
+        let mut way = self.way();
+        let proxy = self.ways[way].proxy;
+        self.world.put_at(due, Passed::Asked { id, route, zone, key, work_us, proxy });
         let mut outcome = Outcome::Failed;
         for attempt in 0..self.kind.attempts {
             let left = limit.saturating_sub(self.world.now() - due);
             if left.is_zero() {
                 break;
             }
-            outcome = self
-                .attempt(Call {
-                    id,
-                    attempt,
-                    tried: 0,
-                    route,
-                    key,
-                    work_us: self.kind.work.0.as_micros() as u32,
-                    time_limit_us: left.min(limit.mul_f64(self.kind.patience)).as_micros() as u32,
-                    proxy: 0,
-                })
-                .await;
+            let call = Call {
+                id,
+                attempt,
+                tried: 0,
+                route,
+                key,
+                work_us,
+                time_limit_us: left.min(limit.mul_f64(self.kind.patience)).as_micros() as u32,
+                proxy: 0,
+            };
+            outcome = self.attempt(&self.ways[way], call).await;
             if outcome == Outcome::Answered || attempt + 1 == self.kind.attempts {
                 break;
             }
             let wait = self.kind.wait.0.mul_f64(self.rng.borrow_mut().random_range(0.5..1.5));
             sleep(wait).await;
+            way = self.way();
         }
         self.world.put(Passed::Done { id, route, outcome });
         self.open.set(self.open.get() - 1);
     }
 
-    async fn attempt(&self, call: Call) -> Outcome {
-        let way = &self.ways[self.rng.borrow_mut().random_range(0..self.ways.len())];
+    fn way(&self) -> usize {
+        self.rng.borrow_mut().random_range(0..self.ways.len())
+    }
+
+    async fn attempt(&self, way: &Way, call: Call) -> Outcome {
         let (sender, answer) = oneshot::channel();
         let place = (call.id, call.attempt);
         way.asked.borrow_mut().insert(place, sender);
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -1,6 +1,7 @@
 //! The way between one proxy and the planner: delays, slows, holds, breaks, and records what passes.
 
 use crate::world::World;
+use grebespool_rules::Passed;
 use grebespool_wire::{Inbox, MOST_BODY, Message};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -198,7 +199,12 @@
                     None => open.write_all(&frame).await?,
                 }
                 let now = self.world.now();
-                self.world.record.borrow_mut().delivered(now, self.proxy, start.get(), &message);
+                match &message {
+                    Message::Welcome { .. } => {
+                        self.world.put(Passed::Joined { proxy: self.proxy, start: start.get() });
+                    }
+                    _ => self.world.record.borrow_mut().delivered(now, self.proxy, &message),
+                }
             }
         };
         tokio::select! {
--- a/crates/standin/src/rehearsal.rs
+++ b/crates/standin/src/rehearsal.rs
@@ -12,6 +12,7 @@
 use crate::world::World;
 use grebespool_rules::{Facts, Limits, Passed, Record, RouteFacts, Verdict, check};
 use grebespool_settings::{Day, Group, ListSource, Repeats, Trouble, What};
+use grebespool_trace::Recorder;
 use grebespool_wire::{Entry, Key, Phase, ServerId};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -71,6 +72,7 @@
 }
 
 /// Plays a day on loopback, and checks the rules over what passed. Runs for the day's length and a little.
+/// What a replay needs of it goes to `recorder` as it happens.
 ///
 /// # Errors
 ///
@@ -79,10 +81,11 @@
     day: &Day,
     host: Box<dyn PlannerHost>,
     progress: Option<Box<dyn Progress>>,
+    recorder: Option<Recorder>,
 ) -> io::Result<Played> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let tasks = LocalSet::new();
-    let record = tasks.block_on(&runtime, play(day, host, progress))?;
+    let record = tasks.block_on(&runtime, play(day, host, progress, recorder))?;
     let verdicts = check(&record, &facts(day));
     let service = Service::of(&record, &day.deployment);
     let ordered = record.passed.iter().filter_map(|(_, p)| match p {
@@ -116,6 +119,7 @@
     day: &Day,
     mut host: Box<dyn PlannerHost>,
     mut progress: Option<Box<dyn Progress>>,
+    recorder: Option<Recorder>,
 ) -> io::Result<Record> {
     let folder = tempfile::tempdir()?;
     let key_file = folder.path().join("fleet.key");
@@ -126,6 +130,7 @@
         key: Key::derive(key.as_bytes()),
         deployment: day.deployment.clone(),
         record: RefCell::default(),
+        recorder: RefCell::new(recorder),
         cut: RefCell::default(),
         burst: Cell::new(1.0),
     });
@@ -220,6 +225,9 @@
         }
     }
     stage.host.borrow_mut().kill();
+    if let Some(recorder) = world.recorder.borrow_mut().take() {
+        recorder.finish()?;
+    }
     Ok(std::mem::take(&mut *world.record.borrow_mut()))
 }
 
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -2,6 +2,7 @@
 
 use grebespool_rules::{Passed, Record};
 use grebespool_settings::Deployment;
+use grebespool_trace::{Call, Event, Listed, Phase, Recorder, Timed};
 use grebespool_wire::Key;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -13,6 +14,8 @@
     pub key: Key,
     pub deployment: Deployment,
     pub record: RefCell<Record>,
+    /// The day as it is to be replayed.
+    pub recorder: RefCell<Option<Recorder>>,
     pub cut: RefCell<BTreeSet<u16>>,
     /// Callers call so many times as often.
     pub burst: Cell<f64>,
@@ -24,7 +27,16 @@
     }
 
     pub fn put(&self, what: Passed) {
-        self.record.borrow_mut().put(self.now(), what);
+        self.put_at(self.now(), what);
+    }
+
+    pub fn put_at(&self, at: Duration, what: Passed) {
+        if let Some(recorder) = &mut *self.recorder.borrow_mut()
+            && let Some(event) = recorded(&what, &self.deployment)
+        {
+            recorder.put(Timed { at_us: at.as_micros() as u64, event });
+        }
+        self.record.borrow_mut().put(at, what);
     }
 
     /// Whether nothing passes between two zones.
@@ -42,3 +54,40 @@
         1_000_000_000 + self.now().as_millis() as u64
     }
 }
+
+/// What a recording keeps of what passed.
+fn recorded(passed: &Passed, deployment: &Deployment) -> Option<Event> {
+    let phase = |p| match p {
+        grebespool_wire::Phase::Gone => Phase::Gone,
+        grebespool_wire::Phase::Ready => Phase::Ready,
+        grebespool_wire::Phase::Draining => Phase::Draining,
+    };
+    Some(match passed {
+        Passed::Asked { id, route, key, work_us, proxy, .. } => Event::Call(Call {
+            route: *route,
+            key: *key,
+            importance: deployment.routes.get(usize::from(*route)).map_or(1.0, |r| r.importance as f32),
+            client: Some(*id),
+            proxy: (*proxy).into(),
+            work_us: Some(*work_us),
+            repeat: false,
+        }),
+        Passed::ListTold(list) => {
+            let entry = |e: &grebespool_wire::Entry| Listed {
+                server: e.server.addr.to_string(),
+                number: e.server.number,
+                zone: e.zone.clone(),
+                phase: phase(e.phase),
+                started_ms: e.started_ms,
+            };
+            let entries = list.entries.iter().map(entry).collect();
+            Event::List { version: list.version, base: list.base, entries }
+        }
+        Passed::Joined { proxy, .. } => {
+            Event::Joined { proxy: (*proxy).into(), zone: String::new(), bare: false }
+        }
+        Passed::Left { proxy } => Event::Left { proxy: (*proxy).into() },
+        Passed::PlannerKilled => Event::PlannerLost { planner: 0 },
+        _ => return None,
+    })
+}
--- a/crates/standin/tests/days.rs
+++ b/crates/standin/tests/days.rs
@@ -26,7 +26,7 @@
 }
 
 fn play(day: &Day) -> Played {
-    rehearse(day, Box::new(host(|| Box::new(Untouched))), None).unwrap()
+    rehearse(day, Box::new(host(|| Box::new(Untouched))), None, None).unwrap()
 }
 
 fn assert_kept(played: &Played) {
@@ -236,7 +236,7 @@
     day.length.0 += Duration::from_secs(4);
     // Proxies that keep away from what turns calls away save many a server, so these fall more easily.
     day.rules.fall_multiple = 1.5;
-    let played = rehearse(&day, Box::new(host(passage)), None).unwrap();
+    let played = rehearse(&day, Box::new(host(passage)), None, None).unwrap();
     let broken: Vec<Rule> = played.verdicts.iter().filter(|v| v.first.is_some()).map(|v| v.rule).collect();
     assert_eq!(broken, expected);
 }
@@ -245,7 +245,7 @@
 fn a_channel_without_limits_is_found() {
     let mut day = day("{ at = \"3s\", what = 'StreamsBreak { share = 1 } }");
     day.deployment.channel.most_waiting = 60.0;
-    let played = rehearse(&day, Box::new(Unlimited(host(|| Box::new(Untouched)))), None).unwrap();
+    let played = rehearse(&day, Box::new(Unlimited(host(|| Box::new(Untouched)))), None, None).unwrap();
     assert!(played.verdicts[4].first.is_some(), "{:?}", played.verdicts[4]);
 }
 
@@ -263,6 +263,7 @@
 }
 
 type Events = Vec<(Duration, Passed)>;
+type Plant = fn(&mut Events, Call);
 
 fn some_call(record: &Record) -> Call {
     let sent = record.passed.iter().find_map(|(_, p)| match p {
@@ -325,7 +326,7 @@
     let played = play(&day);
     assert_kept(&played);
     let call = some_call(&played.record);
-    let plants: [(fn(&mut Events, Call), Rule); 5] = [
+    let plants: [(Plant, Rule); 5] = [
         (empty, Rule::Served),
         (twice, Rule::Once),
         (after_the_grace, Rule::Drained),
