--- /dev/null
+++ b/crates/model/src/calls.rs
@@ -0,0 +1,230 @@
+//! Callers, and what becomes of a call at its proxy.
+
+use crate::agenda::{Due, HOP, TryId};
+use crate::play::Model;
+use grebespool_rules::Passed;
+use grebespool_wire::{Answer, Call, Outcome, ServerId, Tries};
+use rand::Rng;
+use std::time::Duration;
+
+/// A first call of a recorded day: repeats follow from what becomes of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FirstCall {
+    pub due: Duration,
+    pub route: u8,
+    pub key: u64,
+    pub work: Duration,
+    pub proxy: usize,
+}
+
+/// A call on its way.
+pub struct Active {
+    kind: usize,
+    call: Call,
+    due: Duration,
+    proxy: usize,
+    attempt_from: Duration,
+    tries: Tries,
+    tried: Vec<ServerId>,
+    /// The try that is waited for, since when.
+    open: Option<(TryId, Duration)>,
+}
+
+impl Model<'_> {
+    pub fn caller(&mut self, kind: usize) {
+        let k = &self.day.callers[kind];
+        let now = self.now();
+        let rate = k.rate * self.burst;
+        let gap = -self.caller_rng.random_range(f64::EPSILON..1.0).ln() / rate;
+        let next = now + Duration::from_secs_f64(gap);
+        if next < self.day.length.0 {
+            self.agenda.borrow_mut().at(next, Due::Caller(kind));
+        }
+        let proxies = &self.by_zone[usize::from(self.zone(&k.zone))];
+        let proxy = proxies[self.caller_rng.random_range(0..proxies.len())];
+        let key = self.caller_rng.random_range(0..k.keys);
+        let first = FirstCall { due: now, route: k.route as u8, key, work: k.work.0, proxy };
+        self.begin_call(kind, first);
+    }
+
+    pub fn begin_call(&mut self, kind: usize, first: FirstCall) {
+        self.calls_made += 1;
+        let (id, FirstCall { due, route, key, work, proxy }) = (self.calls_made, first);
+        let (work_us, zone) = (work.as_micros() as u32, self.proxies[proxy].zone);
+        let asked = Passed::Asked { id, route, zone, key, work_us, proxy: proxy as u16 };
+        self.agenda.borrow_mut().record.put(due, asked);
+        let call = Call { id, attempt: 0, tried: 0, route, key, work_us, time_limit_us: 0, proxy: 0 };
+        let (tried, open) = (vec![], None);
+        let active = Active { kind, call, due, proxy, attempt_from: due, tries: Tries::One, tried, open };
+        self.active.insert(id, active);
+        self.attempt(id);
+    }
+
+    /// The caller's next attempt comes to its proxy.
+    pub fn attempt(&mut self, id: u64) {
+        let now = self.now();
+        let Some(a) = self.active.get_mut(&id) else { return };
+        let limit = self.day.deployment.routes[usize::from(a.call.route)].time_limit.0;
+        let left = limit.saturating_sub(now - a.due);
+        if left.is_zero() {
+            return self.done(id, Outcome::Failed);
+        }
+        let patience = limit.mul_f64(self.day.callers[a.kind].patience);
+        a.call.time_limit_us = left.min(patience).as_micros() as u32;
+        (a.attempt_from, a.tried) = (now, vec![]);
+        let p = &mut self.proxies[a.proxy];
+        *p.came.entry(a.call.route).or_default() += 1;
+        let (share, tries) = p.held.level(a.call.route);
+        a.tries = tries;
+        if p.rng.random_range(0.0..1.0) >= share {
+            return self.end_attempt(id, Outcome::Throttled);
+        }
+        self.try_next(id);
+    }
+
+    fn try_next(&mut self, id: u64) {
+        let now = self.now();
+        let Some(a) = self.active.get_mut(&id) else { return };
+        let route = &self.day.deployment.routes[usize::from(a.call.route)];
+        let limit = Duration::from_micros(a.call.time_limit_us.into());
+        let left = limit.saturating_sub(now - a.attempt_from);
+        let p = &mut self.proxies[a.proxy];
+        let conns = &p.conns;
+        let in_hand = |s| conns.get(&s).copied().unwrap_or(0);
+        let picked = p.held.pick(now, &mut p.rng, a.call.route, &a.tried, in_hand);
+        let Some(server) = picked.filter(|_| left > limit / 8) else {
+            return self.end_attempt(id, Outcome::Throttled);
+        };
+        let most = if a.tries == Tries::One { 1 } else { 2 };
+        let last = a.tried.len() + 1 >= most;
+        let wait = match a.tries {
+            Tries::AfterFailure if !last => {
+                left.min(route.slo.0.mul_f64(self.day.deployment.proxies.try_factor))
+            }
+            _ => left,
+        };
+        let this = (id, a.call.attempt, a.tried.len() as u8);
+        a.tried.push(server);
+        a.open = Some((this, now));
+        let (proxy, known) = (a.proxy, p.conns.contains_key(&server));
+        let far = self.by_id.get(&server).copied();
+        self.agenda.borrow_mut().after(wait, Due::Lost { id: this, not_run: false });
+        if known {
+            return self.send(this, server);
+        }
+        let refused = match far.map(|s| &self.servers[s]) {
+            // Over a cut no connection is made, and that takes its time to show.
+            Some(s) if self.apart(s.zone, self.proxies[proxy].zone) => Some(Duration::from_millis(300)),
+            Some(s) if s.machine.is_some() => None,
+            _ => Some(HOP * 2),
+        };
+        let (wait, due) = match refused {
+            Some(wait) => (wait, Due::Lost { id: this, not_run: true }),
+            None => (HOP * 2, Due::Connect { id: this, server }),
+        };
+        self.agenda.borrow_mut().after(wait, due);
+    }
+
+    /// A connection is made, at some work for the server.
+    pub fn connect(&mut self, id: TryId, server: ServerId) {
+        let now = self.now();
+        let Some(&s) = self.by_id.get(&server) else { return };
+        let Some(a) = self.active.get(&id.0).filter(|a| a.open.is_some_and(|o| o.0 == id)) else { return };
+        let proxy = a.proxy;
+        let handshake = self.servers[s].ability.kind.handshake.0;
+        let Some(machine) = &mut self.servers[s].machine else {
+            return self.agenda.borrow_mut().after(Duration::ZERO, Due::Lost { id, not_run: true });
+        };
+        machine.toil(now, handshake);
+        self.work_on(s);
+        self.proxies[proxy].conns.entry(server).or_default();
+        self.send(id, server);
+    }
+
+    fn send(&mut self, id: TryId, server: ServerId) {
+        let Some(a) = self.active.get(&id.0) else { return };
+        let call = Call { attempt: id.1, tried: id.2, proxy: a.proxy as u16, ..a.call };
+        let p = &mut self.proxies[a.proxy];
+        *p.conns.entry(server).or_default() += 1;
+        let zone = p.zone;
+        self.agenda.borrow_mut().put(Passed::Sent { proxy: call.proxy, server, call });
+        let Some(&s) = self.by_id.get(&server) else { return };
+        if !self.apart(self.servers[s].zone, zone) {
+            let life = self.servers[s].life;
+            self.agenda.borrow_mut().after(HOP, Due::AtServer { id, server: s, life, call });
+        }
+    }
+
+    pub fn at_proxy(&mut self, answer: Answer) {
+        let id = (answer.id, answer.attempt, answer.tried);
+        let Some((proxy, server, since)) = self.close_try(id) else { return };
+        let (now, good) = (self.now(), matches!(answer.outcome, Outcome::Answered | Outcome::Repeat));
+        let met = self.proxies[proxy].met.entry(server).or_default();
+        met.report = answer.report.or(met.report.take());
+        self.count(proxy, server, good.then(|| now - since));
+        match answer.outcome {
+            Outcome::Answered | Outcome::Repeat => self.done(id.0, Outcome::Answered),
+            Outcome::Throttled => self.follow(id, true),
+            Outcome::Failed => self.follow(id, false),
+        }
+    }
+
+    pub fn lost(&mut self, id: TryId, not_run: bool) {
+        if let Some((proxy, server, _)) = self.close_try(id) {
+            self.count(proxy, server, None);
+            self.follow(id, not_run);
+        }
+    }
+
+    /// Takes a try that is still waited for: its proxy, its server, and since when.
+    fn close_try(&mut self, id: TryId) -> Option<(usize, ServerId, Duration)> {
+        let a = self.active.get_mut(&id.0)?;
+        let (_, since) = a.open.take_if(|o| o.0 == id)?;
+        let server = a.tried[usize::from(id.2)];
+        if let Some(in_hand) = self.proxies[a.proxy].conns.get_mut(&server) {
+            *in_hand = in_hand.saturating_sub(1);
+        }
+        Some((a.proxy, server, since))
+    }
+
+    fn count(&mut self, proxy: usize, server: ServerId, took: Option<Duration>) {
+        let (now, p) = (self.now(), &mut self.proxies[proxy]);
+        let met = p.met.entry(server).or_default();
+        met.tries += 1;
+        match took {
+            Some(took) => met.waited += took,
+            None => met.dropped += 1,
+        }
+        p.held.met(now, server, took.is_some());
+    }
+
+    /// Whether the proxy tries again, or the attempt has failed.
+    fn follow(&mut self, id: TryId, not_run: bool) {
+        let Some(a) = self.active.get(&id.0) else { return };
+        let last = a.tried.len() >= if a.tries == Tries::One { 1 } else { 2 };
+        if !last && (not_run || a.tries == Tries::AfterFailure) {
+            self.try_next(id.0);
+        } else {
+            self.end_attempt(id.0, if not_run { Outcome::Throttled } else { Outcome::Failed });
+        }
+    }
+
+    fn end_attempt(&mut self, id: u64, outcome: Outcome) {
+        let Some(a) = self.active.get_mut(&id) else { return };
+        let kind = &self.day.callers[a.kind];
+        a.call.attempt += 1;
+        if a.call.attempt >= kind.attempts {
+            return self.done(id, outcome);
+        }
+        let wait = kind.wait.0.mul_f64(self.caller_rng.random_range(0.5..1.5));
+        let near = &self.by_zone[usize::from(self.proxies[a.proxy].zone)];
+        a.proxy = near[self.caller_rng.random_range(0..near.len())];
+        self.agenda.borrow_mut().after(wait, Due::Attempt(id));
+    }
+
+    fn done(&mut self, id: u64, outcome: Outcome) {
+        if let Some(a) = self.active.remove(&id) {
+            self.agenda.borrow_mut().put(Passed::Done { id, route: a.call.route, outcome });
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,13 @@
+//! A model of the deployments that a planner serves: callers, links, proxies, servers and the list as discrete
+//! events on one clock, around the very engine and module that serve on sockets. One seed, integer time, no
+//! sockets: the same day gives the same record, byte for byte, whatever else the machine does.
+
+mod agenda;
+mod calls;
+mod play;
+mod proxies;
+mod servers;
+mod troubles;
+
+pub use calls::FirstCall;
+pub use play::{Modelled, model};
--- /dev/null
+++ b/crates/model/src/play.rs
@@ -0,0 +1,321 @@
+//! A day, played under a simulated clock.
+
+use crate::agenda::{Agenda, Due, Out};
+use crate::calls::{Active, FirstCall};
+use crate::proxies::Proxy;
+use crate::servers::{Listing, Server};
+use crate::troubles::InHand;
+use grebespool_behaviour::{Ability, Held, Service, facts};
+use grebespool_engine::{Engine, Start, StreamId, Unsupported};
+use grebespool_rules::{Passed, Record, Verdict, check};
+use grebespool_settings::{Day, ListMode};
+use grebespool_wire::{Entry, Phase, ServerId};
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A day that was played under the simulated clock.
+pub struct Modelled {
+    pub record: Record,
+    pub verdicts: [Verdict; 5],
+    pub service: Service,
+    /// Events of the model that were handled.
+    pub events: u64,
+}
+
+impl Modelled {
+    pub fn kept(&self) -> bool {
+        self.verdicts.iter().all(|v| v.first.is_none())
+    }
+}
+
+pub(crate) struct Model<'a> {
+    pub day: &'a Day,
+    pub agenda: Rc<RefCell<Agenda>>,
+    pub engine: Option<Engine<Out>>,
+    starts: u64,
+    pub start_id: u64,
+    began: Duration,
+    wake_at: Option<Duration>,
+    pub stalled: bool,
+    /// What came for the planner while it stood still.
+    pub missed: Vec<Due>,
+    pub servers: Vec<Server>,
+    pub by_id: BTreeMap<ServerId, usize>,
+    pub list: Listing,
+    pub first_list: Vec<Entry>,
+    pub proxies: Vec<Proxy>,
+    pub by_zone: Vec<Vec<usize>>,
+    pub rate: f64,
+    pub last_stream: StreamId,
+    pub caller_rng: Pcg64Mcg,
+    pub trouble_rng: Pcg64Mcg,
+    pub burst: f64,
+    pub calls_made: u64,
+    pub active: BTreeMap<u64, Active>,
+    pub taken: BTreeSet<usize>,
+    pub in_hand: BTreeMap<usize, InHand>,
+    pub cut: BTreeSet<u16>,
+    pub next_number: u32,
+}
+
+/// Plays a day. `calls`: the first calls of a recorded day in place of the day's own callers, whose kinds then
+/// only say how often, and after what waits, a route's callers come again.
+///
+/// # Errors
+///
+/// A deployment of a kind that nothing is decided for.
+pub fn model(day: &Day, calls: Option<&[FirstCall]>) -> Result<Modelled, Unsupported> {
+    let mut model = Model::new(day);
+    model.open(calls)?;
+    let mut events = 0;
+    let end = day.length.0 + longest(day);
+    loop {
+        let due = model.agenda.borrow_mut().pop();
+        let Some(due) = due else { break };
+        if model.now() > end || (model.now() >= day.length.0 && model.active.is_empty()) {
+            break;
+        }
+        events += 1;
+        model.handle(due);
+    }
+    let record = std::mem::take(&mut model.agenda.borrow_mut().record);
+    let verdicts = check(&record, &facts(day));
+    let service = Service::of(&record, &day.deployment);
+    Ok(Modelled { record, verdicts, service, events })
+}
+
+fn longest(day: &Day) -> Duration {
+    day.deployment.routes.iter().map(|r| r.time_limit.0).max().unwrap_or_default() * 2
+}
+
+impl<'a> Model<'a> {
+    fn new(day: &'a Day) -> Model<'a> {
+        let mut rng = Pcg64Mcg::seed_from_u64(day.seed);
+        let zone_of =
+            |name: &str| day.deployment.zones.iter().position(|z| z == name).unwrap_or_default() as u16;
+        let mut servers = vec![];
+        for kind in &day.servers {
+            for _ in 0..kind.count {
+                let number = servers.len() as u32 + 1;
+                let addr = ([10, (number >> 16) as u8, (number >> 8) as u8, number as u8], 80).into();
+                let ability = Ability {
+                    kind: kind.clone(),
+                    warm_up: day.deployment.servers.warm_up.0,
+                    fall_multiple: day.rules.fall_multiple,
+                    fall: day.rules.fall.0,
+                };
+                servers.push(Server::new(ability, zone_of(&kind.zone), ServerId { addr, number }));
+            }
+        }
+        let mut proxies = vec![];
+        for kind in &day.proxies {
+            for _ in 0..kind.count {
+                let zone = zone_of(&kind.zone);
+                let mut near: Vec<ServerId> =
+                    servers.iter().filter(|s| s.zone == zone).map(|s| s.id).collect();
+                near.shuffle(&mut rng);
+                near.truncate(kind.standing);
+                proxies.push(Proxy {
+                    held: Held::new(kind.picks, (kind.avoids, kind.avoids_for.0), &near),
+                    kind: kind.clone(),
+                    zone,
+                    rng: Pcg64Mcg::seed_from_u64(rng.random()),
+                    stream: None,
+                    joined: false,
+                    conns: BTreeMap::new(),
+                    met: BTreeMap::new(),
+                    came: BTreeMap::new(),
+                });
+            }
+        }
+        let zones = day.deployment.zones.len() as u16;
+        let of_zone = |z| (0..proxies.len()).filter(|p| proxies[*p].zone == z).collect();
+        let list = Listing {
+            entries: BTreeMap::new(),
+            version: 1,
+            late: day.list.late.0,
+            fails: false,
+            last: Duration::ZERO,
+        };
+        Model {
+            agenda: Rc::new(RefCell::new(Agenda::new(proxies.len()))),
+            engine: None,
+            starts: 0,
+            start_id: 0,
+            began: Duration::ZERO,
+            wake_at: None,
+            stalled: false,
+            missed: vec![],
+            by_id: servers.iter().enumerate().map(|(i, s)| (s.id, i)).collect(),
+            next_number: servers.len() as u32,
+            servers,
+            list,
+            first_list: vec![],
+            by_zone: (0..zones).map(of_zone).collect(),
+            rate: day.callers.iter().map(|c| c.rate).sum::<f64>() / proxies.len().max(1) as f64,
+            proxies,
+            last_stream: 0,
+            caller_rng: Pcg64Mcg::seed_from_u64(rng.random()),
+            trouble_rng: Pcg64Mcg::seed_from_u64(rng.random()),
+            burst: 1.0,
+            calls_made: 0,
+            active: BTreeMap::new(),
+            taken: BTreeSet::new(),
+            in_hand: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            day,
+        }
+    }
+
+    fn open(&mut self, calls: Option<&[FirstCall]>) -> Result<(), Unsupported> {
+        let all: Vec<usize> = (0..self.servers.len()).collect();
+        self.first_list = all.iter().map(|s| self.entry(*s, Phase::Ready)).collect();
+        self.list.entries = self.first_list.iter().map(|e| (e.server, e.clone())).collect();
+        all.iter().for_each(|s| self.set_probe(*s));
+        self.launch()?;
+        for p in 0..self.proxies.len() {
+            let lines = self.servers.iter().filter(|s| self.proxies[p].held.names(s.id)).map(|s| (s.id, 1.0));
+            let lines = lines.collect();
+            self.agenda.borrow_mut().put(Passed::Began { proxy: p as u16, lines });
+            self.agenda.borrow_mut().after(Duration::ZERO, Due::Dial(p));
+        }
+        match calls {
+            None => (0..self.day.callers.len()).for_each(|kind| {
+                let rate = self.day.callers[kind].rate;
+                let gap = -self.caller_rng.random_range(f64::EPSILON..1.0).ln() / rate;
+                self.agenda.borrow_mut().after(Duration::from_secs_f64(gap), Due::Caller(kind));
+            }),
+            Some(calls) => {
+                for call in calls {
+                    self.agenda.borrow_mut().at(call.due, Due::Recorded(*call));
+                }
+            }
+        }
+        for (i, trouble) in self.day.troubles.iter().enumerate() {
+            self.agenda.borrow_mut().at(trouble.at.0, Due::Begin(i));
+        }
+        Ok(())
+    }
+
+    fn launch(&mut self) -> Result<(), Unsupported> {
+        let d = &self.day.deployment;
+        self.starts += 1;
+        self.start_id = 1000 * self.day.seed + self.starts;
+        self.began = self.now();
+        self.wake_at = None;
+        let start = Start { id: self.start_id, seed: self.day.seed + self.starts };
+        let out = Out { agenda: self.agenda.clone() };
+        // As `rehearse` has it: orders have to be known in force within the grace.
+        let unconfirmed = self.day.rules.grace.0.mul_f64(0.75).max(Duration::from_millis(500));
+        let asked = (self.day.list.mode == ListMode::Asked).then_some(self.day.list.ask_within.0);
+        self.engine = Some(Engine::start(
+            out,
+            start,
+            d.bounds(unconfirmed),
+            d.zones.clone(),
+            d.routes(),
+            d.plane(),
+            d.graces(),
+            d.pace(),
+            d.sight(asked),
+        )?);
+        self.plan(|_| ());
+        Ok(())
+    }
+
+    /// A planner of the same deployment starts anew: that it can was seen at the day's beginning.
+    pub fn start_planner(&mut self) {
+        let _ = self.launch();
+    }
+
+    pub fn now(&self) -> Duration {
+        self.agenda.borrow().now
+    }
+
+    /// Since the planner's start.
+    pub fn planner_now(&self) -> Duration {
+        self.now().saturating_sub(self.began)
+    }
+
+    pub fn zone(&self, name: &str) -> u16 {
+        self.day.deployment.zones.iter().position(|z| z == name).unwrap_or_default() as u16
+    }
+
+    pub fn apart(&self, a: u16, b: u16) -> bool {
+        a != b && (self.cut.contains(&a) || self.cut.contains(&b))
+    }
+
+    /// Calls the engine, and puts on the agenda when it is due next.
+    pub fn plan(&mut self, what: impl FnOnce(&mut Engine<Out>)) {
+        let Some(engine) = &mut self.engine else { return };
+        what(engine);
+        let due = self.began + engine.due();
+        if self.wake_at.is_none_or(|at| due < at) {
+            self.wake_at = Some(due);
+            self.agenda.borrow_mut().at(due, Due::Wake);
+        }
+    }
+
+    fn handle(&mut self, due: Due) {
+        let for_planner = matches!(
+            due,
+            Due::Wake
+                | Due::Join(_)
+                | Due::ToPlanner { .. }
+                | Due::Ended(_)
+                | Due::Asked(_)
+                | Due::Probed { .. }
+        );
+        if self.stalled && for_planner {
+            return self.missed.push(due);
+        }
+        match due {
+            Due::Wake => {
+                let now = self.planner_now();
+                if self.wake_at.is_some_and(|at| at <= self.now()) {
+                    self.wake_at = None;
+                    self.plan(|engine| engine.woken(now));
+                }
+            }
+            Due::Caller(kind) => self.caller(kind),
+            Due::Recorded(call) => {
+                let of_route = |c: &grebespool_settings::CallerKind| c.route == usize::from(call.route);
+                let kind = self.day.callers.iter().position(of_route).unwrap_or_default();
+                self.begin_call(kind, call);
+            }
+            Due::Attempt(id) => self.attempt(id),
+            Due::Connect { id, server } => self.connect(id, server),
+            Due::AtServer { id, server, life, call } => self.at_server(id, server, life, call),
+            Due::Work { server, life } => self.work(server, life),
+            Due::AtProxy { answer } => self.at_proxy(answer),
+            Due::Lost { id, not_run } => self.lost(id, not_run),
+            Due::Dial(proxy) => self.dial(proxy),
+            Due::Join(stream) => self.join(stream),
+            Due::ToProxy { stream, message } => self.reach_proxy(stream, message),
+            Due::ToPlanner { stream, message } => self.reach_planner(stream, message),
+            Due::Ended(stream) => self.plan(|engine| engine.left(stream)),
+            Due::Sums(stream) => self.sums(stream),
+            Due::Asked(have) => self.asked(have),
+            Due::Publish { changed } => self.publish(changed),
+            // What is handed to a planner that stands still lies there until it runs on.
+            Due::ListAt { version, base, entries } if self.stalled => {
+                self.missed.push(Due::ListAt { version, base, entries });
+            }
+            Due::ListAt { version, base, entries } => self.list_at(version, base, entries),
+            Due::Probed { server, result } => {
+                let now = self.planner_now();
+                self.plan(|engine| engine.probed(now, server, result));
+            }
+            Due::Begin(i) => self.begin(i),
+            Due::End(i) => self.end(i),
+            Due::Redeploy { server, step, drain, down, other } => {
+                self.redeploy(server, step, drain, down, other);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/proxies.rs
@@ -0,0 +1,155 @@
+//! Proxies and their streams.
+
+use crate::agenda::{Due, HOP};
+use crate::play::Model;
+use grebespool_behaviour::Held;
+use grebespool_engine::{Arrival, StreamId};
+use grebespool_rules::Passed;
+use grebespool_settings::ProxyKind;
+use grebespool_wire::{CameLine, Message, MetLine, Report, ServerId};
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+#[derive(Default)]
+pub struct Met {
+    pub tries: u32,
+    pub dropped: u32,
+    pub waited: Duration,
+    pub report: Option<Report>,
+}
+
+pub struct Proxy {
+    pub kind: ProxyKind,
+    pub zone: u16,
+    pub held: Held,
+    pub rng: Pcg64Mcg,
+    pub stream: Option<StreamId>,
+    pub joined: bool,
+    /// Connections, and the calls in hand on each.
+    pub conns: BTreeMap<ServerId, usize>,
+    pub met: BTreeMap<ServerId, Met>,
+    pub came: BTreeMap<u8, u32>,
+}
+
+impl Model<'_> {
+    pub fn redial(&mut self, proxy: usize) {
+        let p = &mut self.proxies[proxy];
+        let wait = p.kind.redial.0.mul_f64(p.rng.random_range(0.2..1.0));
+        self.agenda.borrow_mut().after(wait, Due::Dial(proxy));
+    }
+
+    pub fn dial(&mut self, proxy: usize) {
+        let way = self.agenda.borrow().ways[proxy].clone();
+        let (closed, held) = (way.closed, way.held);
+        if closed || held || self.engine.is_none() {
+            return self.redial(proxy);
+        }
+        self.last_stream += 1;
+        let stream = self.last_stream;
+        self.proxies[proxy].stream = Some(stream);
+        let mut agenda = self.agenda.borrow_mut();
+        agenda.streams.insert(stream, proxy);
+        agenda.after(HOP * 4, Due::Join(stream));
+    }
+
+    pub fn join(&mut self, stream: StreamId) {
+        let Some(proxy) = self.agenda.borrow().streams.get(&stream).copied() else { return };
+        let (now, p) = (self.planner_now(), &self.proxies[proxy]);
+        let (name, bare) = (format!("proxy-{proxy}"), p.held.bare());
+        let zone = self.day.deployment.zones[usize::from(p.zone)].clone();
+        let rate = self.rate as f32;
+        let arrival = Arrival { name: &name, zone: &zone, rate, bare };
+        self.plan(|engine| engine.joined(now, stream, arrival));
+    }
+
+    /// The proxy's end of a stream is gone. `told`: whether the planner learns of it.
+    pub fn end_stream(&mut self, proxy: usize, told: bool) {
+        let p = &mut self.proxies[proxy];
+        let Some(stream) = p.stream.take() else { return };
+        if std::mem::take(&mut p.joined) {
+            p.held.left();
+            self.agenda.borrow_mut().put(Passed::Left { proxy: proxy as u16 });
+        }
+        let mut agenda = self.agenda.borrow_mut();
+        agenda.streams.remove(&stream);
+        if told {
+            agenda.after(HOP, Due::Ended(stream));
+        }
+        drop(agenda);
+        self.redial(proxy);
+    }
+
+    pub fn reach_proxy(&mut self, stream: StreamId, message: Message) {
+        let Some(proxy) = self.agenda.borrow().streams.get(&stream).copied() else { return };
+        if self.agenda.borrow().ways[proxy].held {
+            let due = Due::ToProxy { stream, message };
+            return self.agenda.borrow_mut().ways[proxy].kept.push(due);
+        }
+        let (number, start) = (proxy as u16, self.start_id);
+        match message {
+            Message::Welcome { .. } => {
+                let p = &mut self.proxies[proxy];
+                p.held.welcomed(start, stream);
+                p.joined = true;
+                let mut agenda = self.agenda.borrow_mut();
+                agenda.put(Passed::Joined { proxy: number, start });
+                agenda.after(Duration::ZERO, Due::Sums(stream));
+            }
+            Message::Orders(orders) => {
+                let obeyed = self.proxies[proxy].held.obey(&orders);
+                let mut agenda = self.agenda.borrow_mut();
+                if let Ok(mark) = obeyed {
+                    let (start, seq) = (orders.start, orders.seq);
+                    if !agenda.ways[proxy].unmarked {
+                        let message = Message::Applied { start, stream, seq, mark };
+                        agenda.after(HOP, Due::ToPlanner { stream, message });
+                    }
+                }
+                agenda.put(Passed::Delivered { proxy: number, orders });
+                drop(agenda);
+                let p = &mut self.proxies[proxy];
+                p.conns.retain(|server, in_hand| p.held.names(*server) || *in_hand > 0);
+            }
+            _ => self.end_stream(proxy, false),
+        }
+    }
+
+    pub fn reach_planner(&mut self, stream: StreamId, message: Message) {
+        let Some(proxy) = self.agenda.borrow().streams.get(&stream).copied() else { return };
+        if self.agenda.borrow().ways[proxy].held {
+            let due = Due::ToPlanner { stream, message };
+            return self.agenda.borrow_mut().ways[proxy].kept.push(due);
+        }
+        let now = self.planner_now();
+        self.plan(|engine| match message {
+            Message::Sums { met, came } => engine.sums(stream, &met, &came),
+            Message::Applied { start, stream: told, seq, mark } => {
+                engine.applied(now, stream, (start, told), seq, mark);
+            }
+            _ => {}
+        });
+    }
+
+    pub fn sums(&mut self, stream: StreamId) {
+        let Some(proxy) = self.agenda.borrow().streams.get(&stream).copied() else { return };
+        let p = &mut self.proxies[proxy];
+        let line = |(server, m): (ServerId, Met)| MetLine {
+            server,
+            tries: m.tries,
+            dropped: m.dropped,
+            wait_us: match m.tries - m.dropped {
+                0 => 0,
+                n => (m.waited / n).as_micros().max(1) as u32,
+            },
+            report: m.report,
+        };
+        let met = std::mem::take(&mut p.met).into_iter().map(line).collect();
+        let came = std::mem::take(&mut p.came).into_iter().map(|(route, calls)| CameLine { route, calls });
+        let message = Message::Sums { met, came: came.collect() };
+        let mut agenda = self.agenda.borrow_mut();
+        agenda.after(HOP, Due::ToPlanner { stream, message });
+        agenda.after(self.day.deployment.reports.cycle.0, Due::Sums(stream));
+    }
+}
--- /dev/null
+++ b/crates/model/src/servers.rs
@@ -0,0 +1,235 @@
+//! Servers and their list.
+
+use crate::agenda::{Due, HOP, TryId};
+use crate::play::Model;
+use grebespool::host::Probed;
+use grebespool_behaviour::{Ability, Machine};
+use grebespool_rules::{List, Passed};
+use grebespool_wire::{Answer, Call, Entry, Outcome, Phase, ServerId};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub struct Server {
+    pub ability: Ability,
+    pub zone: u16,
+    pub id: ServerId,
+    pub life: u32,
+    pub machine: Option<Machine>,
+    pub silent: bool,
+    pub erring: bool,
+    pub lie: Option<f32>,
+    pub draining: bool,
+    pub started_ms: u64,
+    waiting: BTreeMap<u64, (TryId, Call)>,
+    next: u64,
+}
+
+impl Server {
+    pub fn new(ability: Ability, zone: u16, id: ServerId) -> Server {
+        let machine = Some(Machine::new(ability.clone(), 1, Duration::ZERO, false));
+        Server {
+            ability,
+            zone,
+            id,
+            life: 0,
+            machine,
+            silent: false,
+            erring: false,
+            lie: None,
+            draining: false,
+            started_ms: 0,
+            waiting: BTreeMap::new(),
+            next: 0,
+        }
+    }
+}
+
+/// The list as its service has it.
+pub struct Listing {
+    pub entries: BTreeMap<ServerId, Entry>,
+    pub version: u64,
+    pub late: Duration,
+    pub fails: bool,
+    /// When the last change is told; later ones are never told before it.
+    pub last: Duration,
+}
+
+impl Model<'_> {
+    /// The list's clock.
+    pub fn now_ms(&self) -> u64 {
+        1_000_000_000 + self.now().as_millis() as u64
+    }
+
+    pub fn entry(&self, server: usize, phase: Phase) -> Entry {
+        let s = &self.servers[server];
+        let zone = self.day.deployment.zones[usize::from(s.zone)].clone();
+        Entry { server: s.id, zone, phase, started_ms: s.started_ms }
+    }
+
+    pub fn list_change(&mut self, servers: &[usize], phase: Phase) {
+        let changed = servers.iter().map(|s| self.entry(*s, phase)).collect();
+        let due = (self.now() + self.list.late).max(self.list.last);
+        self.list.last = due;
+        self.agenda.borrow_mut().at(due, Due::Publish { changed });
+    }
+
+    pub fn publish(&mut self, changed: Vec<Entry>) {
+        for e in &changed {
+            match e.phase {
+                Phase::Gone => drop(self.list.entries.remove(&e.server)),
+                _ => drop(self.list.entries.insert(e.server, e.clone())),
+            }
+        }
+        let base = self.list.version;
+        self.list.version += 1;
+        if !self.list.fails {
+            let version = self.list.version;
+            self.agenda.borrow_mut().after(HOP, Due::ListAt { version, base, entries: changed });
+        }
+    }
+
+    pub fn whole_list(&self, version: u64) -> Due {
+        Due::ListAt { version, base: 0, entries: self.list.entries.values().cloned().collect() }
+    }
+
+    pub fn asked(&mut self, have: u64) {
+        let version = self.list.version;
+        if self.list.fails {
+            let now = self.planner_now();
+            self.plan(|engine| engine.list_failed(now));
+        } else if have == version {
+            let due = Due::ListAt { version, base: version, entries: vec![] };
+            self.agenda.borrow_mut().after(HOP, due);
+        } else {
+            let due = self.whole_list(version);
+            self.agenda.borrow_mut().after(HOP, due);
+        }
+    }
+
+    pub fn list_at(&mut self, version: u64, base: u64, entries: Vec<Entry>) {
+        let (now_ms, now) = (self.now_ms(), self.planner_now());
+        if self.engine.is_none() {
+            return;
+        }
+        let told = List { version, base, now_ms, entries: entries.clone() };
+        self.agenda.borrow_mut().put(Passed::ListTold(told));
+        self.plan(|engine| engine.list(now, version, base, now_ms, &entries));
+    }
+
+    /// What a probe of the server would meet from here on.
+    pub fn set_probe(&mut self, server: usize) {
+        let s = &self.servers[server];
+        let answers = match &s.machine {
+            None => None,
+            Some(m) if m.fallen || s.silent => Some((Duration::from_millis(500), Probed::Failed)),
+            Some(_) if s.draining => Some((HOP * 2, Probed::Rejected)),
+            Some(_) => Some((HOP * 2, Probed::Answered)),
+        };
+        let mut agenda = self.agenda.borrow_mut();
+        match answers {
+            Some(how) => drop(agenda.probes.insert(s.id, how)),
+            None => drop(agenda.probes.remove(&s.id)),
+        }
+    }
+
+    pub fn stop(&mut self, server: usize) {
+        let s = &mut self.servers[server];
+        s.machine = None;
+        let (id, lost) = (s.id, std::mem::take(&mut s.waiting));
+        let mut agenda = self.agenda.borrow_mut();
+        agenda.put(Passed::Down { server: id });
+        for (id, _) in lost.into_values() {
+            agenda.after(HOP, Due::Lost { id, not_run: false });
+        }
+        drop(agenda);
+        for p in &mut self.proxies {
+            p.conns.remove(&id);
+        }
+        self.set_probe(server);
+    }
+
+    pub fn start(&mut self, server: usize, number: u32) {
+        let (now, now_ms) = (self.now(), self.now_ms());
+        let s = &mut self.servers[server];
+        s.id.number = number;
+        (s.draining, s.started_ms, s.life) = (false, now_ms, s.life + 1);
+        let machine = Machine::new(s.ability.clone(), now_ms, now, true);
+        let up = Passed::Up { server: s.id, capacity: machine.full(), cold: s.ability.kind.cold };
+        s.machine = Some(machine);
+        let id = s.id;
+        self.by_id.insert(id, server);
+        self.agenda.borrow_mut().put(up);
+        self.set_probe(server);
+    }
+
+    pub fn at_server(&mut self, id: TryId, server: usize, life: u32, call: Call) {
+        let now = self.now();
+        let s = &mut self.servers[server];
+        let Some(machine) = s.machine.as_mut().filter(|_| s.life == life) else {
+            return self.agenda.borrow_mut().after(HOP, Due::Lost { id, not_run: false });
+        };
+        self.agenda.borrow_mut().put(Passed::Received { server: s.id, call });
+        if s.silent {
+            return;
+        }
+        if s.draining {
+            return self.answer(server, call, Outcome::Throttled);
+        }
+        if s.erring {
+            machine.erred();
+            return self.answer(server, call, Outcome::Failed);
+        }
+        let (had_fallen, ticket) = (machine.fallen, s.next);
+        s.next += 1;
+        let taken = machine.arrive(now, ticket, Duration::from_micros(call.work_us.into()), call.key);
+        if machine.fallen {
+            if !had_fallen {
+                let fell = Passed::Fell { server: s.id };
+                self.agenda.borrow_mut().put(fell);
+                self.set_probe(server);
+            }
+        } else if taken {
+            s.waiting.insert(ticket, (id, call));
+            self.work_on(server);
+        } else {
+            self.answer(server, call, Outcome::Throttled);
+        }
+    }
+
+    pub fn work_on(&mut self, server: usize) {
+        let s = &self.servers[server];
+        if let Some(due) = s.machine.as_ref().and_then(Machine::due) {
+            self.agenda.borrow_mut().at(due, Due::Work { server, life: s.life });
+        }
+    }
+
+    pub fn work(&mut self, server: usize, life: u32) {
+        let now = self.now();
+        let s = &mut self.servers[server];
+        let Some(machine) = s.machine.as_mut().filter(|_| s.life == life) else { return };
+        let tickets = machine.done(now);
+        if tickets.is_empty() && machine.due().is_none_or(|d| d > now) {
+            return;
+        }
+        for ticket in tickets {
+            if let Some((_, call)) = self.servers[server].waiting.remove(&ticket) {
+                self.answer(server, call, Outcome::Answered);
+            }
+        }
+        self.work_on(server);
+    }
+
+    fn answer(&mut self, server: usize, call: Call, outcome: Outcome) {
+        let now = self.now();
+        let s = &mut self.servers[server];
+        let Some(machine) = &mut s.machine else { return };
+        let report = Some(machine.report(now, &self.day.deployment.reports.fields, s.lie));
+        let (id, zone) = (s.id, s.zone);
+        self.agenda.borrow_mut().put(Passed::Answered { server: id, call, outcome });
+        if !self.apart(zone, self.proxies[usize::from(call.proxy)].zone) {
+            let (id, attempt, tried) = (call.id, call.attempt, call.tried);
+            let answer = Answer { id, attempt, tried, outcome, report };
+            self.agenda.borrow_mut().after(HOP, Due::AtProxy { answer });
+        }
+    }
+}
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -1,8 +1,8 @@
 //! A proxy on sockets: callers on one side, servers on the other, and a stream to the planner.
 
-use crate::held::Held;
 use crate::link::Link;
 use crate::world::World;
+use grebespool_behaviour::Held;
 use grebespool_planner::dial::{Peer, next, shake_hands};
 use grebespool_rules::Passed;
 use grebespool_settings::ProxyKind;
--- a/crates/standin/src/rehearsal.rs
+++ b/crates/standin/src/rehearsal.rs
@@ -4,14 +4,13 @@
 use crate::host::PlannerHost;
 use crate::link::{Break, Link};
 use crate::list::ServerList;
-use crate::machine::Ability;
 use crate::proxy::Proxy;
 use crate::server::Server;
-use crate::service::Service;
 use crate::visitor::visit;
 use crate::world::World;
-use grebespool_rules::{Facts, Limits, Passed, Record, RouteFacts, Verdict, check};
-use grebespool_settings::{Day, Group, ListSource, Repeats, Trouble, What};
+use grebespool_behaviour::{Ability, Service, facts};
+use grebespool_rules::{Passed, Record, Verdict, check};
+use grebespool_settings::{Day, ListSource, Trouble, What};
 use grebespool_trace::Recorder;
 use grebespool_wire::{Entry, Key, Phase, ServerId};
 use rand::seq::SliceRandom;
@@ -48,29 +47,6 @@
     fn trouble(&mut self, now: Duration, what: &What);
 }
 
-/// What the rules need to know of a day.
-pub fn facts(day: &Day) -> Facts {
-    let (d, r) = (&day.deployment, &day.rules);
-    let route = |r: &grebespool_settings::Route| match r.repeats {
-        Repeats::Freely => RouteFacts::Freely,
-        Repeats::Marked => RouteFacts::Marked { window: r.window.0, by_zone: r.group != Group::All },
-        Repeats::Never => RouteFacts::Never,
-    };
-    let limits = Limits {
-        unserved: r.unserved.0,
-        grace: r.grace.0,
-        fall_multiple: r.fall_multiple,
-        fall: r.fall.0,
-        knowing: r.knowing.0,
-        warm_up: d.servers.warm_up.0,
-        most_waiting: d.channel.most_waiting,
-        head: d.channel.head,
-        most_messages: d.channel.most_messages,
-        window: d.channel.window.0,
-    };
-    Facts { limits, routes: d.routes.iter().map(route).collect() }
-}
-
 /// Plays a day on loopback, and checks the rules over what passed. Runs for the day's length and a little.
 /// What a replay needs of it goes to `recorder` as it happens.
 ///
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,7 +1,7 @@
 //! A server on a socket.
 
-use crate::machine::{Ability, Machine};
 use crate::world::World;
+use grebespool_behaviour::{Ability, Machine};
 use grebespool_planner::dial::next;
 use grebespool_rules::Passed;
 use grebespool_wire::{Answer, Call, Inbox, MOST_BODY, Message, Outcome, ProbeState, ServerId};
--- a/crates/standin/tests/days.rs
+++ b/crates/standin/tests/days.rs
@@ -1,10 +1,11 @@
 //! Days on loopback around the real planner: each fault alone, several together, and planners with one guard
 //! removed, which the checker has to find.
 
+use grebespool_behaviour::facts;
 use grebespool_planner::{Passage, Untouched};
 use grebespool_rules::{Passed, Record, Rule, check};
 use grebespool_settings::{Day, Deployment, ListSource};
-use grebespool_standin::{PlannerHost, Played, ThreadHost, facts, rehearse};
+use grebespool_standin::{PlannerHost, Played, ThreadHost, rehearse};
 use grebespool_wire::{Call, Level, Order, Orders, Phase, ServerId, Tries};
 use rstest::rstest;
 use std::collections::BTreeSet;
