--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod rehearse;
+mod replay;
 mod serve;
 mod trace;
 
@@ -54,6 +55,8 @@
         #[arg(long, value_name = "FILE")]
         record: Option<PathBuf>,
     },
+    /// Play a day in the model under other settings and compare; exit 0: rules kept, 1: one broken, 2: bad input
+    Replay(Box<replay::ReplayArguments>),
     /// Look at recordings, and make recordings of recordings or logs
     Trace {
         #[command(subcommand)]
@@ -96,6 +99,7 @@
         Command::Rehearse { day, planner, seed, record } => {
             rehearse::rehearse(day.as_deref(), planner, seed, record.as_deref())
         }
+        Command::Replay(arguments) => replay::replay(*arguments),
         Command::Trace { command } => trace::trace(command),
         Command::Settings { command: SettingsCommand::Check { file, kind } } => check(&file, kind),
         Command::Settings { command: SettingsCommand::Show { file } } => {
--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -11,7 +11,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-const BAD_DAY: &str = include_str!("../../../examples/bad-day.ncl");
+pub const BAD_DAY: &str = include_str!("../../../examples/bad-day.ncl");
 
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub enum Runs {
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -1,7 +1,7 @@
 //! A day to rehearse: a deployment's servers, proxies and callers, and the troubles that come over them.
 
 use crate::deployment::{Deployment, ListMode, Span};
-use crate::read::{Bad, field, parse, read};
+use crate::read::{Bad, field, parse, read, with_values};
 use serde::Deserialize;
 use std::path::Path;
 
@@ -130,7 +130,32 @@
     ///
     /// What is wrong, by line and field.
     pub fn parse(text: &str, name: &str) -> Result<Day, Bad> {
-        let day: Day = parse(text, name, "Day")?;
+        Day::altered(&format!("({text})"), name, &[])
+    }
+
+    /// Reads a day file with values put in place of its own, each `path=value`.
+    ///
+    /// # Errors
+    ///
+    /// As for reading it, and a path or value that is none.
+    pub fn read_with(path: &Path, values: &[String]) -> Result<Day, Bad> {
+        let name = path.display().to_string();
+        let whole = path.canonicalize().map_err(|why| Bad::Unreadable { path: name.clone(), why })?;
+        let quoted = crate::read::nickel(&serde_json::Value::String(whole.display().to_string()));
+        Day::altered(&format!("(import {quoted} as 'Nickel)"), &name, values)
+    }
+
+    /// Reads a day from its text with values put in place of its own.
+    ///
+    /// # Errors
+    ///
+    /// As for a file.
+    pub fn parse_with(text: &str, name: &str, values: &[String]) -> Result<Day, Bad> {
+        Day::altered(&format!("({text})"), name, values)
+    }
+
+    fn altered(text: &str, name: &str, values: &[String]) -> Result<Day, Bad> {
+        let day: Day = parse(&with_values(text, name, values)?, name, "Day")?;
         day.check(Path::new(name))?;
         Ok(day)
     }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -35,6 +35,23 @@
     evaluate(&format!("(import {quoted} as 'Nickel)"), &name, record)
 }
 
+/// Text of a file with values put in place of its own: each `path=value`, the value in Nickel's words.
+pub(crate) fn with_values(file: &str, name: &str, values: &[String]) -> Result<String, Bad> {
+    let mut text = file.to_string();
+    for value in values {
+        let bad = |why: &str| Err(field(Path::new(name), value, why));
+        let Some((path, to)) = value.split_once('=') else {
+            return bad("expected path=value, such as deployment.proxies.try_factor=0.8");
+        };
+        let part = |p: &str| !p.is_empty() && p.chars().all(|c| c.is_ascii_alphanumeric() || c == '_');
+        if !path.trim().split('.').all(part) {
+            return bad("the path is names of fields with dots between");
+        }
+        text = format!("({text} & {{ {} | force = {to} }})", path.trim());
+    }
+    Ok(text)
+}
+
 /// A JSON value in Nickel's words.
 pub(crate) fn nickel(value: &Value) -> String {
     match value {
@@ -71,7 +88,7 @@
 }
 
 pub(crate) fn parse<T: DeserializeOwned>(text: &str, name: &str, record: &str) -> Result<T, Bad> {
-    let (_, expr) = evaluate(&format!("({text})"), name, record)?;
+    let (_, expr) = evaluate(text, name, record)?;
     expr.to_serde().map_err(|e| field(Path::new(name), "the record", e))
 }
 
