--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -71,3 +71,35 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(String::from_utf8_lossy(&output.stderr).contains("at least 16 bytes"));
 }
+
+#[rstest]
+fn a_log_becomes_a_recording_that_can_be_shown_and_replayed() {
+    let log = "ts,what,host,client\n0,read,a,1\n400,save,b,2\n900,read,a,1\n";
+    let (folder, csv) = written("log.csv", log);
+    let trace = folder.path().join("day.trace").display().to_string();
+    let form = ["--form", "csv", "--due", "ts", "--route", "what", "--routes", "read=1,save=2,pay=3"];
+    let fields = ["--proxy", "host", "--client", "client"];
+    let import = run(&[&["trace", "import", &csv, &trace][..], &form, &fields].concat());
+    assert_eq!(import.status.code(), Some(0), "{}", String::from_utf8_lossy(&import.stderr));
+    let shown = run(&["trace", "show", &trace]);
+    assert!(String::from_utf8_lossy(&shown.stdout).contains("3 calls, 0 of them repeats"));
+    let set = ["--set", "length=\"3s\"", "--set", "troubles=[]"];
+    let replayed = run(&[&["replay", &trace, "--seeds", "2"][..], &set].concat());
+    let text = String::from_utf8_lossy(&replayed.stdout);
+    assert!(text.contains("3 recorded first calls") && text.contains("| as it is | 1.0000 |"), "{text}");
+    assert_eq!(replayed.status.code(), Some(0));
+}
+
+#[rstest]
+#[case::no_recording(&["trace", "show", "Cargo.toml"], "this is no recording")]
+#[case::no_file(&["trace", "show", "no-such.trace"], "no-such.trace")]
+#[case::a_variant_without_a_name(&["replay", "--variant", "x=1"], "expected NAME: PATH=VALUE")]
+#[case::no_such_field(&["replay", "--set", "deployment.colour=1"], "colour")]
+#[case::no_seed(&["replay", "--seeds", "0"], "at least one")]
+#[case::a_part_that_is_none(&["trace", "cut", "Cargo.toml", "x", "--from", "5", "--until", "2"], "not before")]
+fn bad_recordings_and_variants_are_named(#[case] arguments: &[&str], #[case] says: &str) {
+    let output = run(arguments);
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(text.contains(says), "{text}");
+}
