Slow the disk of a recorder's test, so that a busy machine cannot keep up with it

Cause: on a loaded machine events might be made no faster than the slowed disk took them, and none be lost.

--- a/crates/trace/tests/trace.rs
+++ b/crates/trace/tests/trace.rs
@@ -255,7 +255,7 @@
 
 impl std::io::Write for Slow {
     fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        std::thread::sleep(std::time::Duration::from_millis(20));
+        std::thread::sleep(std::time::Duration::from_millis(150));
         self.0.lock().unwrap().extend_from_slice(bytes);
         Ok(bytes.len())
     }
