Gather a proxy's sums in one place for sockets and model

Cause: what a proxy met since it last told was counted and written out twice, in the stand-in and in the model, and could drift apart. Change: Sums in crates/behaviour serves both; behaviour as before.

--- a/crates/behaviour/src/lib.rs
+++ b/crates/behaviour/src/lib.rs
@@ -4,10 +4,12 @@
 mod held;
 mod machine;
 mod service;
+mod sums;
 
 pub use held::{Held, Stale};
 pub use machine::{Ability, Machine};
 pub use service::{RouteService, Service};
+pub use sums::Sums;
 
 use grebespool_rules::{Facts, Limits, RouteFacts};
 use grebespool_settings::{Day, Group, Repeats};
--- a/crates/model/src/calls.rs
+++ b/crates/model/src/calls.rs
@@ -3,7 +3,7 @@
 use crate::agenda::{Due, HOP, TryId};
 use crate::play::Model;
 use grebespool_rules::Passed;
-use grebespool_wire::{Answer, Call, Outcome, ServerId, Tries};
+use grebespool_wire::{Answer, Call, Outcome, Report, ServerId, Tries};
 use rand::Rng;
 use std::time::Duration;
 
@@ -73,7 +73,7 @@
         a.call.time_limit_us = left.min(patience).as_micros() as u32;
         (a.attempt_from, a.tried) = (now, vec![]);
         let p = &mut self.proxies[a.proxy];
-        *p.came.entry(a.call.route).or_default() += 1;
+        p.sums.came(a.call.route);
         let (share, tries) = p.held.level(a.call.route);
         a.tries = tries;
         if p.rng.random_range(0.0..1.0) >= share {
@@ -159,9 +159,7 @@
         let id = (answer.id, answer.attempt, answer.tried);
         let Some((proxy, server, since)) = self.close_try(id) else { return };
         let (now, good) = (self.now(), matches!(answer.outcome, Outcome::Answered | Outcome::Repeat));
-        let met = self.proxies[proxy].met.entry(server).or_default();
-        met.report = answer.report.or(met.report.take());
-        self.count(proxy, server, good.then(|| now - since));
+        self.count(proxy, server, good.then(|| now - since), answer.report);
         match answer.outcome {
             Outcome::Answered | Outcome::Repeat => self.done(id.0, Outcome::Answered),
             Outcome::Throttled => self.follow(id, true),
@@ -171,7 +169,7 @@
 
     pub fn lost(&mut self, id: TryId, not_run: bool) {
         if let Some((proxy, server, _)) = self.close_try(id) {
-            self.count(proxy, server, None);
+            self.count(proxy, server, None, None);
             self.follow(id, not_run);
         }
     }
@@ -187,14 +185,9 @@
         Some((a.proxy, server, since))
     }
 
-    fn count(&mut self, proxy: usize, server: ServerId, took: Option<Duration>) {
+    fn count(&mut self, proxy: usize, server: ServerId, took: Option<Duration>, report: Option<Report>) {
         let (now, p) = (self.now(), &mut self.proxies[proxy]);
-        let met = p.met.entry(server).or_default();
-        met.tries += 1;
-        match took {
-            Some(took) => met.waited += took,
-            None => met.dropped += 1,
-        }
+        p.sums.met(server, took, report);
         p.held.met(now, server, took.is_some());
     }
 
--- a/crates/model/src/play.rs
+++ b/crates/model/src/play.rs
@@ -5,7 +5,7 @@
 use crate::proxies::Proxy;
 use crate::servers::{Listing, Server};
 use crate::troubles::InHand;
-use grebespool_behaviour::{Ability, Held, Service, facts};
+use grebespool_behaviour::{Ability, Held, Service, Sums, facts};
 use grebespool_engine::{Engine, Start, StreamId, Unsupported};
 use grebespool_rules::{Passed, Record, Verdict, check};
 use grebespool_settings::{Day, ListMode};
@@ -128,8 +128,7 @@
                     stream: None,
                     joined: false,
                     conns: BTreeMap::new(),
-                    met: BTreeMap::new(),
-                    came: BTreeMap::new(),
+                    sums: Sums::default(),
                 });
             }
         }
--- a/crates/model/src/proxies.rs
+++ b/crates/model/src/proxies.rs
@@ -2,24 +2,16 @@
 
 use crate::agenda::{Due, HOP};
 use crate::play::Model;
-use grebespool_behaviour::Held;
+use grebespool_behaviour::{Held, Sums};
 use grebespool_engine::{Arrival, StreamId};
 use grebespool_rules::Passed;
 use grebespool_settings::ProxyKind;
-use grebespool_wire::{CameLine, Message, MetLine, Report, ServerId};
+use grebespool_wire::{Message, ServerId};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-#[derive(Default)]
-pub struct Met {
-    pub tries: u32,
-    pub dropped: u32,
-    pub waited: Duration,
-    pub report: Option<Report>,
-}
-
 pub struct Proxy {
     pub kind: ProxyKind,
     pub zone: u16,
@@ -29,8 +21,7 @@
     pub joined: bool,
     /// Connections, and the calls in hand on each.
     pub conns: BTreeMap<ServerId, usize>,
-    pub met: BTreeMap<ServerId, Met>,
-    pub came: BTreeMap<u8, u32>,
+    pub sums: Sums,
 }
 
 impl Model<'_> {
@@ -134,20 +125,7 @@
 
     pub fn sums(&mut self, stream: StreamId) {
         let Some(proxy) = self.agenda.borrow().streams.get(&stream).copied() else { return };
-        let p = &mut self.proxies[proxy];
-        let line = |(server, m): (ServerId, Met)| MetLine {
-            server,
-            tries: m.tries,
-            dropped: m.dropped,
-            wait_us: match m.tries - m.dropped {
-                0 => 0,
-                n => (m.waited / n).as_micros().max(1) as u32,
-            },
-            report: m.report,
-        };
-        let met = std::mem::take(&mut p.met).into_iter().map(line).collect();
-        let came = std::mem::take(&mut p.came).into_iter().map(|(route, calls)| CameLine { route, calls });
-        let message = Message::Sums { met, came: came.collect() };
+        let message = self.proxies[proxy].sums.tell();
         let mut agenda = self.agenda.borrow_mut();
         agenda.after(HOP, Due::ToPlanner { stream, message });
         agenda.after(self.day.deployment.reports.cycle.0, Due::Sums(stream));
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -2,13 +2,11 @@
 
 use crate::link::Link;
 use crate::world::World;
-use grebespool_behaviour::Held;
+use grebespool_behaviour::{Held, Sums};
 use grebespool_planner::dial::{Peer, next, shake_hands};
 use grebespool_rules::Passed;
 use grebespool_settings::ProxyKind;
-use grebespool_wire::{
-    Answer, Call, CameLine, Inbox, MOST_BODY, Message, MetLine, Outcome, Report, Role, ServerId, Tries,
-};
+use grebespool_wire::{Answer, Call, Inbox, MOST_BODY, Message, Outcome, Role, ServerId, Tries};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cell::{Cell, RefCell};
@@ -23,14 +21,6 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
-#[derive(Default)]
-struct Met {
-    tries: u32,
-    dropped: u32,
-    waited: Duration,
-    report: Option<Report>,
-}
-
 /// What is wanted of a server's answer: who waits, by call, attempt and try.
 type Asked = Rc<RefCell<BTreeMap<(u64, u8, u8), oneshot::Sender<Answer>>>>;
 
@@ -51,8 +41,7 @@
     rng: RefCell<Pcg64Mcg>,
     conns: RefCell<BTreeMap<ServerId, Conn>>,
     zones: Rc<RefCell<BTreeMap<ServerId, u16>>>,
-    met: RefCell<BTreeMap<ServerId, Met>>,
-    came: RefCell<BTreeMap<u8, u32>>,
+    sums: RefCell<Sums>,
     nonces: Cell<u64>,
     rate: f32,
 }
@@ -96,8 +85,7 @@
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             conns: RefCell::default(),
             zones,
-            met: RefCell::default(),
-            came: RefCell::default(),
+            sums: RefCell::default(),
             nonces: Cell::new(seed << 32),
             rate,
         });
@@ -161,7 +149,10 @@
                     }
                     _ => return Ok(()),
                 },
-                _ = sums.tick() => to.write_all(&self.sums().frame()).await?,
+                _ = sums.tick() => {
+                    let told = self.sums.borrow_mut().tell();
+                    to.write_all(&told.frame()).await?;
+                },
             }
         }
     }
@@ -177,23 +168,6 @@
         shake_hands(socket, &self.world.key, self.nonce(), &peer).await
     }
 
-    fn sums(&self) -> Message {
-        let met = std::mem::take(&mut *self.met.borrow_mut());
-        let line = |(server, m): (ServerId, Met)| MetLine {
-            server,
-            tries: m.tries,
-            dropped: m.dropped,
-            wait_us: match m.tries - m.dropped {
-                0 => 0,
-                n => (m.waited / n).as_micros().max(1) as u32,
-            },
-            report: m.report,
-        };
-        let came = std::mem::take(&mut *self.came.borrow_mut());
-        let came = came.into_iter().map(|(route, calls)| CameLine { route, calls }).collect();
-        Message::Sums { met: met.into_iter().map(line).collect(), came }
-    }
-
     fn close_unnamed(&self) {
         let held = self.held.borrow();
         self.conns.borrow_mut().retain(|server, conn| {
@@ -226,7 +200,7 @@
     }
 
     async fn carry_out(&self, call: Call) -> Outcome {
-        *self.came.borrow_mut().entry(call.route).or_default() += 1;
+        self.sums.borrow_mut().came(call.route);
         let (share, tries) = self.held.borrow().level(call.route);
         if self.rng.borrow_mut().random_range(0.0..1.0) >= share {
             return Outcome::Throttled;
@@ -270,12 +244,10 @@
         let from = self.world.now();
         let ended = timeout(wait, self.ask(server, call)).await;
         let took = self.world.now() - from;
-        let mut met = self.met.borrow_mut();
-        let met = met.entry(server).or_default();
-        met.tries += 1;
+        let mut report = None;
         let (tried, good) = match ended {
             Ok(Ok(answer)) => {
-                met.report = answer.report.or(met.report.take());
+                report = answer.report;
                 match answer.outcome {
                     Outcome::Answered | Outcome::Repeat => (Tried::Answered(Outcome::Answered), true),
                     Outcome::Throttled => (Tried::NotRun, false),
@@ -285,11 +257,7 @@
             Ok(Err(not_run)) => (if not_run { Tried::NotRun } else { Tried::Unknown }, false),
             Err(_) => (Tried::Unknown, false),
         };
-        if good {
-            met.waited += took;
-        } else {
-            met.dropped += 1;
-        }
+        self.sums.borrow_mut().met(server, good.then_some(took), report);
         self.held.borrow_mut().met(self.world.now(), server, good);
         tried
     }
