--- a/crates/behaviour/src/held.rs
+++ b/crates/behaviour/src/held.rs
@@ -40,20 +40,25 @@
     /// Begins with a table of its own. `avoids`: after how many failures in a row a server is kept away from,
     /// and for how long; 0 for never.
     pub fn new(picks: Picks, avoids: (u32, Duration), standing: &[ServerId]) -> Held {
-        let line = |s: &ServerId| Line { server: *s, weight: 1.0, credit: 0.0 };
-        let lines = standing.iter().map(line).collect();
-        let tables = vec![Table { number: u16::MAX, routes: 0, lines }];
-        Held {
+        let mut held = Held {
             picks,
             avoids,
-            tables,
+            tables: vec![],
             levels: BTreeMap::new(),
             withdrawn: BTreeSet::new(),
             failures: BTreeMap::new(),
             stream: None,
             seq: 0,
             last: (0, 0),
-        }
+        };
+        held.hold_evenly(standing);
+        held
+    }
+
+    /// Holds these servers, each with the same weight, and nothing else.
+    pub fn hold_evenly(&mut self, servers: &[ServerId]) {
+        let line = |s: &ServerId| Line { server: *s, weight: 1.0, credit: 0.0 };
+        self.tables = vec![Table { number: u16::MAX, routes: 0, lines: servers.iter().map(line).collect() }];
     }
 
     /// It has no orders yet.
--- a/crates/behaviour/src/lib.rs
+++ b/crates/behaviour/src/lib.rs
@@ -8,7 +8,7 @@
 
 pub use held::{Held, Stale};
 pub use machine::{Ability, Machine};
-pub use service::{RouteService, Service};
+pub use service::{RouteService, Service, Tally, ZoneService};
 pub use sums::Sums;
 
 use grebespool_rules::{Facts, Limits, RouteFacts};
--- a/crates/behaviour/src/machine.rs
+++ b/crates/behaviour/src/machine.rs
@@ -27,6 +27,8 @@
     started: Option<Duration>,
     start_id: u64,
     pub slow: f64,
+    /// It stands still since then.
+    frozen: Option<Duration>,
     waiting: VecDeque<Job>,
     /// When each busy core is done, and with what.
     running: Vec<(Duration, Option<u64>)>,
@@ -51,6 +53,7 @@
             started: cold.then_some(now),
             start_id,
             slow: 1.0,
+            frozen: None,
             waiting: VecDeque::new(),
             running: vec![],
             keys: BTreeMap::new(),
@@ -117,17 +120,15 @@
         while self.sent.front().is_some_and(|s| now - s.0 > window) {
             self.sent.pop_front();
         }
-        let cold = self.started.is_some_and(|s| now - s < self.ability.warm_up);
-        let largest = self.sent.iter().map(|s| s.1).fold(0.0, f64::max);
-        let sum: f64 = self.sent.iter().map(|s| s.1).sum();
-        let bears = self.ability.fall_multiple * self.full() * self.warmth(now) * window.as_secs_f64();
-        if cold && sum > bears + 4.0 * largest {
-            self.fallen = true;
+        if self.cold(now) {
+            let (sum, bears) = self.borne(now, 0.0);
+            self.fallen |= sum > bears;
         }
     }
 
     fn begin(&mut self, now: Duration) {
         while self.idle() > 0
+            && self.frozen.is_none()
             && let Some(job) = self.waiting.pop_front()
         {
             let known = self.keys.get(&job.key).is_some_and(|t| now - *t < Self::KEY_KEPT);
@@ -141,9 +142,57 @@
         }
     }
 
-    /// When the next job is done.
+    /// When the next job is done; never while it stands still.
     pub fn due(&self) -> Option<Duration> {
-        self.running.iter().map(|r| r.0).min()
+        self.running.iter().map(|r| r.0).min().filter(|_| self.frozen.is_none())
+    }
+
+    /// It stands still, as a stopped process does, or runs on with what it had in hand.
+    pub fn freeze(&mut self, now: Duration, still: bool) {
+        match self.frozen {
+            None if still => {
+                self.pass(now);
+                self.frozen = Some(now);
+            }
+            Some(since) if !still => {
+                self.frozen = None;
+                self.seen = self.seen.max(now);
+                self.running.iter_mut().for_each(|r| r.0 += now.saturating_sub(since));
+                self.begin(now);
+            }
+            _ => {}
+        }
+    }
+
+    /// How long a call that came now would take, as far as can be told from what is in hand.
+    pub fn would_take(&self, now: Duration, work: Duration) -> Duration {
+        let core = self.capacity(now) / self.ability.kind.cores as f64;
+        let waiting: f64 = self.waiting.iter().map(|j| j.work).sum();
+        let running = self.running.iter().map(|r| r.0.saturating_sub(now).as_secs_f64());
+        let least = running.clone().fold(f64::INFINITY, f64::min);
+        let until = if self.idle() > 0 { 0.0 } else { least };
+        let behind = waiting / (core * self.ability.kind.cores as f64);
+        Duration::from_secs_f64(until + behind + work.as_secs_f64() / core)
+    }
+
+    /// Whether a call that came now would be taken in, and the server stay up under it.
+    pub fn would_bear(&self, now: Duration, work: Duration) -> bool {
+        let room = self.waiting.len() < self.ability.kind.room + self.idle();
+        let (sum, bears) = self.borne(now, work.as_secs_f64());
+        !self.fallen && self.frozen.is_none() && room && (!self.cold(now) || sum <= bears)
+    }
+
+    fn cold(&self, now: Duration) -> bool {
+        self.started.is_some_and(|s| now - s < self.ability.warm_up)
+    }
+
+    /// Work that came within the window, with so much more, and what the server bears of it.
+    fn borne(&self, now: Duration, more: f64) -> (f64, f64) {
+        let window = self.ability.fall;
+        let recent = self.sent.iter().filter(|s| now - s.0 <= window).map(|s| s.1);
+        let largest = recent.clone().fold(more, f64::max);
+        let able = self.full() * self.warmth(now) * window.as_secs_f64();
+        (recent.sum::<f64>() + more, self.ability.fall_multiple * able + 4.0 * largest)
     }
 
     /// The tickets of the calls that are done by now, earliest first.
--- /dev/null
+++ b/crates/cli/benches/replaying.rs
@@ -0,0 +1,124 @@
+//! The model's pace and memory, and what a recording costs a running planner. All in one run: each measurement that
+//! looks at memory is a process of its own (this program again).
+
+use grebespool_model::{PlannedBy, model};
+use grebespool_replay::{Job, Recorded};
+use grebespool_settings::{Day, Span};
+use grebespool_trace::{Call, Event, Timed, Writer};
+use std::fs::File;
+use std::path::Path;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+const BAD: &str = include_str!("../../../examples/bad-day.ncl");
+
+/// A day of so many proxies and servers in two zones, with a rolling deploy and slow servers.
+fn day(proxies: usize, servers: usize, calls_per_s: f64, seconds: u64) -> Day {
+    let mut day = Day::parse(BAD, "the bad day").unwrap_or_else(|bad| panic!("{bad}"));
+    day.length = Span(Duration::from_secs(seconds));
+    day.deployment.proxies.expected = proxies;
+    (day.deployment.channel.lines_per_s, day.deployment.channel.most_waiting) = (60_000.0, 60_000.0);
+    day.deployment.channel.most_messages = 0;
+    day.servers.truncate(2);
+    day.proxies.remove(1);
+    for kind in &mut day.servers {
+        kind.count = servers / 2;
+    }
+    for kind in &mut day.proxies {
+        kind.count = proxies / 2;
+    }
+    let whole: f64 = day.callers.iter().map(|c| c.rate).sum();
+    for kind in &mut day.callers {
+        kind.rate *= calls_per_s / whole;
+    }
+    day.troubles.retain(|t| t.at.0 < Duration::from_secs(12));
+    day
+}
+
+fn peak_kib() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|l| l.starts_with("VmHWM")).unwrap_or_default();
+    line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+fn pace(proxies: usize, servers: usize, calls_per_s: f64, seconds: u64) {
+    let day = day(proxies, servers, calls_per_s, seconds);
+    let began = Instant::now();
+    let played = model(&day, PlannedBy::Planner, None, &mut |_, _| {}).unwrap();
+    let took = began.elapsed().as_secs_f64();
+    println!(
+        "| {proxies} x {servers} | {calls_per_s:.0} | {:.1} | {:.0} | {:.0} | {:.4} | {} | {:.0} |",
+        seconds as f64 / took,
+        played.service.asked() as f64 / took,
+        played.events as f64 / took,
+        played.service.whole,
+        if played.kept() { "kept" } else { "BROKEN" },
+        peak_kib() as f64 / 1024.0
+    );
+}
+
+/// Writes a recording of so many calls, and plays it.
+fn many_calls(count: u64, folder: &Path) {
+    let day = day(160, 160, 2000.0, 60);
+    let path = folder.join("calls.trace");
+    let mut writer = Writer::new(std::io::BufWriter::new(File::create(&path).unwrap())).unwrap();
+    for i in 0..count {
+        let call = Call {
+            route: (i % 3) as u8,
+            key: i % 1000,
+            importance: 1.0,
+            client: Some(i),
+            proxy: (i % 160) as u32,
+            work_us: Some(40_000),
+            repeat: false,
+        };
+        writer.put(Timed { at_us: 2_000_000 + i * 500, event: Event::Call(call) }).unwrap();
+    }
+    writer.finish().unwrap();
+    let stored = std::fs::metadata(&path).unwrap().len();
+    let began = Instant::now();
+    let recorded = Recorded::read(&path, false, &day).unwrap();
+    let read = began.elapsed().as_secs_f64();
+    let day = recorded.found.beside(&day);
+    let outcome =
+        Job { day: &day, seed: 1, by: PlannedBy::Planner, recorded: Some(&recorded) }.run().unwrap();
+    println!(
+        "| {count} | {:.1} | {:.1} | {:.0} | {:.4} | {:.0} |",
+        stored as f64 / count as f64,
+        read,
+        outcome.service.asked() as f64 / (began.elapsed().as_secs_f64() - read),
+        outcome.service.whole,
+        peak_kib() as f64 / 1024.0
+    );
+}
+
+fn alone(arguments: &[&str]) {
+    let program = std::env::current_exe().unwrap();
+    assert!(Command::new(program).args(arguments).status().unwrap().success());
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).filter(|a| a != "--bench").collect();
+    let number = |i: usize| arguments[i].parse::<u64>().unwrap();
+    match arguments.first().map(String::as_str) {
+        Some("pace") => {
+            return pace(number(1) as usize, number(2) as usize, number(3) as f64, number(4));
+        }
+        Some("calls") => return many_calls(number(1), Path::new(&arguments[2])),
+        _ => {}
+    }
+    println!(
+        "| proxies x servers | calls/s | simulated s/s | calls/s of a core | events/s | service | rules | peak MiB |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    alone(&["pace", "12", "12", "150", "56"]);
+    alone(&["pace", "160", "160", "2000", "30"]);
+    alone(&["pace", "620", "474", "6000", "30"]);
+    let folder = tempfile::tempdir().unwrap();
+    let to = folder.path().display().to_string();
+    println!("\n| recorded calls | bytes each | read, s | calls/s of a core | service | peak MiB |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for count in ["100000", "1000000", "10000000"] {
+        alone(&["calls", count, &to]);
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,7 @@
 //! The command line.
 
+mod compare;
+mod record;
 mod rehearse;
 mod replay;
 mod serve;
@@ -40,6 +42,12 @@
         /// Listen here instead of at the address in the settings
         #[arg(long, value_name = "ADDRESS")]
         listen: Option<std::net::SocketAddr>,
+        /// Record in this new file what the planner hears, to be replayed
+        #[arg(long, value_name = "FILE")]
+        record: Option<PathBuf>,
+        /// Put hashes keyed by this file's bytes in place of servers' addresses in the recording
+        #[arg(long, value_name = "KEY_FILE", requires = "record")]
+        cloak: Option<PathBuf>,
     },
     /// Play a day on loopback and check the five rules; exit 0: kept, 1: one broken, 2: bad input
     Rehearse {
@@ -57,6 +65,10 @@
     },
     /// Play a day in the model under other settings and compare; exit 0: rules kept, 1: one broken, 2: bad input
     Replay(Box<replay::ReplayArguments>),
+    /// Sweep variants over days and seeds in the model; exit 0: rules kept, 1: one broken, 2: bad input
+    Experiment(replay::ExperimentArguments),
+    /// Play a day on sockets and in the model, side by side; exit 0: alike, 1: further apart than the tolerance
+    Compare(compare::CompareArguments),
     /// Look at recordings, and make recordings of recordings or logs
     Trace {
         #[command(subcommand)]
@@ -95,11 +107,15 @@
         return bad_input(&what);
     }
     let done = match cli.command {
-        Command::Serve { settings, listen } => serve::serve(&settings, listen),
+        Command::Serve { settings, listen, record, cloak } => {
+            serve::serve(&settings, listen, record.as_deref(), cloak.as_deref())
+        }
         Command::Rehearse { day, planner, seed, record } => {
             rehearse::rehearse(day.as_deref(), planner, seed, record.as_deref())
         }
         Command::Replay(arguments) => replay::replay(*arguments),
+        Command::Experiment(arguments) => replay::experiment(&arguments),
+        Command::Compare(arguments) => compare::compare(&arguments),
         Command::Trace { command } => trace::trace(command),
         Command::Settings { command: SettingsCommand::Check { file, kind } } => check(&file, kind),
         Command::Settings { command: SettingsCommand::Show { file } } => {
--- /dev/null
+++ b/crates/cli/src/record.rs
@@ -0,0 +1,122 @@
+//! Recording what a running planner hears.
+
+use grebespool_planner::Watch;
+use grebespool_settings::{Deployment, deployment_text};
+use grebespool_trace::{Cloak, Event, Listed, Phase, Recorder, Timed};
+use grebespool_wire as wire;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+struct Open {
+    recorder: Recorder,
+    cloak: Option<Cloak>,
+    /// Each proxy's number in the recording.
+    proxies: BTreeMap<String, u32>,
+    planner: u64,
+}
+
+impl Open {
+    fn put(&mut self, now: Duration, event: Event) {
+        let mut timed = Timed { at_us: now.as_micros() as u64, event };
+        if let Some(cloak) = &self.cloak {
+            cloak.apply(&mut timed);
+        }
+        self.recorder.put(timed);
+    }
+
+    fn number(&mut self, name: &str) -> u32 {
+        let next = self.proxies.len() as u32;
+        // As many as the engine knows at the most.
+        *self.proxies.entry(name.into()).or_insert(next)
+    }
+}
+
+/// A recording that is written while a planner runs: its lists, who joined and left, and the calls that proxies
+/// count for it. Cheap to clone: all write the same.
+#[derive(Clone)]
+pub struct Recording(Rc<RefCell<Option<Open>>>);
+
+impl Recording {
+    pub fn none() -> Recording {
+        Recording(Rc::default())
+    }
+
+    pub fn begin(
+        path: &Path,
+        cloak: Option<&Path>,
+        planner: u64,
+        deployment: &Deployment,
+    ) -> Result<Recording, String> {
+        let at = |path: &Path| {
+            let path = path.display().to_string();
+            move |e: std::io::Error| format!("{path}: {e}")
+        };
+        let cloak = cloak.map(|key| std::fs::read(key).map_err(at(key))).transpose()?;
+        let recorder = File::create_new(path).and_then(Recorder::new).map_err(at(path))?;
+        let cloak = cloak.map(|key| Cloak::new(&key));
+        let mut open = Open { recorder, cloak, proxies: BTreeMap::new(), planner };
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let settings = deployment_text(deployment);
+        open.put(Duration::ZERO, Event::Began { planner, unix_ms: unix.as_millis() as u64, settings });
+        Ok(Recording(Rc::new(RefCell::new(Some(open)))))
+    }
+
+    fn put(&self, now: Duration, event: impl FnOnce(&mut Open) -> Event) {
+        if let Some(open) = &mut *self.0.borrow_mut() {
+            let event = event(open);
+            open.put(now, event);
+        }
+    }
+
+    /// Ends it; gives how many events did not go in, the disk being slower than they came.
+    pub fn finish(&self, now: Duration) -> Result<u64, String> {
+        self.put(now, |open| Event::PlannerLost { planner: open.planner });
+        match self.0.borrow_mut().take() {
+            Some(open) => {
+                let lost = open.recorder.lost();
+                open.recorder.finish().map(|()| lost).map_err(|e| format!("the recording: {e}"))
+            }
+            None => Ok(0),
+        }
+    }
+}
+
+impl Watch for Recording {
+    fn list(&mut self, now: Duration, version: u64, base: u64, now_ms: u64, entries: &[wire::Entry]) {
+        let entry = |e: &wire::Entry| Listed {
+            server: e.server.addr.to_string(),
+            number: e.server.number,
+            zone: e.zone.clone(),
+            phase: match e.phase {
+                wire::Phase::Gone => Phase::Gone,
+                wire::Phase::Ready => Phase::Ready,
+                wire::Phase::Draining => Phase::Draining,
+            },
+            started_ms: e.started_ms,
+        };
+        self.put(now, |_| Event::List {
+            version,
+            base,
+            now_ms,
+            entries: entries.iter().map(entry).collect(),
+        });
+    }
+
+    fn joined(&mut self, now: Duration, name: &str, zone: &str, bare: bool) {
+        self.put(now, |open| Event::Joined { proxy: open.number(name), zone: zone.into(), bare });
+    }
+
+    fn left(&mut self, now: Duration, name: &str) {
+        self.put(now, |open| Event::Left { proxy: open.number(name) });
+    }
+
+    fn came(&mut self, now: Duration, name: &str, came: &[wire::CameLine]) {
+        for c in came.iter().filter(|c| c.calls > 0) {
+            self.put(now, |open| Event::Came { proxy: open.number(name), route: c.route, calls: c.calls });
+        }
+    }
+}
--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -19,6 +19,19 @@
     Thread,
 }
 
+/// What runs the day's planner.
+pub fn host(runs: Runs, day: &Day) -> Result<Box<dyn PlannerHost>, String> {
+    // Orders have to be known in force within the grace; none at all could not be kept by anybody.
+    let stall = day.rules.grace.0.mul_f64(0.75).max(Duration::from_millis(500));
+    Ok(match runs {
+        Runs::Thread => Box::new(ThreadHost::new(day.seed, stall)),
+        Runs::Process => {
+            let program = std::env::current_exe().map_err(|e| e.to_string())?;
+            Box::new(ProcessHost::new(program, stall).map_err(|e| e.to_string())?)
+        }
+    })
+}
+
 pub fn rehearse(
     file: Option<&Path>,
     runs: Runs,
@@ -30,15 +43,7 @@
         None => Day::parse(BAD_DAY, "the built-in bad day").map_err(|bad| bad.to_string())?,
     };
     day.seed = seed.unwrap_or(day.seed);
-    // Orders have to be known in force within the grace; none at all could not be kept by anybody.
-    let stall = day.rules.grace.0.mul_f64(0.75).max(Duration::from_millis(500));
-    let host: Box<dyn PlannerHost> = match runs {
-        Runs::Thread => Box::new(ThreadHost::new(day.seed, stall)),
-        Runs::Process => {
-            let program = std::env::current_exe().map_err(|e| e.to_string())?;
-            Box::new(ProcessHost::new(program, stall).map_err(|e| e.to_string())?)
-        }
-    };
+    let host = host(runs, &day)?;
     println!(
         "{}: {} servers, {} proxies, {} zones, {} troubles, {:.0} s",
         day.name,
@@ -100,7 +105,13 @@
             r.name, r.asked, r.answered, r.in_time, r.throttled, r.p50_ms, r.p99_ms
         );
     }
-    println!("orders: {} messages, {} lines; {} joins\n", played.messages, played.lines, played.joins);
+    println!("orders: {} messages, {} lines; {} joins", s.messages, s.lines, s.joins);
+    println!(
+        "work wasted {:.1}%, to other zones {:.1}%, {} connections\n",
+        100.0 * s.wasted,
+        100.0 * s.crossings,
+        s.connections
+    );
     for verdict in &played.verdicts {
         print_verdict(verdict);
     }
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,5 +1,6 @@
 //! `serve`: a planner until it is told to stop.
 
+use crate::record::Recording;
 use grebespool_engine::Start;
 use grebespool_planner::{Untouched, serve as serve_planner};
 use grebespool_settings::Planned;
@@ -9,10 +10,27 @@
 use std::path::Path;
 use std::process::ExitCode;
 use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
+use tokio::time::Instant;
+use tracing::warn;
+
+/// An interrupt, or what service managers send.
+async fn told_to_stop() -> std::io::Result<()> {
+    let mut terminated = signal(SignalKind::terminate())?;
+    tokio::select! {
+        stopped = tokio::signal::ctrl_c() => stopped,
+        _ = terminated.recv() => Ok(()),
+    }
+}
 
 /// Runs until interrupted. Errors are bad input, or an address that cannot be had.
-pub fn serve(file: &Path, listen: Option<SocketAddr>) -> Result<ExitCode, String> {
+pub fn serve(
+    file: &Path,
+    listen: Option<SocketAddr>,
+    record: Option<&Path>,
+    cloak: Option<&Path>,
+) -> Result<ExitCode, String> {
     let Planned { deployment, listen: stated, list, probe_limit } =
         Planned::read(file).map_err(|bad| bad.to_string())?;
     let key_file = &stated.key_file;
@@ -21,6 +39,11 @@
     if key.len() < 16 {
         return Err(format!("{}: a key has at least 16 bytes; this has {}", key_file.display(), key.len()));
     }
+    let start = Start { id: rand::random::<u64>() | 1, seed: rand::random() };
+    let recording = match record {
+        Some(path) => Recording::begin(path, cloak, start.id, &deployment)?,
+        None => Recording::none(),
+    };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -33,7 +56,7 @@
         // For whoever starts it with port 0; standard output has nothing else.
         println!("listening at {address}");
         std::io::stdout().flush().map_err(|e| e.to_string())?;
-        let start = Start { id: rand::random::<u64>() | 1, seed: rand::random() };
+        let began = Instant::now();
         let serving = serve_planner(
             listener,
             start,
@@ -43,10 +66,15 @@
             list,
             probe_limit.0,
             Untouched,
+            recording.clone(),
         );
         tokio::select! {
             ended = serving => ended.map_err(|why| format!("{}: {why}", file.display()))?,
-            stopped = tokio::signal::ctrl_c() => stopped.map_err(|e| e.to_string())?,
+            stopped = told_to_stop() => stopped.map_err(|e| e.to_string())?,
+        }
+        let lost = recording.finish(began.elapsed())?;
+        if lost > 0 {
+            warn!(lost, "events are missing in the recording: its disk did not keep up");
         }
         Ok(ExitCode::SUCCESS)
     })
--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -144,6 +144,12 @@
     if s.anonymous > 0 {
         println!("{} calls without a client: whether these are repeats can't be known", s.anonymous);
     }
+    if s.counted > 0 {
+        println!("{} calls told as counts: their times, keys and clients can't be known", s.counted);
+    }
+    if s.longest_silence_us > 5_000_000 {
+        println!("nothing for {:.1} s at the longest", s.longest_silence_us as f64 / 1e6);
+    }
     println!(
         "{} proxies, {} joins, {} leaves; {} servers, {} lists",
         s.proxies, s.joins, s.lefts, s.servers, s.lists
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -1,8 +1,14 @@
 //! The command line as it is called: exit codes, what is printed where.
 
+use grebespool_planner::dial::{Peer, shake_hands};
+use grebespool_wire::{CameLine, Key, Message, Role};
 use rstest::rstest;
+use std::io::{BufRead, BufReader};
 use std::path::Path;
-use std::process::{Command, Output};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 fn run(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_grebespool-cli"))
@@ -86,10 +92,112 @@
     let set = ["--set", "length=\"3s\"", "--set", "troubles=[]"];
     let replayed = run(&[&["replay", &trace, "--seeds", "2"][..], &set].concat());
     let text = String::from_utf8_lossy(&replayed.stdout);
-    assert!(text.contains("3 recorded first calls") && text.contains("| as it is | 1.0000 |"), "{text}");
+    assert!(text.contains("Recorded: 3 first calls") && text.contains("| as it is | 1.0000 |"), "{text}");
     assert_eq!(replayed.status.code(), Some(0));
 }
 
+const SERVE: &str = include_str!("../../../examples/serve.ncl");
+
+/// A planner as a process, told to record; gives its address.
+fn recording_planner(folder: &Path, arguments: &[&str]) -> (Child, String) {
+    let settings = folder.join("serve.ncl");
+    std::fs::write(&settings, SERVE.replace("127.0.0.1:7401", "127.0.0.1:1")).unwrap();
+    std::fs::write(folder.join("fleet.key"), KEY).unwrap();
+    let mut planner = Command::new(env!("CARGO_BIN_EXE_grebespool-cli"))
+        .args(["--log", "error", "serve", "serve.ncl", "--listen", "127.0.0.1:0"])
+        .args(arguments)
+        .current_dir(folder)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    BufReader::new(planner.stdout.as_mut().unwrap()).read_line(&mut line).unwrap();
+    (planner, line.trim().trim_start_matches("listening at ").to_string())
+}
+
+const KEY: &[u8] = b"the key of a recorded planner";
+
+/// Joins, tells that seven calls came, stays a little, and leaves.
+async fn visit(to: &str, name: &str, zone: &str) {
+    let mut socket = TcpStream::connect(to).await.unwrap();
+    let peer = Peer { role: Role::Proxy, name, zone, rate: 1.0, bare: true, held: (0, 0) };
+    shake_hands(&mut socket, &Key::derive(KEY), [3; 16], &peer).await.unwrap();
+    let sums = Message::Sums { met: vec![], came: vec![CameLine { route: 1, calls: 7 }] };
+    socket.write_all(&sums.frame()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+}
+
+#[rstest]
+fn a_running_planner_records_what_it_hears_and_that_can_be_replayed() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut planner, address) = recording_planner(folder.path(), &["--record", "day.trace"]);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        visit(&address, "a", "east").await;
+        visit(&address, "b", "west").await;
+    });
+    let stopped = Command::new("kill").args(["-TERM", &planner.id().to_string()]).status().unwrap();
+    assert!(stopped.success() && planner.wait().unwrap().success());
+    let trace = folder.path().join("day.trace").display().to_string();
+    let shown = run(&["trace", "show", &trace]);
+    let text = String::from_utf8_lossy(&shown.stdout);
+    assert!(text.contains("2 proxies, 2 joins, 2 leaves"), "{text}");
+    assert!(text.contains("14 calls told as counts") && text.contains("whole"), "{text}");
+    // The site's own settings hold for what is replayed: the bad day has other routes and zones alike.
+    let replayed = run(&["replay", &trace, "--seeds", "1", "--set", "deployment.channel.most_waiting=18001"]);
+    let text = String::from_utf8_lossy(&replayed.stderr);
+    assert!(text.contains("channel.most_waiting: 18001 is beyond"), "{text}");
+    assert_eq!(replayed.status.code(), Some(2));
+    let set = ["--set", "deployment.servers.least_connections=200"];
+    let replayed = run(&[&["replay", &trace, "--seeds", "1"][..], &set].concat());
+    let text = String::from_utf8_lossy(&replayed.stdout);
+    assert!(
+        text.contains("14 calls were told as counts"),
+        "{text}{}",
+        String::from_utf8_lossy(&replayed.stderr)
+    );
+}
+
+#[rstest]
+fn a_recording_is_never_written_over_another() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("day.trace"), "kept").unwrap();
+    let (mut planner, _) = recording_planner(folder.path(), &["--record", "day.trace"]);
+    assert_eq!(planner.wait().unwrap().code(), Some(2));
+    assert_eq!(std::fs::read(folder.path().join("day.trace")).unwrap(), b"kept");
+}
+
+#[rstest]
+fn a_sweep_is_run_reported_and_gone_on_with() {
+    let text = r#"{ name = "small", days = [{ name = "calm", set = ["length=\"3s\"", "troubles=[]"] }],
+        variants = [{ name = "as it is" }, { name = "slow reports", set = ["deployment.reports.cycle=\"2s\""] }],
+        seeds = 2 }"#;
+    let (folder, file) = written("sweep.ncl", text);
+    let out = folder.path().join("out").display().to_string();
+    let first = run(&["experiment", &file, "--out", &out]);
+    assert_eq!(first.status.code(), Some(0), "{}", String::from_utf8_lossy(&first.stderr));
+    assert!(String::from_utf8_lossy(&first.stdout).contains("8 runs done, 0 kept"));
+    let again = run(&["experiment", &file, "--out", &out]);
+    assert!(String::from_utf8_lossy(&again.stdout).contains("0 runs done, 8 kept"));
+    assert!(folder.path().join("out/calm/report.html").is_file());
+}
+
+#[rstest]
+fn a_day_on_sockets_and_in_the_model_comes_to_about_the_same() {
+    let small = include_str!("../../standin/tests/small.ncl");
+    let text = format!("({small}) & {{ troubles = [] }}").replace("length = \"11s\"", "length = \"5s\"");
+    let (_folder, file) = written("day.ncl", &text);
+    let tolerance = ["--tolerance", "0.05", "--worst-tolerance", "0.1"];
+    let compared = run(&[&["compare", &file, "--seeds", "1"][..], &tolerance].concat());
+    let text = String::from_utf8_lossy(&compared.stdout);
+    assert_eq!(compared.status.code(), Some(0), "{text}{}", String::from_utf8_lossy(&compared.stderr));
+    assert!(text.contains("rules kept in both"), "{text}");
+    let (_folder, file) = written("day.ncl", &short_day("50ms"));
+    let broken = run(&[&["compare", &file, "--seeds", "1"][..], &tolerance].concat());
+    assert!(String::from_utf8_lossy(&broken.stdout).contains("rules BROKEN"));
+    assert_eq!(broken.status.code(), Some(1));
+}
+
 #[rstest]
 #[case::no_recording(&["trace", "show", "Cargo.toml"], "this is no recording")]
 #[case::no_file(&["trace", "show", "no-such.trace"], "no-such.trace")]
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -247,8 +247,8 @@
         [wake, self.channel.due(), self.confirm.due()].into_iter().flatten().fold(self.tell_at, Duration::min)
     }
 
-    /// A proxy that showed the key asks to join.
-    pub fn joined(&mut self, now: Duration, stream: StreamId, arrival: Arrival) {
+    /// A proxy that showed the key asks to join. Gives whether it may; if not, it was told why.
+    pub fn joined(&mut self, now: Duration, stream: StreamId, arrival: Arrival) -> bool {
         let Some(zone) = self.list.zone(arrival.zone) else {
             return self.turn_away(stream, Reason::Refused, &format!("no zone {:?}", arrival.zone));
         };
@@ -270,11 +270,14 @@
         self.outlet.welcome(stream);
         self.planner.joined(now, proxy, zone, arrival.bare, f64::from(arrival.rate.max(0.0)));
         self.settle(now, Cause::Join);
+        // What it was told may have been too much for the channel.
+        self.streams.contains_key(&stream)
     }
 
-    fn turn_away(&mut self, stream: StreamId, reason: Reason, text: &str) {
+    fn turn_away(&mut self, stream: StreamId, reason: Reason, text: &str) -> bool {
         self.outlet.close(stream, reason, text);
         self.outlet.refused(&format!("stream {stream} may not join: {text}"));
+        false
     }
 
     fn cut(&mut self, stream: StreamId, reason: Reason, text: &str) {
--- a/crates/model/src/agenda.rs
+++ b/crates/model/src/agenda.rs
@@ -2,7 +2,7 @@
 
 use grebespool::host::Probed;
 use grebespool_engine::{Outlet, StreamId};
-use grebespool_rules::{Passed, Record};
+use grebespool_rules::Passed;
 use grebespool_wire::{Answer, Call, Entry, Message, Orders, Reason, ServerId};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -19,7 +19,8 @@
 pub enum Due {
     Wake,
     Caller(usize),
-    Recorded(crate::calls::FirstCall),
+    /// The next of the recorded day.
+    Past(crate::past::Past),
     Attempt(u64),
     Connect {
         id: TryId,
@@ -101,7 +102,8 @@
     pub ways: Vec<Way>,
     /// Each open stream's proxy.
     pub streams: BTreeMap<StreamId, usize>,
-    pub record: Record,
+    /// What passed since it was last looked at.
+    pub passed: Vec<(Duration, Passed)>,
     /// Whether a server answers probes, and how; set by the model as it changes.
     pub probes: BTreeMap<ServerId, (Duration, Probed)>,
 }
@@ -123,7 +125,7 @@
             queue: BTreeMap::new(),
             ways: vec![way; ways],
             streams: BTreeMap::new(),
-            record: Record::default(),
+            passed: vec![],
             probes: BTreeMap::new(),
         }
     }
@@ -155,12 +157,14 @@
     }
 
     pub fn put(&mut self, what: Passed) {
-        self.record.put(self.now, what);
+        self.passed.push((self.now, what));
     }
 
     fn carry(&mut self, stream: StreamId, message: Message) {
         let Some(&proxy) = self.streams.get(&stream) else { return };
-        self.record.ordered(self.now, proxy as u16, &message);
+        if let Message::Orders(orders) = &message {
+            self.put(Passed::Ordered { proxy: proxy as u16, orders: orders.clone() });
+        }
         let length = message.frame().len() as f64;
         let way = &mut self.ways[proxy];
         let begins = (self.now + HOP + way.delay).max(way.free_at);
--- /dev/null
+++ b/crates/model/src/best.rs
@@ -0,0 +1,40 @@
+//! What the planner is compared with: even weights, and perfect knowledge of all servers.
+
+use crate::agenda::HOP;
+use crate::play::Model;
+use grebespool_wire::{Call, Phase, ServerId};
+use std::time::Duration;
+
+impl Model<'_> {
+    /// The server at which the call is done first, as things stand.
+    pub fn best(&self, proxy: usize, call: &Call, tried: &[ServerId]) -> Option<ServerId> {
+        let (now, p) = (self.now(), &self.proxies[proxy]);
+        let local = self.day.deployment.routes[usize::from(call.route)].stays_local;
+        let work = Duration::from_micros(call.work_us.into());
+        let fit = self.servers.iter().filter(|s| {
+            let near = s.zone == p.zone || !(local || self.apart(s.zone, p.zone));
+            let well = !(s.silent || s.erring || s.leaving || s.frozen);
+            near && well && !tried.contains(&s.id)
+        });
+        let able = fit.filter_map(|s| {
+            let machine = s.machine.as_ref().filter(|m| m.would_bear(now, work))?;
+            let handshake = if p.conns.contains_key(&s.id) {
+                Duration::ZERO
+            } else {
+                s.ability.kind.handshake.0 + HOP * 2
+            };
+            Some((machine.would_take(now, work + handshake), s.id))
+        });
+        able.min().map(|b| b.1)
+    }
+
+    /// Puts evenly what the list calls ready into every proxy's table.
+    pub fn spread_evenly(&mut self) {
+        let ready = self.list.entries.values().filter(|e| e.phase == Phase::Ready);
+        let ready: Vec<ServerId> = ready.map(|e| e.server).collect();
+        for p in &mut self.proxies {
+            p.held.hold_evenly(&ready);
+            p.conns.retain(|server, in_hand| p.held.names(*server) || *in_hand > 0);
+        }
+    }
+}
--- a/crates/model/src/calls.rs
+++ b/crates/model/src/calls.rs
@@ -1,7 +1,7 @@
 //! Callers, and what becomes of a call at its proxy.
 
 use crate::agenda::{Due, HOP, TryId};
-use crate::play::Model;
+use crate::play::{Model, PlannedBy};
 use grebespool_rules::Passed;
 use grebespool_wire::{Answer, Call, Outcome, Report, ServerId, Tries};
 use rand::Rng;
@@ -47,12 +47,20 @@
         self.begin_call(kind, first);
     }
 
+    /// A recorded day's call; its route's callers say how often, and after what waits, it comes again.
+    pub fn past_call(&mut self, first: FirstCall) {
+        let of_route = |c: &grebespool_settings::CallerKind| c.route == usize::from(first.route);
+        if let Some(kind) = self.day.callers.iter().position(of_route) {
+            self.begin_call(kind, first);
+        }
+    }
+
     pub fn begin_call(&mut self, kind: usize, first: FirstCall) {
         self.calls_made += 1;
         let (id, FirstCall { due, route, key, work, proxy }) = (self.calls_made, first);
         let (work_us, zone) = (work.as_micros() as u32, self.proxies[proxy].zone);
         let asked = Passed::Asked { id, route, zone, key, work_us, proxy: proxy as u16 };
-        self.agenda.borrow_mut().record.put(due, asked);
+        self.agenda.borrow_mut().passed.push((due, asked));
         let call = Call { id, attempt: 0, tried: 0, route, key, work_us, time_limit_us: 0, proxy: 0 };
         let (tried, open) = (vec![], None);
         let active = Active { kind, call, due, proxy, attempt_from: due, tries: Tries::One, tried, open };
@@ -88,10 +96,18 @@
         let route = &self.day.deployment.routes[usize::from(a.call.route)];
         let limit = Duration::from_micros(a.call.time_limit_us.into());
         let left = limit.saturating_sub(now - a.attempt_from);
-        let p = &mut self.proxies[a.proxy];
-        let conns = &p.conns;
-        let in_hand = |s| conns.get(&s).copied().unwrap_or(0);
-        let picked = p.held.pick(now, &mut p.rng, a.call.route, &a.tried, in_hand);
+        let (proxy, call) = (a.proxy, a.call);
+        let picked = match self.by {
+            PlannedBy::Nobody => self.best(proxy, &call, &self.active[&id].tried),
+            PlannedBy::Planner | PlannedBy::Evenly => {
+                let p = &mut self.proxies[proxy];
+                let conns = &p.conns;
+                let in_hand = |s| conns.get(&s).copied().unwrap_or(0);
+                p.held.pick(now, &mut p.rng, call.route, &self.active[&id].tried, in_hand)
+            }
+        };
+        let Some(a) = self.active.get_mut(&id) else { return };
+        let p = &self.proxies[proxy];
         let Some(server) = picked.filter(|_| left > limit / 8) else {
             return self.end_attempt(id, Outcome::Throttled);
         };
@@ -138,6 +154,7 @@
         machine.toil(now, handshake);
         self.work_on(s);
         self.proxies[proxy].conns.entry(server).or_default();
+        self.agenda.borrow_mut().put(Passed::Connected { proxy: proxy as u16, server });
         self.send(id, server);
     }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -3,11 +3,14 @@
 //! sockets: the same day gives the same record, byte for byte, whatever else the machine does.
 
 mod agenda;
+mod best;
 mod calls;
+mod past;
 mod play;
 mod proxies;
 mod servers;
 mod troubles;
 
 pub use calls::FirstCall;
-pub use play::{Modelled, model};
+pub use past::{Past, PastEntry, Recording};
+pub use play::{Modelled, PlannedBy, Unplayable, model};
--- a/crates/model/src/play.rs
+++ b/crates/model/src/play.rs
@@ -1,13 +1,14 @@
 //! A day, played under a simulated clock.
 
-use crate::agenda::{Agenda, Due, Out};
-use crate::calls::{Active, FirstCall};
+use crate::agenda::{Agenda, Due, HOP, Out};
+use crate::calls::Active;
+use crate::past::Recording;
 use crate::proxies::Proxy;
-use crate::servers::{Listing, Server};
+use crate::servers::{Listing, Server, ability, server_id};
 use crate::troubles::InHand;
-use grebespool_behaviour::{Ability, Held, Service, Sums, facts};
+use grebespool_behaviour::{Held, Service, Sums, Tally, facts};
 use grebespool_engine::{Engine, Start, StreamId, Unsupported};
-use grebespool_rules::{Passed, Record, Verdict, check};
+use grebespool_rules::{Checker, Passed, Verdict};
 use grebespool_settings::{Day, ListMode};
 use grebespool_wire::{Entry, Phase, ServerId};
 use rand::seq::SliceRandom;
@@ -17,10 +18,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
+use thiserror::Error;
 
 /// A day that was played under the simulated clock.
 pub struct Modelled {
-    pub record: Record,
     pub verdicts: [Verdict; 5],
     pub service: Service,
     /// Events of the model that were handled.
@@ -33,8 +34,34 @@
     }
 }
 
+/// Who says where calls go. All but the planner are there to compare it with, and are held to no rule.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlannedBy {
+    Planner,
+    /// Each proxy spreads evenly over what the list calls ready.
+    Evenly,
+    /// Each call goes where it is done first, by perfect knowledge of all servers: what no planner can do.
+    Nobody,
+}
+
+/// Why a day cannot be played.
+#[derive(Debug, Error)]
+pub enum Unplayable {
+    /// A deployment of a kind that nothing is decided for.
+    #[error(transparent)]
+    Unsupported(#[from] Unsupported),
+    #[error("the recorded day: {0}")]
+    Past(Box<dyn std::error::Error + Send + Sync>),
+}
+
 pub(crate) struct Model<'a> {
     pub day: &'a Day,
+    pub by: PlannedBy,
+    pub recording: Option<Recording<'a>>,
+    /// What the recorded day names, by place among the servers; and its newest list.
+    pub known: BTreeMap<String, usize>,
+    pub past_version: u64,
+    pub planners: BTreeSet<u64>,
     pub agenda: Rc<RefCell<Agenda>>,
     pub engine: Option<Engine<Out>>,
     starts: u64,
@@ -63,30 +90,41 @@
     pub next_number: u32,
 }
 
-/// Plays a day. `calls`: the first calls of a recorded day in place of the day's own callers, whose kinds then
-/// only say how often, and after what waits, a route's callers come again.
+/// Plays a day. `recording`: a recorded day to follow in place of the day's own callers. `seen` is told all that
+/// passes, in its order.
 ///
 /// # Errors
 ///
-/// A deployment of a kind that nothing is decided for.
-pub fn model(day: &Day, calls: Option<&[FirstCall]>) -> Result<Modelled, Unsupported> {
-    let mut model = Model::new(day);
-    model.open(calls)?;
+/// A deployment of a kind that nothing is decided for, and a recording that cannot be read to its end.
+pub fn model(
+    day: &Day,
+    by: PlannedBy,
+    recording: Option<Recording<'_>>,
+    seen: &mut dyn FnMut(Duration, &Passed),
+) -> Result<Modelled, Unplayable> {
+    let mut model = Model::new(day, by, recording);
+    let (mut checker, mut tally) = (Checker::new(&facts(day)), Tally::new(&day.deployment));
+    model.open()?;
     let mut events = 0;
     let end = day.length.0 + longest(day);
     loop {
+        let passed = std::mem::take(&mut model.agenda.borrow_mut().passed);
+        for (at, passed) in passed {
+            seen(at, &passed);
+            tally.see(at, &passed);
+            if by == PlannedBy::Planner {
+                checker.see(at, passed);
+            }
+        }
         let due = model.agenda.borrow_mut().pop();
         let Some(due) = due else { break };
         if model.now() > end || (model.now() >= day.length.0 && model.active.is_empty()) {
             break;
         }
         events += 1;
-        model.handle(due);
+        model.handle(due)?;
     }
-    let record = std::mem::take(&mut model.agenda.borrow_mut().record);
-    let verdicts = check(&record, &facts(day));
-    let service = Service::of(&record, &day.deployment);
-    Ok(Modelled { record, verdicts, service, events })
+    Ok(Modelled { verdicts: checker.verdicts(), service: tally.service(), events })
 }
 
 fn longest(day: &Day) -> Duration {
@@ -94,22 +132,15 @@
 }
 
 impl<'a> Model<'a> {
-    fn new(day: &'a Day) -> Model<'a> {
+    fn new(day: &'a Day, by: PlannedBy, recording: Option<Recording<'a>>) -> Model<'a> {
         let mut rng = Pcg64Mcg::seed_from_u64(day.seed);
         let zone_of =
             |name: &str| day.deployment.zones.iter().position(|z| z == name).unwrap_or_default() as u16;
         let mut servers = vec![];
         for kind in &day.servers {
             for _ in 0..kind.count {
-                let number = servers.len() as u32 + 1;
-                let addr = ([10, (number >> 16) as u8, (number >> 8) as u8, number as u8], 80).into();
-                let ability = Ability {
-                    kind: kind.clone(),
-                    warm_up: day.deployment.servers.warm_up.0,
-                    fall_multiple: day.rules.fall_multiple,
-                    fall: day.rules.fall.0,
-                };
-                servers.push(Server::new(ability, zone_of(&kind.zone), ServerId { addr, number }));
+                let id = server_id(servers.len() as u32 + 1);
+                servers.push(Server::new(ability(day, kind.clone()), zone_of(&kind.zone), id));
             }
         }
         let mut proxies = vec![];
@@ -168,11 +199,18 @@
             in_hand: BTreeMap::new(),
             cut: BTreeSet::new(),
             day,
+            by,
+            recording,
+            known: BTreeMap::new(),
+            past_version: 0,
+            planners: BTreeSet::new(),
         }
     }
 
-    fn open(&mut self, calls: Option<&[FirstCall]>) -> Result<(), Unsupported> {
-        let all: Vec<usize> = (0..self.servers.len()).collect();
+    fn open(&mut self) -> Result<(), Unplayable> {
+        self.begin_past();
+        let all: Vec<usize> =
+            (0..self.servers.len()).filter(|s| self.servers[*s].machine.is_some()).collect();
         self.first_list = all.iter().map(|s| self.entry(*s, Phase::Ready)).collect();
         self.list.entries = self.first_list.iter().map(|e| (e.server, e.clone())).collect();
         all.iter().for_each(|s| self.set_probe(*s));
@@ -181,19 +219,21 @@
             let lines = self.servers.iter().filter(|s| self.proxies[p].held.names(s.id)).map(|s| (s.id, 1.0));
             let lines = lines.collect();
             self.agenda.borrow_mut().put(Passed::Began { proxy: p as u16, lines });
-            self.agenda.borrow_mut().after(Duration::ZERO, Due::Dial(p));
+            if self.by == PlannedBy::Planner {
+                self.agenda.borrow_mut().after(Duration::ZERO, Due::Dial(p));
+            }
+        }
+        if self.by == PlannedBy::Evenly {
+            let all = self.whole_list(1);
+            self.agenda.borrow_mut().after(HOP, all);
         }
-        match calls {
+        match &self.recording {
+            Some(_) => self.next_past()?,
             None => (0..self.day.callers.len()).for_each(|kind| {
                 let rate = self.day.callers[kind].rate;
                 let gap = -self.caller_rng.random_range(f64::EPSILON..1.0).ln() / rate;
                 self.agenda.borrow_mut().after(Duration::from_secs_f64(gap), Due::Caller(kind));
             }),
-            Some(calls) => {
-                for call in calls {
-                    self.agenda.borrow_mut().at(call.due, Due::Recorded(*call));
-                }
-            }
         }
         for (i, trouble) in self.day.troubles.iter().enumerate() {
             self.agenda.borrow_mut().at(trouble.at.0, Due::Begin(i));
@@ -202,6 +242,9 @@
     }
 
     fn launch(&mut self) -> Result<(), Unsupported> {
+        if self.by != PlannedBy::Planner {
+            return Ok(());
+        }
         let d = &self.day.deployment;
         self.starts += 1;
         self.start_id = 1000 * self.day.seed + self.starts;
@@ -260,7 +303,7 @@
         }
     }
 
-    fn handle(&mut self, due: Due) {
+    fn handle(&mut self, due: Due) -> Result<(), Unplayable> {
         let for_planner = matches!(
             due,
             Due::Wake
@@ -271,7 +314,8 @@
                 | Due::Probed { .. }
         );
         if self.stalled && for_planner {
-            return self.missed.push(due);
+            self.missed.push(due);
+            return Ok(());
         }
         match due {
             Due::Wake => {
@@ -282,10 +326,9 @@
                 }
             }
             Due::Caller(kind) => self.caller(kind),
-            Due::Recorded(call) => {
-                let of_route = |c: &grebespool_settings::CallerKind| c.route == usize::from(call.route);
-                let kind = self.day.callers.iter().position(of_route).unwrap_or_default();
-                self.begin_call(kind, call);
+            Due::Past(past) => {
+                self.past(past);
+                self.next_past()?;
             }
             Due::Attempt(id) => self.attempt(id),
             Due::Connect { id, server } => self.connect(id, server),
@@ -316,5 +359,6 @@
                 self.redeploy(server, step, drain, down, other);
             }
         }
+        Ok(())
     }
 }
--- a/crates/model/src/proxies.rs
+++ b/crates/model/src/proxies.rs
@@ -1,7 +1,7 @@
 //! Proxies and their streams.
 
 use crate::agenda::{Due, HOP};
-use crate::play::Model;
+use crate::play::{Model, PlannedBy};
 use grebespool_behaviour::{Held, Sums};
 use grebespool_engine::{Arrival, StreamId};
 use grebespool_rules::Passed;
@@ -34,6 +34,9 @@
     pub fn dial(&mut self, proxy: usize) {
         let way = self.agenda.borrow().ways[proxy].clone();
         let (closed, held) = (way.closed, way.held);
+        if self.proxies[proxy].stream.is_some() {
+            return;
+        }
         if closed || held || self.engine.is_none() {
             return self.redial(proxy);
         }
@@ -52,7 +55,9 @@
         let zone = self.day.deployment.zones[usize::from(p.zone)].clone();
         let rate = self.rate as f32;
         let arrival = Arrival { name: &name, zone: &zone, rate, bare };
-        self.plan(|engine| engine.joined(now, stream, arrival));
+        self.plan(|engine| {
+            engine.joined(now, stream, arrival);
+        });
     }
 
     /// The proxy's end of a stream is gone. `told`: whether the planner learns of it.
@@ -123,6 +128,16 @@
         });
     }
 
+    /// The proxy has no planner from here on, or can have one again.
+    pub fn keep_apart(&mut self, proxy: usize, apart: bool) {
+        self.agenda.borrow_mut().ways[proxy].closed = apart;
+        if apart {
+            self.end_stream(proxy, true);
+        } else if self.proxies[proxy].stream.is_none() && self.by == PlannedBy::Planner {
+            self.agenda.borrow_mut().after(Duration::ZERO, Due::Dial(proxy));
+        }
+    }
+
     pub fn sums(&mut self, stream: StreamId) {
         let Some(proxy) = self.agenda.borrow().streams.get(&stream).copied() else { return };
         let message = self.proxies[proxy].sums.tell();
--- a/crates/model/src/servers.rs
+++ b/crates/model/src/servers.rs
@@ -1,10 +1,11 @@
 //! Servers and their list.
 
 use crate::agenda::{Due, HOP, TryId};
-use crate::play::Model;
+use crate::play::{Model, PlannedBy};
 use grebespool::host::Probed;
 use grebespool_behaviour::{Ability, Machine};
 use grebespool_rules::{List, Passed};
+use grebespool_settings::{Day, ServerKind};
 use grebespool_wire::{Answer, Call, Entry, Outcome, Phase, ServerId};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -19,6 +20,13 @@
     pub erring: bool,
     pub lie: Option<f32>,
     pub draining: bool,
+    /// It drains, whoever knows.
+    pub leaving: bool,
+    /// It stands still, and this came meanwhile.
+    pub frozen: bool,
+    pub came: Vec<(TryId, Call)>,
+    /// Its number in the recorded day.
+    pub number_told: Option<u32>,
     pub started_ms: u64,
     waiting: BTreeMap<u64, (TryId, Call)>,
     next: u64,
@@ -26,6 +34,20 @@
     work_at: Option<Duration>,
 }
 
+pub fn ability(day: &Day, kind: ServerKind) -> Ability {
+    Ability {
+        kind,
+        warm_up: day.deployment.servers.warm_up.0,
+        fall_multiple: day.rules.fall_multiple,
+        fall: day.rules.fall.0,
+    }
+}
+
+pub fn server_id(number: u32) -> ServerId {
+    let addr = ([10, (number >> 16) as u8, (number >> 8) as u8, number as u8], 80).into();
+    ServerId { addr, number }
+}
+
 impl Server {
     pub fn new(ability: Ability, zone: u16, id: ServerId) -> Server {
         let machine = Some(Machine::new(ability.clone(), 1, Duration::ZERO, false));
@@ -39,6 +61,10 @@
             erring: false,
             lie: None,
             draining: false,
+            leaving: false,
+            frozen: false,
+            came: vec![],
+            number_told: None,
             started_ms: 0,
             waiting: BTreeMap::new(),
             next: 0,
@@ -69,6 +95,21 @@
         Entry { server: s.id, zone, phase, started_ms: s.started_ms }
     }
 
+    /// One more, of the first kind of its zone, or of any if the zone has none; not up yet.
+    pub fn add_server(&mut self, zone: u16) -> usize {
+        let of_zone = |k: &&ServerKind| self.zone(&k.zone) == zone;
+        let kind = self.day.servers.iter().find(of_zone).unwrap_or(&self.day.servers[0]).clone();
+        let ability = ability(
+            self.day,
+            ServerKind { zone: self.day.deployment.zones[usize::from(zone)].clone(), ..kind },
+        );
+        self.next_number += 1;
+        let id = server_id(self.next_number);
+        self.servers.push(Server { machine: None, ..Server::new(ability, zone, id) });
+        self.by_id.insert(id, self.servers.len() - 1);
+        self.servers.len() - 1
+    }
+
     pub fn list_change(&mut self, servers: &[usize], phase: Phase) {
         let changed = servers.iter().map(|s| self.entry(*s, phase)).collect();
         let due = (self.now() + self.list.late).max(self.list.last);
@@ -111,7 +152,10 @@
 
     pub fn list_at(&mut self, version: u64, base: u64, entries: Vec<Entry>) {
         let (now_ms, now) = (self.now_ms(), self.planner_now());
-        if self.engine.is_none() {
+        if self.by == PlannedBy::Evenly && version == self.list.version {
+            self.spread_evenly();
+        }
+        if self.engine.is_none() && self.by == PlannedBy::Planner {
             return;
         }
         let told = List { version, base, now_ms, entries: entries.clone() };
@@ -124,7 +168,7 @@
         let s = &self.servers[server];
         let answers = match &s.machine {
             None => None,
-            Some(m) if m.fallen || s.silent => Some((Duration::from_millis(500), Probed::Failed)),
+            Some(m) if m.fallen || s.silent || s.frozen => Some((Duration::from_millis(500), Probed::Failed)),
             Some(_) if s.draining => Some((HOP * 2, Probed::Rejected)),
             Some(_) => Some((HOP * 2, Probed::Answered)),
         };
@@ -138,6 +182,7 @@
     pub fn stop(&mut self, server: usize) {
         let s = &mut self.servers[server];
         s.machine = None;
+        (s.frozen, s.came) = (false, vec![]);
         let (id, lost) = (s.id, std::mem::take(&mut s.waiting));
         let mut agenda = self.agenda.borrow_mut();
         agenda.put(Passed::Down { server: id });
@@ -151,13 +196,16 @@
         self.set_probe(server);
     }
 
-    pub fn start(&mut self, server: usize, number: u32) {
+    /// `age`: it was started so long ago.
+    pub fn start(&mut self, server: usize, number: u32, age: Duration) {
         let (now, now_ms) = (self.now(), self.now_ms());
         let s = &mut self.servers[server];
         s.id.number = number;
-        (s.draining, s.started_ms, s.life) = (false, now_ms, s.life + 1);
+        (s.draining, s.leaving, s.life) = (false, false, s.life + 1);
+        s.started_ms = now_ms.saturating_sub(age.as_millis() as u64);
         s.work_at = None;
-        let machine = Machine::new(s.ability.clone(), now_ms, now, true);
+        let started = now.saturating_sub(age);
+        let machine = Machine::new(s.ability.clone(), now_ms, started, age < s.ability.warm_up);
         let up = Passed::Up { server: s.id, capacity: machine.full(), cold: s.ability.kind.cold };
         s.machine = Some(machine);
         let id = s.id;
@@ -172,6 +220,9 @@
         let Some(machine) = s.machine.as_mut().filter(|_| s.life == life) else {
             return self.agenda.borrow_mut().after(HOP, Due::Lost { id, not_run: false });
         };
+        if s.frozen {
+            return s.came.push((id, call));
+        }
         self.agenda.borrow_mut().put(Passed::Received { server: s.id, call });
         if s.silent {
             return;
@@ -200,6 +251,21 @@
         }
     }
 
+    /// The server stands still with all that it has in hand, or runs on and meets what came meanwhile.
+    pub fn freeze(&mut self, server: usize, still: bool) {
+        let now = self.now();
+        let s = &mut self.servers[server];
+        s.frozen = still;
+        s.machine.iter_mut().for_each(|m| m.freeze(now, still));
+        s.work_at = None;
+        let (life, came) = (s.life, if still { vec![] } else { std::mem::take(&mut s.came) });
+        self.set_probe(server);
+        self.work_on(server);
+        for (id, call) in came {
+            self.at_server(id, server, life, call);
+        }
+    }
+
     pub fn work_on(&mut self, server: usize) {
         let s = &mut self.servers[server];
         if let Some(due) = s.machine.as_ref().and_then(Machine::due)
@@ -213,7 +279,7 @@
     pub fn work(&mut self, server: usize, life: u32) {
         let now = self.now();
         let s = &mut self.servers[server];
-        let Some(machine) = s.machine.as_mut().filter(|_| s.life == life) else { return };
+        let Some(machine) = s.machine.as_mut().filter(|_| s.life == life && !s.frozen) else { return };
         let tickets = machine.done(now);
         s.work_at = s.work_at.filter(|at| *at > now);
         for ticket in tickets {
--- a/crates/model/src/troubles.rs
+++ b/crates/model/src/troubles.rs
@@ -43,6 +43,7 @@
             What::Silent { servers }
             | What::Slow { servers, .. }
             | What::Erring { servers }
+            | What::Frozen { servers }
             | What::Lying { servers, .. } => {
                 hand.servers = self.take(*servers);
                 self.set(&trouble.what, &hand.servers, true);
@@ -62,9 +63,7 @@
                 }
             }
             What::PlannerKilled => {
-                self.engine = None;
-                self.agenda.borrow_mut().put(Passed::PlannerKilled);
-                (0..self.proxies.len()).for_each(|p| self.end_stream(p, false));
+                self.kill_planner();
             }
             What::PlannerStalled => {
                 self.stalled = true;
@@ -134,8 +133,18 @@
         self.agenda.borrow_mut().after(trouble.lasts.0, Due::End(i));
     }
 
+    pub fn kill_planner(&mut self) {
+        self.engine = None;
+        self.agenda.borrow_mut().put(Passed::PlannerKilled);
+        (0..self.proxies.len()).for_each(|p| self.end_stream(p, false));
+    }
+
     fn set(&mut self, what: &What, servers: &[usize], on: bool) {
         for s in servers {
+            if let What::Frozen { .. } = what {
+                self.freeze(*s, on);
+                continue;
+            }
             let server = &mut self.servers[*s];
             match what {
                 What::Silent { .. } => server.silent = on,
@@ -155,7 +164,11 @@
         let Some(hand) = self.in_hand.remove(&i) else { return };
         let what = self.day.troubles[i].what.clone();
         match &what {
-            What::Silent { .. } | What::Slow { .. } | What::Erring { .. } | What::Lying { .. } => {
+            What::Silent { .. }
+            | What::Slow { .. }
+            | What::Erring { .. }
+            | What::Frozen { .. }
+            | What::Lying { .. } => {
                 self.set(&what, &hand.servers, false);
                 self.taken.retain(|s| !hand.servers.contains(s));
             }
@@ -187,7 +200,7 @@
             }
             What::ZoneLoss { .. } => {
                 for s in &hand.servers {
-                    self.start(*s, self.servers[*s].id.number);
+                    self.start(*s, self.servers[*s].id.number, Duration::ZERO);
                 }
                 self.list_change(&hand.servers, Phase::Ready);
                 self.taken.retain(|s| !hand.servers.contains(s));
@@ -210,6 +223,7 @@
         let next = |step| Due::Redeploy { server, step, drain, down, other };
         match step {
             0 => {
+                self.servers[server].leaving = true;
                 self.list_change(&[server], Phase::Draining);
                 self.agenda.borrow_mut().after(drain, next(1));
             }
@@ -228,7 +242,7 @@
                 } else {
                     self.servers[server].id.number
                 };
-                self.start(server, number);
+                self.start(server, number, Duration::ZERO);
                 self.list_change(&[server], Phase::Ready);
                 self.taken.remove(&server);
             }
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -14,7 +14,7 @@
 use grebespool::host::Probed;
 use grebespool_engine::{Engine, Outlet, Start, StreamId, Unsupported};
 use grebespool_settings::{Deployment, ListSource, Listen};
-use grebespool_wire::{Key, Message, Orders, Reason, ServerId};
+use grebespool_wire::{CameLine, Entry, Key, Message, Orders, Reason, ServerId};
 use outgoing::Outgoing;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -39,6 +39,26 @@
     }
 }
 
+/// Told of what a recording of the day needs, as it happens. It is called on the planner's own thread, and must not
+/// wait.
+pub trait Watch: 'static {
+    fn list(&mut self, now: Duration, version: u64, base: u64, now_ms: u64, entries: &[Entry]);
+    fn joined(&mut self, now: Duration, name: &str, zone: &str, bare: bool);
+    /// The proxy is without this planner from here on.
+    fn left(&mut self, now: Duration, name: &str);
+    /// So many calls of each route came to the proxy within its last cycle.
+    fn came(&mut self, now: Duration, name: &str, came: &[CameLine]);
+}
+
+pub struct Unwatched;
+
+impl Watch for Unwatched {
+    fn list(&mut self, _: Duration, _: u64, _: u64, _: u64, _: &[Entry]) {}
+    fn joined(&mut self, _: Duration, _: &str, _: &str, _: bool) {}
+    fn left(&mut self, _: Duration, _: &str) {}
+    fn came(&mut self, _: Duration, _: &str, _: &[CameLine]) {}
+}
+
 /// What the tasks of one planner share. All of it is on one thread, and no borrow lives over an await.
 struct Shared {
     began: Instant,
@@ -53,6 +73,9 @@
     called: Notify,
     asks: Rc<Asks>,
     probes: Rc<Probes>,
+    watch: RefCell<Box<dyn Watch>>,
+    /// Each joined name's stream: one that a newer has taken the place of is not missed when it ends.
+    names: RefCell<BTreeMap<String, StreamId>>,
 }
 
 /// Asks for the list that wait for the list's task.
@@ -163,7 +186,7 @@
 /// Serves proxies on `listener` until it is dropped.
 ///
 /// `passage` stands between the engine and the streams ([`Untouched`] but for tests). `probe_limit` is when a
-/// probe without an answer has failed.
+/// probe without an answer has failed. `watch` is told what happens ([`Unwatched`] where nobody records it).
 ///
 /// # Errors
 ///
@@ -178,6 +201,7 @@
     source: ListSource,
     probe_limit: Duration,
     passage: impl Passage,
+    watch: impl Watch,
 ) -> Result<(), Unsupported> {
     let began = Instant::now();
     let streams = Rc::new(RefCell::new(BTreeMap::new()));
@@ -213,6 +237,8 @@
         called: Notify::new(),
         asks,
         probes,
+        watch: RefCell::new(Box::new(watch)),
+        names: RefCell::default(),
     });
     info!(start = start.id, address = ?listener.local_addr().ok(), "planner started");
     let mut tasks = JoinSet::new();
@@ -267,6 +293,19 @@
 }
 
 impl Shared {
+    fn joined(&self, id: StreamId, name: &str, zone: &str, bare: bool) {
+        self.names.borrow_mut().insert(name.into(), id);
+        self.watch.borrow_mut().joined(self.now(), name, zone, bare);
+    }
+
+    fn left(&self, id: StreamId, name: &str) {
+        let mut names = self.names.borrow_mut();
+        if names.get(name) == Some(&id) {
+            names.remove(name);
+            self.watch.borrow_mut().left(self.now(), name);
+        }
+    }
+
     fn probed(&self, server: ServerId, result: Probed) {
         self.call(|engine, now| engine.probed(now, server, result));
     }
--- a/crates/planner/src/list.rs
+++ b/crates/planner/src/list.rs
@@ -57,6 +57,7 @@
                 Message::List { version, base, now_ms, entries } => {
                     unanswered = None;
                     info!(version, base, entries = entries.len(), "list");
+                    shared.watch.borrow_mut().list(shared.now(), version, base, now_ms, &entries);
                     shared.call(|engine, now| engine.list(now, version, base, now_ms, &entries));
                 }
                 Message::ListFailed { text } => {
--- a/crates/planner/src/outgoing.rs
+++ b/crates/planner/src/outgoing.rs
@@ -18,6 +18,8 @@
     changed: Notify,
     /// What the planner shows when it welcomes this stream.
     pub proof: Cell<Proof>,
+    /// Who joined on it.
+    pub name: RefCell<Option<String>>,
 }
 
 impl Outgoing {
@@ -28,6 +30,7 @@
             closing: Cell::new(false),
             changed: Notify::new(),
             proof: Cell::new(Proof([0; 32])),
+            name: RefCell::default(),
         }
     }
 
--- a/crates/planner/src/stream.rs
+++ b/crates/planner/src/stream.rs
@@ -58,6 +58,9 @@
     };
     shared.streams.borrow_mut().remove(&id);
     shared.call(|engine, _| engine.left(id));
+    if let Some(name) = out.name.take() {
+        shared.left(id, &name);
+    }
     match ended.0 {
         Reason::Stopping => info!(stream = id, %from, why = ended.1, "stream ended"),
         reason => warn!(stream = id, %from, ?reason, why = ended.1, "stream closed"),
@@ -91,7 +94,13 @@
             Err(_) => return Ended(Reason::Silent, format!("nothing was heard for {silence:?}")),
         };
         match message {
-            Message::Sums { met, came } => shared.call(|engine, _| engine.sums(id, &met, &came)),
+            Message::Sums { met, came } => {
+                let name = out.name.borrow();
+                if let Some(name) = &*name {
+                    shared.watch.borrow_mut().came(shared.now(), name, &came);
+                }
+                shared.call(|engine, _| engine.sums(id, &met, &came));
+            }
             Message::Applied { start, stream, seq, mark } => {
                 debug!(stream = id, seq, mark, "applied");
                 shared.call(|engine, now| engine.applied(now, id, (start, stream), seq, mark));
@@ -141,7 +150,10 @@
     out.proof.set(shared.key.planner(nonces, start, &name, &join.zone));
     debug!(stream = id, name, held = join.held_start, seq = join.held_seq, bare = join.bare, "asks to join");
     let arrival = Arrival { name: &name, zone: &join.zone, rate: join.rate, bare: join.bare };
-    shared.call(|engine, now| engine.joined(now, id, arrival));
+    if shared.call(|engine, now| engine.joined(now, id, arrival)) {
+        shared.joined(id, &name, &join.zone, join.bare);
+        *out.name.borrow_mut() = Some(name.clone());
+    }
     Ok(name)
 }
 
--- a/crates/planner/tests/streams.rs
+++ b/crates/planner/tests/streams.rs
@@ -2,7 +2,7 @@
 
 use grebespool_engine::Start;
 use grebespool_planner::dial::{Dialled, Peer, next, shake_hands};
-use grebespool_planner::{Untouched, serve};
+use grebespool_planner::{Untouched, Unwatched, serve};
 use grebespool_settings::{ListMode, ListSource, Listen, Planned, Span};
 use grebespool_wire::*;
 use rstest::rstest;
@@ -30,7 +30,8 @@
         let nowhere = ([127, 0, 0, 1], 1).into();
         let source = ListSource::new(nowhere, ListMode::Pushed, Span(SOON));
         let start = Start { id: 9, seed: 1 };
-        let serving = serve(listener, start, Key::derive(KEY), deployment, listen, source, SOON, Untouched);
+        let serving =
+            serve(listener, start, Key::derive(KEY), deployment, listen, source, SOON, Untouched, Unwatched);
         spawn_local(async move { serving.await.unwrap() });
         what(address).await;
     });
@@ -134,7 +135,8 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let to = listener.local_addr().unwrap();
         let start = Start { id: 9, seed: 1 };
-        let serving = serve(listener, start, Key::derive(KEY), deployment, listen, list, SOON, Untouched);
+        let serving =
+            serve(listener, start, Key::derive(KEY), deployment, listen, list, SOON, Untouched, Unwatched);
         spawn_local(async move { serving.await.unwrap() });
         let mut socket = TcpStream::connect(to).await.unwrap();
         let mut heard = vec![];
--- a/crates/replay/src/compare.rs
+++ b/crates/replay/src/compare.rs
@@ -1,5 +1,7 @@
 //! Paired comparison over seeds.
 
+use crate::run::Replayed;
+
 /// By how much one variant serves better than another: the mean of the differences, seed by seed, and the
 /// interval in which it lies with 95 of 100.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -22,8 +24,14 @@
     2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048, 2.045, 2.042,
 ];
 
+/// By how much the second variant serves better than the first, seed by seed.
+pub fn gain(before: &Replayed, after: &Replayed) -> Gain {
+    let services = before.outcomes.iter().zip(&after.outcomes);
+    gain_of(&services.map(|(a, b)| (a.service.whole, b.service.whole)).collect::<Vec<_>>())
+}
+
 /// `pairs`: what each seed gave, the one to compare with first.
-pub fn gain(pairs: &[(f64, f64)]) -> Gain {
+pub fn gain_of(pairs: &[(f64, f64)]) -> Gain {
     let n = pairs.len() as f64;
     let differences: Vec<f64> = pairs.iter().map(|(before, after)| after - before).collect();
     let mean = differences.iter().sum::<f64>() / n.max(1.0);
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -3,12 +3,15 @@
 //! What comes out does not depend on how many cores there are: each run is the model's, alone, and runs are put
 //! together by their places.
 
-mod calls;
+mod chart;
 mod compare;
+mod experiment;
+mod past;
 mod report;
 mod run;
 
-pub use calls::{Recorded, recorded};
-pub use compare::{Gain, gain};
+pub use compare::{Gain, gain, gain_of};
+pub use experiment::{Experiment, Kept, Swept, SweptDay, Unswept};
+pub use past::{Found, Recorded};
 pub use report::write_report;
-pub use run::{Outcome, Replayed, Variant, replay};
+pub use run::{Job, Outcome, Replayed, Replays, Variant, replay, run_all};
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -1,116 +1,299 @@
-//! A report: a Markdown page with a chart beside it, and the same as JSON and CSV.
+//! A report: one page that opens on its own, the same as Markdown, and the figures as JSON and CSV.
 
-use crate::compare::gain;
-use crate::run::Replayed;
-use plotters::prelude::*;
+use crate::chart::{course, gains, mean};
+use crate::compare::{Gain, gain};
+use crate::run::{Outcome, Replayed, Replays};
+use maud::{DOCTYPE, PreEscaped, html};
 use std::fmt::Write;
 use std::io;
 use std::path::Path;
 
-fn mean(values: impl Iterator<Item = f64>) -> f64 {
-    let (sum, n) = values.fold((0.0, 0.0), |(s, n), v| (s + v, n + 1.0));
-    if n > 0.0 { sum / n } else { 0.0 }
+/// A table of a page.
+pub(crate) struct Table {
+    pub title: String,
+    pub head: Vec<String>,
+    pub rows: Vec<Vec<String>>,
 }
 
-/// Writes `report.md`, `course.svg`, `runs.json` and `runs.csv` into `folder`, which is made if it is not there.
-/// The first variant is what the others are compared with. `about` stands at the top.
-///
-/// # Errors
-///
-/// The files'.
-pub fn write_report(folder: &Path, title: &str, about: &[String], replayed: &[Replayed]) -> io::Result<()> {
-    std::fs::create_dir_all(folder)?;
-    let mut page = format!("# {title}\n\n");
-    about.iter().for_each(|line| page.push_str(&format!("{line}\n\n")));
-    page.push_str(
-        "| variant | service | against the first | worst 10 s | throttled | lines | joins | rules |\n",
+impl Table {
+    fn new(title: &str, head: &[&str]) -> Table {
+        Table { title: title.into(), head: head.iter().map(|h| h.to_string()).collect(), rows: vec![] }
+    }
+
+    pub fn markdown(&self) -> String {
+        // A bar in a name would end its cell.
+        let line = |cells: &[String]| {
+            let cells: Vec<String> = cells.iter().map(|c| c.replace('|', "\\|")).collect();
+            format!("| {} |\n", cells.join(" | "))
+        };
+        let rule = format!("|{}\n", " --- |".repeat(self.head.len()));
+        let rows: String = self.rows.iter().map(|r| line(r)).collect();
+        format!("## {}\n\n{}{rule}{rows}\n", self.title, line(&self.head))
+    }
+
+    fn html(&self) -> maud::Markup {
+        html! {
+            h2 { (self.title) }
+            table {
+                tr { @for h in &self.head { th { (h) } } }
+                @for row in &self.rows { tr { @for cell in row { td { (cell) } } } }
+            }
+        }
+    }
+}
+
+/// A page of text, tables and charts.
+pub(crate) struct Page {
+    pub title: String,
+    pub about: Vec<String>,
+    pub tables: Vec<Table>,
+    /// Each with the name of its file.
+    pub charts: Vec<(String, String)>,
+}
+
+const STYLE: &str = "body{font:15px/1.5 sans-serif;max-width:980px;margin:2em auto;padding:0 1em;color:#222}\
+table{border-collapse:collapse;margin:.6em 0}th,td{border:1px solid #ccc;padding:3px 8px;text-align:right}\
+th:first-child,td:first-child{text-align:left}svg{max-width:100%;height:auto}";
+
+impl Page {
+    fn html(&self) -> String {
+        let page = html! {
+            (DOCTYPE)
+            html lang="en" {
+                head { meta charset="utf-8"; title { (self.title) } style { (PreEscaped(STYLE)) } }
+                body {
+                    h1 { (self.title) }
+                    @for line in &self.about { p { (line) } }
+                    @for (_, svg) in &self.charts { (PreEscaped(svg)) }
+                    @for table in &self.tables { (table.html()) }
+                }
+            }
+        };
+        page.into_string()
+    }
+
+    fn markdown(&self) -> String {
+        let mut page = format!("# {}\n\n", self.title);
+        self.about.iter().for_each(|line| page.push_str(&format!("{line}\n\n")));
+        self.charts.iter().for_each(|(name, _)| page.push_str(&format!("![{name}]({name}.svg)\n\n")));
+        self.tables.iter().for_each(|t| page.push_str(&t.markdown()));
+        page
+    }
+
+    /// Writes `NAME.html`, `NAME.md` and the charts into `folder`, which is made if it is not there.
+    pub fn write(&self, folder: &Path, name: &str) -> io::Result<()> {
+        std::fs::create_dir_all(folder)?;
+        for (chart, svg) in &self.charts {
+            std::fs::write(folder.join(format!("{chart}.svg")), svg)?;
+        }
+        std::fs::write(folder.join(format!("{name}.html")), self.html())?;
+        std::fs::write(folder.join(format!("{name}.md")), self.markdown().trim_end().to_string() + "\n")
+    }
+}
+
+pub(crate) fn told(gain: &Gain) -> String {
+    match gain.margin {
+        None => format!("{:+.4} (one seed)", gain.mean),
+        Some(m) if gain.is_noise() => format!("{:+.4} ± {m:.4}, may be chance", gain.mean),
+        Some(m) => format!("{:+.4} ± {m:.4}", gain.mean),
+    }
+}
+
+/// A mean over a variant's seeds.
+fn of(r: &Replayed, f: impl Fn(&Outcome) -> f64) -> f64 {
+    mean(r.outcomes.iter().map(f))
+}
+
+pub(crate) fn service(r: &Replayed) -> f64 {
+    of(r, |o| o.service.whole)
+}
+
+pub(crate) fn rules(r: &Replayed) -> String {
+    let broken = r.outcomes.iter().filter(|o| !o.broken.is_empty()).count();
+    if broken == 0 { "kept".into() } else { format!("BROKEN with {broken} seeds") }
+}
+
+fn whole(replays: &Replays) -> Table {
+    let mut table = Table::new(
+        "Service",
+        &["variant", "service", "against the first", "worst 10 s", "of the way from even to best", "rules"],
+    );
+    let (even, best) = (service(&replays.evenly), service(&replays.best));
+    let way = |r: &Replayed| match best - even {
+        // Where both serve alike there is no way between them.
+        span if span < 0.001 => "-".into(),
+        span => format!("{:.0}%", 100.0 * (service(r) - even) / span),
+    };
+    for (i, r) in replays.variants.iter().enumerate() {
+        let against = if i == 0 { String::new() } else { told(&gain(&replays.variants[0], r)) };
+        let worst = of(r, |o| o.service.worst);
+        table.rows.push(vec![
+            r.name.clone(),
+            format!("{:.4}", service(r)),
+            against,
+            format!("{worst:.4}"),
+            way(r),
+            rules(r),
+        ]);
+    }
+    for r in [&replays.evenly, &replays.best] {
+        let worst = format!("{:.4}", of(r, |o| o.service.worst));
+        let against = told(&gain(&replays.variants[0], r));
+        table.rows.push(vec![
+            r.name.clone(),
+            format!("{:.4}", service(r)),
+            against,
+            worst,
+            String::new(),
+            "not asked".into(),
+        ]);
+    }
+    table
+}
+
+fn all(replays: &Replays) -> impl Iterator<Item = &Replayed> {
+    replays.variants.iter().chain([&replays.evenly, &replays.best])
+}
+
+fn costs(replays: &Replays) -> Table {
+    let mut table = Table::new(
+        "What it cost (means over seeds)",
+        &[
+            "variant",
+            "p50 ms",
+            "p99 ms",
+            "p99.9 ms",
+            "turned away",
+            "late",
+            "failed",
+            "work wasted",
+            "tries a call",
+            "to other zones",
+            "connections",
+            "messages",
+            "lines",
+            "joins",
+        ],
     );
-    page.push_str("| --- | --- | --- | --- | --- | --- | --- | --- |\n");
-    for r in replayed {
-        let pairs: Vec<(f64, f64)> =
-            replayed[0].outcomes.iter().zip(&r.outcomes).map(|(a, b)| (a.service, b.service)).collect();
-        let gain = gain(&pairs);
-        let against = match gain.margin {
-            _ if std::ptr::eq(r, &replayed[0]) => String::new(),
-            None => format!("{:+.4} (one seed)", gain.mean),
-            Some(m) if gain.is_noise() => format!("{:+.4} ± {m:.4}, may be chance", gain.mean),
-            Some(m) => format!("{:+.4} ± {m:.4}", gain.mean),
+    for r in all(replays) {
+        let mut row = vec![r.name.clone()];
+        row.extend([
+            format!("{:.0}", of(r, |o| o.service.p50_ms)),
+            format!("{:.0}", of(r, |o| o.service.p99_ms)),
+            format!("{:.0}", of(r, |o| o.service.p999_ms)),
+            format!("{:.0}", of(r, |o| o.service.throttled() as f64)),
+            format!("{:.0}", of(r, |o| o.service.late() as f64)),
+            format!("{:.0}", of(r, |o| o.service.failed() as f64)),
+            format!("{:.2}%", of(r, |o| 100.0 * o.service.wasted)),
+            format!("{:.3}", of(r, |o| o.service.tries)),
+            format!("{:.1}%", of(r, |o| 100.0 * o.service.crossings)),
+            format!("{:.0}", of(r, |o| o.service.connections as f64)),
+            format!("{:.0}", of(r, |o| o.service.messages as f64)),
+            format!("{:.0}", of(r, |o| o.service.lines as f64)),
+            format!("{:.0}", of(r, |o| o.service.joins as f64)),
+        ]);
+        table.rows.push(row);
+    }
+    table
+}
+
+/// Answered in time over asked, by route and by zone.
+fn parts(replays: &Replays) -> [Table; 2] {
+    let first = &replays.variants[0].outcomes[0].service;
+    let head = |names: Vec<String>| {
+        let mut head = vec!["variant".to_string()];
+        head.extend(names);
+        head
+    };
+    let routes = first.routes.iter().map(|r| r.name.clone()).collect();
+    let zones = first.zones.iter().map(|z| z.name.clone()).collect();
+    let mut by_route = Table { title: "In time, by route".into(), head: head(routes), rows: vec![] };
+    let mut by_zone =
+        Table { title: "Service by zone of the caller".into(), head: head(zones), rows: vec![] };
+    for r in all(replays) {
+        let route = |i: usize| {
+            of(r, |o| {
+                let route = &o.service.routes[i];
+                if route.asked > 0 { route.in_time as f64 / route.asked as f64 } else { 1.0 }
+            })
         };
-        let of = |f: &dyn Fn(&crate::run::Outcome) -> f64| mean(r.outcomes.iter().map(f));
-        let throttled = of(&|o| o.routes.iter().map(|r| r.4 as f64).sum());
-        let broken = r.outcomes.iter().filter(|o| !o.broken.is_empty()).count();
-        let rules = if broken == 0 { "kept".into() } else { format!("BROKEN with {broken} seeds") };
-        let _ = writeln!(
-            page,
-            "| {} | {:.4} | {against} | {:.4} | {throttled:.0} | {:.0} | {:.0} | {rules} |",
-            r.name,
-            of(&|o| o.service),
-            of(&|o| o.worst),
-            of(&|o| o.lines as f64),
-            of(&|o| o.joins as f64)
-        );
+        let row = (0..first.routes.len()).map(|i| format!("{:.4}", route(i)));
+        by_route.rows.push(std::iter::once(r.name.clone()).chain(row).collect());
+        let row = (0..first.zones.len()).map(|i| format!("{:.4}", of(r, |o| o.service.zones[i].service)));
+        by_zone.rows.push(std::iter::once(r.name.clone()).chain(row).collect());
     }
-    for r in replayed {
-        for o in r.outcomes.iter().filter(|o| !o.broken.is_empty()) {
+    [by_route, by_zone]
+}
+
+fn breaches(replays: &Replays) -> Option<Table> {
+    let mut table = Table::new("Rules that were broken", &["variant", "seed", "rule", "first"]);
+    for r in &replays.variants {
+        for o in &r.outcomes {
             for (rule, first) in &o.broken {
-                let _ = writeln!(page, "\n{} with seed {} breaks rule {rule}: {first}", r.name, o.seed);
+                table.rows.push(vec![r.name.clone(), o.seed.to_string(), rule.clone(), first.clone()]);
             }
         }
     }
-    page.push_str("\n![service through the day](course.svg)\n\nMeans over seeds; a run that breaks a rule counts for nothing, whatever its service.\n");
-    std::fs::write(folder.join("report.md"), page)?;
-    std::fs::write(folder.join("course.svg"), chart(replayed)?)?;
-    let runs: Vec<_> = replayed.iter().map(|r| (&r.name, &r.outcomes)).collect();
-    std::fs::write(folder.join("runs.json"), serde_json::to_string_pretty(&runs)?)?;
-    let mut csv = String::from("variant,seed,service,worst,messages,lines,joins,rules_broken\n");
-    for r in replayed {
+    (!table.rows.is_empty()).then_some(table)
+}
+
+/// Writes `report.html`, `report.md`, the charts, `runs.json` and `runs.csv` into `folder`, which is made if it is
+/// not there. `about` stands at the top.
+///
+/// # Errors
+///
+/// The files'.
+pub fn write_report(folder: &Path, title: &str, about: &[String], replays: &Replays) -> io::Result<()> {
+    let mut about = about.to_vec();
+    about.push(
+        "Means over seeds; a run that breaks a rule counts for nothing, whatever its service. Even weights and \
+         perfect knowledge are there to compare with: no rule is asked of them."
+            .into(),
+    );
+    let mut charts = vec![("course".to_string(), course(replays)?)];
+    if replays.variants.len() > 1 {
+        charts.push(("gains".into(), gains(replays)?));
+    }
+    let mut tables = vec![whole(replays)];
+    tables.extend(breaches(replays));
+    tables.extend(parts(replays));
+    tables.push(costs(replays));
+    Page { title: title.into(), about, tables, charts }.write(folder, "report")?;
+    std::fs::write(folder.join("runs.json"), serde_json::to_string_pretty(replays)?)?;
+    std::fs::write(folder.join("runs.csv"), csv(replays)?)
+}
+
+fn csv(replays: &Replays) -> io::Result<String> {
+    let mut text = String::from(
+        "variant,seed,service,worst,p50_ms,p99_ms,p999_ms,throttled,late,failed,wasted,crossings,connections,\
+         messages,lines,joins,rules_broken\n",
+    );
+    for r in all(replays) {
         for o in &r.outcomes {
+            let s = &o.service;
             let name = r.name.replace(['"', ','], " ");
-            let _ = writeln!(
-                csv,
-                "{name},{},{:.6},{:.6},{},{},{},{}",
+            let written = writeln!(
+                text,
+                "{name},{},{:.6},{:.6},{:.3},{:.3},{:.3},{},{},{},{:.6},{:.6},{},{},{},{},{}",
                 o.seed,
-                o.service,
-                o.worst,
-                o.messages,
-                o.lines,
-                o.joins,
+                s.whole,
+                s.worst,
+                s.p50_ms,
+                s.p99_ms,
+                s.p999_ms,
+                s.throttled(),
+                s.late(),
+                s.failed(),
+                s.wasted,
+                s.crossings,
+                s.connections,
+                s.messages,
+                s.lines,
+                s.joins,
                 o.broken.len()
             );
+            written.map_err(io::Error::other)?;
         }
     }
-    std::fs::write(folder.join("runs.csv"), csv)
-}
-
-/// Service through the day, a line a variant, mean over seeds.
-fn chart(replayed: &[Replayed]) -> io::Result<String> {
-    let mut svg = String::new();
-    let drawn = draw(&mut svg, replayed);
-    drawn.map_err(|e| io::Error::other(format!("the chart cannot be drawn: {e}")))?;
-    Ok(svg)
-}
-
-fn draw(svg: &mut String, replayed: &[Replayed]) -> Result<(), Box<dyn std::error::Error>> {
-    let steps = replayed.iter().flat_map(|r| &r.outcomes).map(|o| o.course.len()).max().unwrap_or(1);
-    let area = SVGBackend::with_string(svg, (900, 420)).into_drawing_area();
-    area.fill(&WHITE)?;
-    let mut chart = ChartBuilder::on(&area)
-        .caption("service by two seconds", ("sans-serif", 18))
-        .margin(12)
-        .x_label_area_size(36)
-        .y_label_area_size(48)
-        .build_cartesian_2d(0.0..(steps as f64 * 2.0), 0.0..1.02)?;
-    chart.configure_mesh().x_desc("seconds").y_desc("service").draw()?;
-    for (i, r) in replayed.iter().enumerate() {
-        let color = Palette99::pick(i).to_rgba();
-        let at = |s: usize| mean(r.outcomes.iter().filter_map(|o| o.course.get(s).copied()));
-        let line = (0..steps).map(|s| (s as f64 * 2.0, at(s)));
-        chart
-            .draw_series(LineSeries::new(line, color.stroke_width(2)))?
-            .label(r.name.clone())
-            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color.stroke_width(2)));
-    }
-    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK.mix(0.3)).draw()?;
-    area.present()?;
-    Ok(())
+    Ok(text)
 }
--- a/crates/replay/src/run.rs
+++ b/crates/replay/src/run.rs
@@ -1,11 +1,11 @@
-//! Variants and seeds, run on all cores.
+//! Runs, dealt to all cores and put together by their places.
 
-use grebespool_engine::Unsupported;
-use grebespool_model::{FirstCall, model};
-use grebespool_rules::{Passed, Rule};
+use crate::past::Recorded;
+use grebespool_behaviour::Service;
+use grebespool_model::{PlannedBy, Unplayable, model};
+use grebespool_rules::Verdict;
 use grebespool_settings::Day;
-use grebespool_wire::Outcome as Answered;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 
@@ -15,110 +15,143 @@
     pub day: Day,
 }
 
+/// One run that is to be done.
+pub struct Job<'a> {
+    pub day: &'a Day,
+    pub seed: u64,
+    pub by: PlannedBy,
+    pub recorded: Option<&'a Recorded>,
+}
+
 /// What one run came to.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Outcome {
     pub seed: u64,
-    pub service: f64,
-    pub worst: f64,
-    /// By route: asked, answered, in time, throttled.
-    pub routes: Vec<(String, u64, u64, u64, u64)>,
-    pub p99_ms: Vec<f64>,
-    pub messages: usize,
-    pub lines: usize,
-    pub joins: usize,
+    pub service: Service,
     /// Rules that were broken, with the first breach.
     pub broken: Vec<(String, String)>,
-    /// Importance answered in time over importance asked, by two seconds of the day.
-    pub course: Vec<f64>,
-}
-
-pub struct Replayed {
-    pub name: String,
-    pub outcomes: Vec<Outcome>,
+    /// The model's events.
+    pub events: u64,
 }
 
-const COURSE: u64 = 2;
-
-fn outcome(day: &Day, calls: Option<&[FirstCall]>) -> Result<Outcome, Unsupported> {
-    let played = model(day, calls)?;
-    let (mut messages, mut lines, mut joins) = (0, 0, 0);
-    let mut asked = std::collections::BTreeMap::new();
-    let mut course = vec![(0.0, 0.0); (day.length.0.as_secs() / COURSE) as usize + 1];
-    for (at, passed) in &played.record.passed {
-        match passed {
-            Passed::Ordered { orders, .. } => (messages, lines) = (messages + 1, lines + orders.parts.len()),
-            Passed::Joined { .. } => joins += 1,
-            Passed::Asked { id, route, .. } => drop(asked.insert(*id, (*at, usize::from(*route)))),
-            Passed::Done { id, outcome, .. } => {
-                let Some((due, route)) = asked.get(id).copied() else { continue };
-                let stated = &day.deployment.routes[route];
-                let Some(part) = course.get_mut((due.as_secs() / COURSE) as usize) else { continue };
-                part.0 += stated.importance;
-                let good = *outcome == Answered::Answered && at.saturating_sub(due) <= stated.slo.0;
-                part.1 += if good { stated.importance } else { 0.0 };
-            }
-            _ => {}
-        }
+impl Job<'_> {
+    /// # Errors
+    ///
+    /// A deployment of a kind that nothing is decided for; a recording that cannot be read.
+    pub fn run(&self) -> Result<Outcome, Unplayable> {
+        let mut day = self.day.clone();
+        day.seed = self.seed;
+        let recording = self.recorded.map(Recorded::begin).transpose();
+        let recording = recording.map_err(|flaw| Unplayable::Past(flaw.into()))?;
+        let played = model(&day, self.by, recording, &mut |_, _| {})?;
+        let broken = |v: &Verdict| {
+            let first = v.first.as_ref()?;
+            Some((v.rule.to_string(), format!("at {:.3} s: {}", first.at.as_secs_f64(), first.what)))
+        };
+        Ok(Outcome {
+            seed: self.seed,
+            service: played.service,
+            broken: played.verdicts.iter().filter_map(broken).collect(),
+            events: played.events,
+        })
     }
-    let broken = |v: &grebespool_rules::Verdict| {
-        let rule: Rule = v.rule;
-        v.first.as_ref().map(|b| (rule.to_string(), format!("at {:.3} s: {}", b.at.as_secs_f64(), b.what)))
-    };
-    Ok(Outcome {
-        seed: day.seed,
-        service: played.service.whole,
-        worst: played.service.worst,
-        routes: (played.service.routes.iter())
-            .map(|r| (r.name.clone(), r.asked, r.answered, r.in_time, r.throttled))
-            .collect(),
-        p99_ms: played.service.routes.iter().map(|r| r.p99_ms).collect(),
-        messages,
-        lines,
-        joins,
-        broken: played.verdicts.iter().filter_map(broken).collect(),
-        course: course.into_iter().map(|(a, g)| if a > 0.0 { g / a } else { 1.0 }).collect(),
-    })
 }
 
-/// Runs every variant with each of `seeds`, on `threads` threads. `calls`: a recorded day's first calls, the same
-/// for all. `done` is told how many runs are over.
+/// Does all jobs on so many threads; the outcomes are in the jobs' order. `done` is told of each as it is over, by
+/// its place.
 ///
 /// # Errors
 ///
-/// A deployment of a kind that nothing is decided for.
-pub fn replay(
-    variants: &[Variant],
-    seeds: &[u64],
-    calls: Option<&[FirstCall]>,
+/// The first job's, in their order, that could not be done.
+pub fn run_all(
+    jobs: &[Job<'_>],
     threads: usize,
-    done: &(dyn Fn(usize) + Sync),
-) -> Result<Vec<Replayed>, Unsupported> {
-    let (next, over) = (AtomicUsize::new(0), AtomicUsize::new(0));
-    let count = variants.len() * seeds.len();
-    let results: Mutex<Vec<Option<Result<Outcome, Unsupported>>>> = Mutex::new(vec![None; count]);
+    done: &(dyn Fn(usize, &Outcome) + Sync),
+) -> Result<Vec<Outcome>, Unplayable> {
+    let next = AtomicUsize::new(0);
+    let results: Mutex<Vec<Option<Result<Outcome, Unplayable>>>> =
+        Mutex::new((0..jobs.len()).map(|_| None).collect());
     std::thread::scope(|scope| {
-        for _ in 0..threads.clamp(1, count.max(1)) {
+        for _ in 0..threads.clamp(1, jobs.len().max(1)) {
             scope.spawn(|| {
-                loop {
+                while let Some((i, job)) = {
                     let i = next.fetch_add(1, Ordering::Relaxed);
-                    if i >= count {
-                        return;
+                    jobs.get(i).map(|job| (i, job))
+                } {
+                    let result = job.run();
+                    if let Ok(outcome) = &result {
+                        done(i, outcome);
                     }
-                    let mut day = variants[i / seeds.len()].day.clone();
-                    day.seed = seeds[i % seeds.len()];
-                    let result = outcome(&day, calls);
                     results.lock().unwrap_or_else(PoisonError::into_inner)[i] = Some(result);
-                    done(over.fetch_add(1, Ordering::Relaxed) + 1);
                 }
             });
         }
     });
-    let mut results = results.into_inner().unwrap_or_else(PoisonError::into_inner).into_iter().flatten();
-    let mut replayed = vec![];
-    for variant in variants {
-        let outcomes = results.by_ref().take(seeds.len()).collect::<Result<_, _>>()?;
-        replayed.push(Replayed { name: variant.name.clone(), outcomes });
+    results.into_inner().unwrap_or_else(PoisonError::into_inner).into_iter().flatten().collect()
+}
+
+/// A variant's outcomes, a seed after another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Replayed {
+    pub name: String,
+    pub outcomes: Vec<Outcome>,
+}
+
+/// A day under several settings, and what it is compared with.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Replays {
+    /// The first is the one that the others are compared with.
+    pub variants: Vec<Replayed>,
+    /// Even weights on the first variant's day.
+    pub evenly: Replayed,
+    /// Each call to where it is done first, by perfect knowledge, on the first variant's day.
+    pub best: Replayed,
+}
+
+impl Replays {
+    pub const EVENLY: &str = "even weights, no planner";
+    pub const BEST: &str = "least loaded, knowing all";
+
+    /// The runs that a comparison needs: each variant with each seed, then the two baselines.
+    pub fn jobs<'a>(variants: &'a [Variant], seeds: &[u64], recorded: Option<&'a Recorded>) -> Vec<Job<'a>> {
+        let of = |day: &'a Day, by| seeds.iter().map(move |seed| Job { day, seed: *seed, by, recorded });
+        let planned = variants.iter().flat_map(|v| of(&v.day, PlannedBy::Planner));
+        let first = variants.iter().take(1);
+        let compared = first.flat_map(|v| of(&v.day, PlannedBy::Evenly).chain(of(&v.day, PlannedBy::Nobody)));
+        planned.chain(compared).collect()
     }
-    Ok(replayed)
+
+    /// Puts the outcomes of [`Replays::jobs`] together.
+    pub fn of(names: &[&str], outcomes: Vec<Outcome>) -> Replays {
+        let seeds = outcomes.len() / (names.len() + 2);
+        let mut outcomes = outcomes.into_iter();
+        let mut next =
+            |name: &str| Replayed { name: name.into(), outcomes: outcomes.by_ref().take(seeds).collect() };
+        let variants = names.iter().map(|n| next(n)).collect();
+        Replays { variants, evenly: next(Self::EVENLY), best: next(Self::BEST) }
+    }
+
+    pub fn kept(&self) -> bool {
+        self.variants.iter().all(|r| r.outcomes.iter().all(|o| o.broken.is_empty()))
+    }
+}
+
+/// Runs every variant with each of `seeds`, and the baselines, on `threads` threads. `done` is told how many runs
+/// are over.
+///
+/// # Errors
+///
+/// A deployment of a kind that nothing is decided for; a recording that cannot be read.
+pub fn replay(
+    variants: &[Variant],
+    seeds: &[u64],
+    recorded: Option<&Recorded>,
+    threads: usize,
+    done: &(dyn Fn(usize) + Sync),
+) -> Result<Replays, Unplayable> {
+    let over = AtomicUsize::new(0);
+    let jobs = Replays::jobs(variants, seeds, recorded);
+    let outcomes = run_all(&jobs, threads, &|_, _| done(over.fetch_add(1, Ordering::Relaxed) + 1))?;
+    let names: Vec<&str> = variants.iter().map(|v| v.name.as_str()).collect();
+    Ok(Replays::of(&names, outcomes))
 }
--- a/crates/replay/tests/replay.rs
+++ b/crates/replay/tests/replay.rs
@@ -1,15 +1,19 @@
 //! Variants over seeds: the same on any number of threads, compared in pairs, broken rules caught and told.
 
-use grebespool_replay::{Gain, Variant, gain, recorded, replay, write_report};
-use grebespool_settings::Day;
-use grebespool_trace::{Call, Event, Reader, Timed, Writer};
+use grebespool_model::Past;
+use grebespool_replay::{
+    Experiment, Gain, Kept, Recorded, SweptDay, Unswept, Variant, gain_of, replay, write_report,
+};
+use grebespool_settings::{Day, Deployment, What, deployment_text};
+use grebespool_trace::{Call, Event, Listed, Phase, Timed, Writer};
 use rstest::rstest;
+use std::time::Duration;
 
 const BAD: &str = include_str!("../../../examples/bad-day.ncl");
 
 fn variant(name: &str, values: &[&str]) -> Variant {
     let values: Vec<String> = values.iter().map(|v| v.to_string()).collect();
-    let day = Day::parse_with(BAD, "the bad day", &values).unwrap_or_else(|bad| panic!("{bad}"));
+    let day = Day::parse_with(BAD, "the bad day", None, &values).unwrap_or_else(|bad| panic!("{bad}"));
     Variant { name: name.into(), day }
 }
 
@@ -24,7 +28,7 @@
     #[case] margin: Option<f64>,
     #[case] noise: bool,
 ) {
-    let found: Gain = gain(pairs);
+    let found: Gain = gain_of(pairs);
     assert!((found.mean - mean).abs() < 1e-3, "{found:?}");
     assert!((found.margin.unwrap_or(-1.0) - margin.unwrap_or(-1.0)).abs() < 1e-3, "{found:?}");
     assert_eq!(found.is_noise(), noise);
@@ -37,7 +41,7 @@
 #[case::out_of_bounds("deployment.proxies.try_factor=-1", "expected a number from 0 to 100")]
 #[case::a_site_not_planned_for("deployment.slices=4", "not planned for yet")]
 fn values_that_cannot_be_are_refused(#[case] value: &str, #[case] says: &str) {
-    let bad = Day::parse_with(BAD, "the bad day", &[value.into()]).unwrap_err().to_string();
+    let bad = Day::parse_with(BAD, "the bad day", None, &[value.into()]).unwrap_err().to_string();
     assert!(bad.contains(says), "{bad}");
 }
 
@@ -62,48 +66,183 @@
     let seeds = [1, 2];
     let one = replay(&variants, &seeds, None, 1, &|_| {}).unwrap();
     let four = replay(&variants, &seeds, None, 4, &|_| {}).unwrap();
-    for (a, b) in one.iter().zip(&four) {
-        assert_eq!(a.outcomes, b.outcomes);
-    }
-    assert!(one[1].outcomes[0].service < one[0].outcomes[0].service - 0.02);
-    assert!(one[0].outcomes.iter().all(|o| o.broken.is_empty()));
-    assert!(one[2].outcomes.iter().any(|o| o.broken.iter().any(|b| b.0.starts_with('3'))));
+    assert_eq!(one, four);
+    let seen = &one.variants;
+    assert!(seen[1].outcomes[0].service.whole < seen[0].outcomes[0].service.whole - 0.02);
+    assert!(seen[0].outcomes.iter().all(|o| o.broken.is_empty()));
+    assert!(seen[2].outcomes.iter().any(|o| o.broken.iter().any(|b| b.0.starts_with('3'))));
+    assert!(!one.kept());
     let folder = tempfile::tempdir().unwrap();
     write_report(folder.path(), "a day", &["about it".into()], &one).unwrap();
     let page = std::fs::read_to_string(folder.path().join("report.md")).unwrap();
     assert!(page.contains("| as it is |") && page.contains("BROKEN with"), "{page}");
     assert!(std::fs::read_to_string(folder.path().join("course.svg")).unwrap().contains("<svg"));
-    assert_eq!(std::fs::read_to_string(folder.path().join("runs.csv")).unwrap().lines().count(), 7);
+    assert_eq!(std::fs::read_to_string(folder.path().join("runs.csv")).unwrap().lines().count(), 11);
+    let whole = std::fs::read_to_string(folder.path().join("report.html")).unwrap();
+    assert_eq!(whole.matches("<svg").count(), 2, "the page has its charts in itself");
+    assert!(whole.contains("least loaded, knowing all") && !whole.contains("src="));
     let again = tempfile::tempdir().unwrap();
     write_report(again.path(), "a day", &["about it".into()], &four).unwrap();
-    for file in ["report.md", "course.svg", "runs.json", "runs.csv"] {
+    for file in ["report.html", "report.md", "course.svg", "gains.svg", "runs.json", "runs.csv"] {
         let (a, b) = (folder.path().join(file), again.path().join(file));
         assert_eq!(std::fs::read(a).unwrap(), std::fs::read(b).unwrap(), "{file}");
     }
 }
 
+fn call(at_us: u64, route: u8, client: Option<u64>, repeat: bool, proxy: u32) -> Timed {
+    let call = Call { route, key: 1, importance: 1.0, client, proxy, work_us: None, repeat };
+    Timed { at_us, event: Event::Call(call) }
+}
+
+fn told(at_us: u64, event: Event) -> Timed {
+    Timed { at_us, event }
+}
+
+fn written(events: Vec<Timed>) -> tempfile::NamedTempFile {
+    let file = tempfile::NamedTempFile::new().unwrap();
+    let mut writer = Writer::new(file.reopen().unwrap()).unwrap();
+    events.into_iter().for_each(|t| writer.put(t).unwrap());
+    writer.finish().unwrap();
+    file
+}
+
+fn pasts(recorded: &Recorded) -> Vec<(Duration, Past)> {
+    let mut recording = recorded.begin().unwrap();
+    std::iter::from_fn(|| (recording.next)().unwrap()).collect()
+}
+
 #[rstest]
 fn only_first_calls_of_stated_routes_are_replayed() {
     let day = variant("", &[]).day;
-    let call = |route, client, repeat| {
-        let call = Call { route, key: 1, importance: 1.0, client, proxy: 40, work_us: None, repeat };
-        Timed { at_us: 5_000, event: Event::Call(call) }
+    let file = written(vec![
+        call(5_000, 0, Some(1), false, 40),
+        call(5_000, 0, Some(1), true, 40),
+        call(5_000, 1, None, false, 40),
+        call(5_000, 9, Some(2), false, 40),
+        told(6_000, Event::Gap { lost: 3 }),
+        told(9_000_000, Event::Came { proxy: 40, route: 2, calls: 4 }),
+        told(9_000_000, Event::Came { proxy: 40, route: 9, calls: 7 }),
+    ]);
+    let recorded = Recorded::read(file.path(), false, &day).unwrap();
+    let f = &recorded.found;
+    assert_eq!((f.calls, f.repeats, f.anonymous, f.unstated, f.gaps, f.counted), (6, 1, 1, 8, 1, 4));
+    assert!(f.lines().iter().any(|l| l.contains("can't be known")), "{:?}", f.lines());
+    let calls = pasts(&recorded);
+    assert_eq!(calls.len(), 6);
+    let Past::Call(first) = &calls[0].1 else { panic!("{calls:?}") };
+    assert_eq!((first.proxy, first.work), (40 % 12, day.callers[0].work.0));
+    let spread: Vec<u64> = calls[2..].iter().map(|c| (c.0.as_millis() as u64) - 9_000).collect();
+    assert_eq!(spread, [62, 187, 312, 437], "counted calls lie evenly in a cycle of 500 ms");
+}
+
+#[rstest]
+fn events_come_in_the_order_of_time_and_a_clock_set_back_is_told() {
+    let day = variant("", &[]).day;
+    let at = |ms: u64| call(ms * 1000, 0, Some(ms), false, 1);
+    let file = written(vec![at(100), at(50), at(9_000), at(8_000), at(30_000), at(1_000), at(31_000)]);
+    let recorded = Recorded::read(file.path(), false, &day).unwrap();
+    let times: Vec<u128> = pasts(&recorded).iter().map(|p| p.0.as_millis()).collect();
+    assert_eq!(times, [50, 100, 8_000, 9_000, 9_000, 30_000, 31_000]);
+    assert_eq!(recorded.found.set_back, 1);
+    assert_eq!(recorded.found.longest_silence, Duration::from_secs(21));
+}
+
+fn listed(server: &str, phase: Phase) -> Listed {
+    Listed { server: server.into(), number: 1, zone: "east".into(), phase, started_ms: 0 }
+}
+
+#[rstest]
+fn a_recording_tells_of_its_own_troubles_and_the_day_of_the_others() {
+    let day = variant("", &[]).day;
+    let joined = |proxy, zone: &str| Event::Joined { proxy, zone: zone.into(), bare: true };
+    let list = |base, entries| Event::List { version: base + 1, base, now_ms: 1_000, entries };
+    let file = written(vec![
+        told(0, Event::Began { planner: 7, unix_ms: 0, settings: String::new() }),
+        told(10, list(0, vec![listed("a", Phase::Ready), listed("b", Phase::Ready)])),
+        told(1_000, joined(3, "west")),
+        told(1_500, joined(9, "west")),
+        told(2_000, joined(1, "east")),
+        call(5_000, 0, Some(1), false, 2),
+        told(7_000_000, list(1, vec![listed("never", Phase::Gone), listed("a", Phase::Draining)])),
+        told(9_500_000, Event::Left { proxy: 3 }),
+    ]);
+    let recorded = Recorded::read(file.path(), false, &day).unwrap();
+    let f = &recorded.found;
+    assert_eq!((f.lists, f.joins, f.lefts, f.never_listed, f.planners.len()), (2, 3, 1, 1, 1));
+    let beside = f.beside(&day);
+    assert_eq!(beside.length.0, Duration::from_secs(10));
+    assert!(beside.troubles.iter().all(|t| matches!(t.what, What::Silent { .. })), "{:?}", beside.troubles);
+    // The day's proxies 0 to 5 are east, 6 to 11 west; 2 never joined and has no zone.
+    let left: Vec<_> = pasts(&recorded)
+        .into_iter()
+        .filter_map(|p| match p.1 {
+            Past::Joined { proxy } | Past::Left { proxy } => Some(proxy),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(left, [6, 7, 0, 6]);
+    let recording = recorded.begin().unwrap();
+    assert_eq!(recording.apart.into_iter().collect::<Vec<_>>(), [0, 2, 6, 7]);
+    assert_eq!(recording.opening.map(|o| o.len()), Some(2));
+}
+
+#[rstest]
+#[case::a_longer_queue("deployment.channel.most_waiting=4001", "channel.most_waiting: 4001 is beyond")]
+#[case::a_faster_channel("deployment.channel.lines_per_s=9000", "channel.lines_per_s: 9000 is beyond")]
+#[case::more_messages("deployment.channel.most_messages=31", "channel.most_messages: 31 is beyond")]
+#[case::messages_without_limit("deployment.channel.most_messages=0", "channel.most_messages: 0 is beyond")]
+#[case::a_cheaper_head("deployment.channel.head=1", "channel.head: 1 is beyond")]
+#[case::more_connections("deployment.servers.least_connections=201", "least_connections: 201 is beyond")]
+#[case::other_zones("deployment.zones=[\"east\", \"west\", \"north\"]", "are not the recorded site's")]
+fn settings_that_the_recorded_site_rules_out_are_refused(#[case] value: &str, #[case] says: &str) {
+    let site = deployment_text(&variant("", &[]).day.deployment);
+    let site = Deployment::parse(&site, "the recording").unwrap();
+    assert!(variant("", &["deployment.channel.most_waiting=4000"]).day.deployment.within(&site, "x").is_ok());
+    let bad = variant("", &[value]).day.deployment.within(&site, "the variant").unwrap_err().to_string();
+    assert!(bad.contains(says), "{bad}");
+}
+
+fn sweep(values: &str) -> Experiment {
+    let variants = || {
+        vec![
+            variant("as it is", &["length=\"4s\"", "troubles=[]"]),
+            variant("slow reports", &["length=\"4s\"", "troubles=[]", values]),
+        ]
     };
-    let mut writer = Writer::new(vec![]).unwrap();
-    for timed in [
-        call(0, Some(1), false),
-        call(0, Some(1), true),
-        call(1, None, false),
-        call(9, Some(2), false),
-        Timed { at_us: 6_000, event: Event::Gap { lost: 3 } },
-    ] {
-        writer.put(timed).unwrap();
-    }
-    let file = writer.finish().unwrap();
-    let found = recorded(Reader::new(&file[..], false).unwrap(), &day).unwrap();
-    assert_eq!(
-        (found.calls.len(), found.repeats, found.anonymous, found.unstated, found.gaps),
-        (2, 1, 1, 1, 1)
-    );
-    assert_eq!((found.calls[0].proxy, found.calls[0].work), (40 % 12, day.callers[0].work.0));
+    let day =
+        |name: &str| SweptDay { name: name.into(), about: vec![], variants: variants(), recorded: None };
+    Experiment { name: "sweep".into(), days: vec![day("one"), day("two")], seeds: vec![1, 2] }
+}
+
+#[rstest]
+fn an_interrupted_sweep_goes_on_and_comes_to_the_same() {
+    let folder = tempfile::tempdir().unwrap();
+    let experiment = sweep("deployment.reports.cycle=\"2s\"");
+    let run = |program: &[u8]| {
+        let kept = Kept::open(folder.path()).unwrap();
+        let swept = experiment.run(&kept, program, 2, &|| {}).unwrap();
+        experiment.write(folder.path(), &swept).unwrap();
+        (swept, kept.damaged)
+    };
+    let (whole, _) = run(b"program");
+    // Two days of the same text share their runs only once they are kept.
+    assert_eq!(whole.kept + whole.done, 16);
+    let index = std::fs::read(folder.path().join("index.html")).unwrap();
+    let report = std::fs::read(folder.path().join("two/report.html")).unwrap();
+    // Cut off in the middle of its fifth line, as by a crash.
+    let runs = folder.path().join("runs.jsonl");
+    let text = std::fs::read_to_string(&runs).unwrap();
+    let fourth = text.match_indices('\n').nth(3).unwrap().0;
+    std::fs::write(&runs, &text[..fourth + 40]).unwrap();
+    let (again, damaged) = run(b"program");
+    assert!(damaged == 1 && again.kept >= 4 && again.done > 0, "{damaged} {} {}", again.kept, again.done);
+    assert_eq!(again.days, whole.days);
+    assert_eq!(std::fs::read(folder.path().join("index.html")).unwrap(), index);
+    assert_eq!(std::fs::read(folder.path().join("two/report.html")).unwrap(), report);
+    let (third, _) = run(b"program");
+    assert_eq!((third.kept, third.done, &third.days), (16, 0, &whole.days));
+    let (other, _) = run(b"another");
+    assert_eq!(other.kept, 0, "runs of another program are not taken for its own");
+    let _first = Kept::open(folder.path()).unwrap();
+    assert!(matches!(Kept::open(folder.path()), Err(Unswept::Taken(_))));
 }
--- /dev/null
+++ b/crates/rules/src/drained.rs
@@ -0,0 +1,64 @@
+//! Rule 3. The clock starts when the planner was told or when the proxy joined, whichever is later.
+
+use crate::check::Pass;
+use crate::record::{List, Passed};
+use crate::told::Ear;
+use grebespool_wire::Phase;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub(crate) struct Drained {
+    grace: Duration,
+    joined: BTreeMap<u16, Duration>,
+    /// A planner that stood still is not told anything meanwhile, nor can it tell.
+    stalls: Vec<(Duration, Duration)>,
+}
+
+impl Drained {
+    pub fn new(grace: Duration) -> Drained {
+        Drained { grace, joined: BTreeMap::new(), stalls: vec![] }
+    }
+
+    pub fn see(&mut self, at: Duration, passed: &Passed, ear: &Ear, pass: &mut Pass) {
+        match passed {
+            Passed::Joined { proxy, .. } => drop(self.joined.insert(*proxy, at)),
+            Passed::Left { proxy } => drop(self.joined.remove(proxy)),
+            Passed::PlannerKilled => self.joined.clear(),
+            Passed::PlannerStalled => self.stalls.push((at, Duration::MAX)),
+            Passed::PlannerResumed => self.stalls.iter_mut().last().into_iter().for_each(|s| s.1 = at),
+            Passed::Sent { proxy, server, .. } => {
+                let (Some(since), Some((phase, told, _))) =
+                    (self.joined.get(proxy), ear.told.entries.get(server))
+                else {
+                    return;
+                };
+                if *phase == Phase::Ready {
+                    return;
+                }
+                pass.checked();
+                let from = (*told).max(*since);
+                let still: Duration =
+                    self.stalls.iter().map(|s| s.1.min(at).saturating_sub(s.0.max(from))).sum();
+                let over = at.saturating_sub(from).saturating_sub(still);
+                if over > self.grace {
+                    let (number, id) = (*proxy, *server);
+                    let what = format!(
+                        "proxy {proxy} sends to {} {:.3} s after its planner was told that it is {phase:?}",
+                        server.addr,
+                        over.as_secs_f64()
+                    );
+                    pass.breach(at, what, |p| match p {
+                        Passed::Delivered { proxy, .. } | Passed::Joined { proxy, .. } => *proxy == number,
+                        Passed::ListTold(List { entries, .. }) => entries.iter().any(|e| e.server == id),
+                        _ => false,
+                    });
+                }
+            }
+            // Drains that were told count as checked even where all proxies had left the server in time.
+            Passed::ListTold(List { entries, .. }) if entries.iter().any(|e| e.phase != Phase::Ready) => {
+                pass.checked();
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/rules/src/record.rs
+++ b/crates/rules/src/record.rs
@@ -37,6 +37,11 @@
     Left {
         proxy: u16,
     },
+    /// A proxy made a connection to a server.
+    Connected {
+        proxy: u16,
+        server: ServerId,
+    },
     /// A call left a proxy for a server.
     Sent {
         proxy: u16,
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -1,7 +1,7 @@
 //! A day to rehearse: a deployment's servers, proxies and callers, and the troubles that come over them.
 
 use crate::deployment::{Deployment, ListMode, Span};
-use crate::read::{Bad, field, parse, read, with_values};
+use crate::read::{Bad, field, imported, parse, read, with_values};
 use serde::Deserialize;
 use std::path::Path;
 
@@ -70,6 +70,7 @@
     Silent { servers: usize },
     Slow { servers: usize, factor: f64 },
     Erring { servers: usize },
+    Frozen { servers: usize },
     Lying { servers: usize, figure: f64 },
     Deploy { servers: usize, every: Span, drain: Span, down: Span },
     PlannerKilled,
@@ -98,6 +99,27 @@
     pub what: What,
 }
 
+impl Trouble {
+    /// Whether both set one thing at the same time, so that what it is between their ends is anybody's guess.
+    /// Troubles that take servers or proxies by chance never do: each takes others, or adds to what there is.
+    fn contradicts(&self, other: &Trouble) -> bool {
+        let one = match (&self.what, &other.what) {
+            (What::ZoneCut { zone: a }, What::ZoneCut { zone: b })
+            | (What::ZoneLoss { zone: a }, What::ZoneLoss { zone: b }) => a == b,
+            (What::Burst { .. }, What::Burst { .. })
+            | (What::SlowOrders { .. }, What::SlowOrders { .. })
+            | (What::ListLate { .. }, What::ListLate { .. })
+            | (What::ListFails, What::ListFails)
+            | (What::PlannerKilled | What::PlannerStalled, What::PlannerKilled | What::PlannerStalled) => {
+                true
+            }
+            _ => false,
+        };
+        let within = |t: &Trouble, at: Span| t.at <= at && at.0 < t.at.0 + t.lasts.0;
+        one && (within(self, other.at) || within(other, self.at) || self.at == other.at)
+    }
+}
+
 #[derive(Debug, Clone, Deserialize)]
 pub struct Day {
     pub name: String,
@@ -130,32 +152,43 @@
     ///
     /// What is wrong, by line and field.
     pub fn parse(text: &str, name: &str) -> Result<Day, Bad> {
-        Day::altered(&format!("({text})"), name, &[])
+        Day::parse_with(text, name, None, &[])
     }
 
-    /// Reads a day file with values put in place of its own, each `path=value`.
+    /// Reads a day file with the deployment of a settings file, if one is named, and then values, each
+    /// `path=value`, put in place of its own.
     ///
     /// # Errors
     ///
     /// As for reading it, and a path or value that is none.
-    pub fn read_with(path: &Path, values: &[String]) -> Result<Day, Bad> {
-        let name = path.display().to_string();
-        let whole = path.canonicalize().map_err(|why| Bad::Unreadable { path: name.clone(), why })?;
-        let quoted = crate::read::nickel(&serde_json::Value::String(whole.display().to_string()));
-        Day::altered(&format!("(import {quoted} as 'Nickel)"), &name, values)
+    pub fn read_with(path: &Path, settings: Option<&Path>, values: &[String]) -> Result<Day, Bad> {
+        Day::altered(&imported(path)?, &path.display().to_string(), settings, values)
     }
 
-    /// Reads a day from its text with values put in place of its own.
+    /// Reads a day from its text, as [`Day::read_with`] does from its file.
     ///
     /// # Errors
     ///
     /// As for a file.
-    pub fn parse_with(text: &str, name: &str, values: &[String]) -> Result<Day, Bad> {
-        Day::altered(&format!("({text})"), name, values)
+    pub fn parse_with(
+        text: &str,
+        name: &str,
+        settings: Option<&Path>,
+        values: &[String],
+    ) -> Result<Day, Bad> {
+        Day::altered(&format!("({text})"), name, settings, values)
     }
 
-    fn altered(text: &str, name: &str, values: &[String]) -> Result<Day, Bad> {
-        let day: Day = parse(&with_values(text, name, values)?, name, "Day")?;
+    fn altered(text: &str, name: &str, settings: Option<&Path>, values: &[String]) -> Result<Day, Bad> {
+        let text = match settings {
+            // Taken out first: what the settings leave to its default must not be the day's.
+            Some(path) => format!(
+                "((std.record.remove \"deployment\" {text}) & {{ deployment = ({}).deployment }})",
+                imported(path)?
+            ),
+            None => text.to_string(),
+        };
+        let day: Day = parse(&with_values(&text, name, values)?, name, "Day")?;
         day.check(Path::new(name))?;
         Ok(day)
     }
@@ -187,6 +220,15 @@
             if trouble.at.0 >= self.length.0 {
                 return bad("it begins after the day has ended".into());
             }
+            if let Some((kind, wanted, there)) = self.too_many(&trouble.what) {
+                return bad(format!("it takes {wanted} {kind}; the day has {there}"));
+            }
+            let earlier = self.troubles[..i].iter().position(|t| t.contradicts(trouble));
+            if let Some(other) = earlier {
+                return bad(format!(
+                    "it contradicts troubles[{other}], which it overlaps: the end of one would end both"
+                ));
+            }
             match &trouble.what {
                 What::ZoneCut { zone } | What::ZoneLoss { zone } if !zones.contains(zone) => {
                     return bad(format!("{zone:?} is not among the deployment's zones {zones:?}"));
@@ -194,6 +236,7 @@
                 What::Silent { .. }
                 | What::Slow { .. }
                 | What::Erring { .. }
+                | What::Frozen { .. }
                 | What::Lying { .. }
                 | What::NoPlanner { .. }
                 | What::SlowOrders { .. }
@@ -209,6 +252,23 @@
         Ok(())
     }
 
+    fn too_many(&self, what: &What) -> Option<(&'static str, usize, usize)> {
+        let (kind, wanted, there) = match what {
+            What::Silent { servers }
+            | What::Slow { servers, .. }
+            | What::Erring { servers }
+            | What::Frozen { servers }
+            | What::Lying { servers, .. }
+            | What::Replaced { servers }
+            | What::Deploy { servers, .. } => ("servers", *servers, self.server_count()),
+            What::Unmarked { proxies } | What::Trickle { proxies, .. } => {
+                ("proxies", *proxies, self.proxy_count())
+            }
+            _ => return None,
+        };
+        (wanted > there).then_some((kind, wanted, there))
+    }
+
     pub fn server_count(&self) -> usize {
         self.servers.iter().map(|s| s.count).sum()
     }
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -1,6 +1,6 @@
 //! What a deployment states, and what a planner of it listens to.
 
-use crate::read::{Bad, field, read};
+use crate::read::{Bad, field, nickel, parse, read};
 use grebespool::host;
 use grebespool_engine::Bounds;
 use ipnet::IpNet;
@@ -151,6 +151,67 @@
     pub probe_limit: Span,
 }
 
+impl Deployment {
+    /// Reads the deployment out of a settings file's text, as a recording has it.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong, by line and field.
+    pub fn parse(text: &str, name: &str) -> Result<Deployment, Bad> {
+        #[derive(Deserialize)]
+        struct Site {
+            deployment: Deployment,
+        }
+        let value = serde_json::from_str(text).map_err(|e| Bad::Record(format!("{name}: {e}")))?;
+        let Site { deployment } = parse(&nickel(&value), name, "Site")?;
+        deployment.check(Path::new(name))?;
+        Ok(deployment)
+    }
+
+    /// Whether a site that states `site` could run this. What the site's channel, proxies and servers are able to
+    /// do is no matter of settings. `name` stands for these settings in what is said.
+    ///
+    /// # Errors
+    ///
+    /// The first field that it could not, with both values.
+    pub fn within(&self, site: &Deployment, name: &str) -> Result<(), Bad> {
+        let (c, s) = (&self.channel, &site.channel);
+        let unlimited = |messages: usize| if messages == 0 { usize::MAX } else { messages };
+        let messages = |c: &Channel| unlimited(c.most_messages) as f64 / c.window.0.as_secs_f64();
+        let zones = self.zones == site.zones;
+        let numbers = [
+            ("channel.lines_per_s", c.lines_per_s > s.lines_per_s, c.lines_per_s, s.lines_per_s),
+            ("channel.most_waiting", c.most_waiting > s.most_waiting, c.most_waiting, s.most_waiting),
+            ("channel.head", c.head < s.head, c.head, s.head),
+            (
+                "channel.most_messages",
+                messages(c) > messages(s),
+                c.most_messages as f64,
+                s.most_messages as f64,
+            ),
+            (
+                "servers.least_connections",
+                self.servers.least_connections > site.servers.least_connections,
+                self.servers.least_connections,
+                site.servers.least_connections,
+            ),
+        ];
+        let bad = |of: &str, why: String| Err(field(Path::new(name), &format!("deployment.{of}"), why));
+        for (of, over, wanted, allowed) in numbers {
+            if over {
+                return bad(of, format!("{wanted} is beyond what the recorded site allows, {allowed}"));
+            }
+        }
+        if self.proxies.levels && !site.proxies.levels {
+            return bad("proxies.levels", "the recorded site's proxies obey no levels".into());
+        }
+        if !zones {
+            return bad("zones", format!("{:?} are not the recorded site's {:?}", self.zones, site.zones));
+        }
+        Ok(())
+    }
+}
+
 impl Planned {
     /// Reads a settings file; relative paths in it are from its folder.
     ///
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,10 +7,12 @@
 
 mod day;
 mod deployment;
+mod experiment;
 mod read;
 mod text;
 
 pub use day::*;
 pub use deployment::*;
+pub use experiment::*;
 pub use read::{Bad, show};
-pub use text::settings_text;
+pub use text::{deployment_text, settings_text};
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -21,18 +21,23 @@
 }
 
 fn evaluate_file(path: &Path, record: &str) -> Result<(Context, Expr), Bad> {
-    let unreadable = |why| Bad::Unreadable { path: path.display().to_string(), why };
+    evaluate(&imported(path)?, &path.display().to_string(), record)
+}
+
+/// A file in Nickel's words.
+pub(crate) fn imported(path: &Path) -> Result<String, Bad> {
+    let name = path.display().to_string();
+    let unreadable = |why| Bad::Unreadable { path: name.clone(), why };
     let whole = path.canonicalize().map_err(unreadable)?;
     let text = std::fs::read_to_string(&whole).map_err(unreadable)?;
-    let name = path.display().to_string();
     if whole.extension().is_some_and(|e| e == "json") {
         // Put into Nickel's own words first: its own reader of JSON fails an assertion in debug builds where a
         // record is then merged with defaults.
         let value = serde_json::from_str(&text).map_err(|e| Bad::Record(format!("{name}: {e}")))?;
-        return evaluate(&nickel(&value), &name, record);
+        return Ok(format!("({})", nickel(&value)));
     }
     let quoted = nickel(&Value::String(whole.display().to_string()));
-    evaluate(&format!("(import {quoted} as 'Nickel)"), &name, record)
+    Ok(format!("(import {quoted} as 'Nickel)"))
 }
 
 /// Text of a file with values put in place of its own: each `path=value`, the value in Nickel's words.
--- a/crates/settings/src/text.rs
+++ b/crates/settings/src/text.rs
@@ -12,9 +12,7 @@
     }
 }
 
-/// The text of a settings file. `stall`: how long a proxy may leave
-/// bytes untaken or orders unconfirmed.
-pub fn settings_text(deployment: &Deployment, list: &ListSource, key_file: &Path, stall: Duration) -> String {
+fn deployment_value(deployment: &Deployment) -> Value {
     let d = deployment;
     let route = |r: &crate::Route| {
         json!({
@@ -26,24 +24,35 @@
     let routes: Vec<Value> = d.routes.iter().map(route).collect();
     let fields: Vec<String> = d.reports.fields.iter().map(|f| format!("{f:?}")).collect();
     let (p, s, c, r) = (&d.proxies, &d.servers, &d.channel, &d.reports);
-    let text = json!({
-        "deployment": {
-            "zones": d.zones, "routes": routes, "slices": d.slices,
-            "proxies": {
-                "expected": p.expected, "most": p.most, "joins": p.joins, "levels": p.levels,
-                "try_factor": p.try_factor,
-            },
-            "servers": {
-                "most": s.most, "least_connections": s.least_connections, "warm_up": s.warm_up.text(),
-                "gone_binds": s.gone_binds,
-            },
-            "channel": {
-                "lines_per_s": c.lines_per_s, "most_waiting": c.most_waiting, "head": c.head,
-                "most_messages": c.most_messages, "window": c.window.text(),
-                "worst_transit": c.worst_transit.text(),
-            },
-            "reports": { "fields": fields, "cycle": r.cycle.text(), "probing": r.probing },
+    json!({
+        "zones": d.zones, "routes": routes, "slices": d.slices,
+        "proxies": {
+            "expected": p.expected, "most": p.most, "joins": p.joins, "levels": p.levels,
+            "try_factor": p.try_factor,
         },
+        "servers": {
+            "most": s.most, "least_connections": s.least_connections, "warm_up": s.warm_up.text(),
+            "gone_binds": s.gone_binds,
+        },
+        "channel": {
+            "lines_per_s": c.lines_per_s, "most_waiting": c.most_waiting, "head": c.head,
+            "most_messages": c.most_messages, "window": c.window.text(),
+            "worst_transit": c.worst_transit.text(),
+        },
+        "reports": { "fields": fields, "cycle": r.cycle.text(), "probing": r.probing },
+    })
+}
+
+/// A deployment as JSON, which is read as a settings file's part or a day's.
+pub fn deployment_text(deployment: &Deployment) -> String {
+    json!({ "deployment": deployment_value(deployment) }).to_string()
+}
+
+/// The text of a settings file. `stall`: how long a proxy may leave
+/// bytes untaken or orders unconfirmed.
+pub fn settings_text(deployment: &Deployment, list: &ListSource, key_file: &Path, stall: Duration) -> String {
+    let text = json!({
+        "deployment": deployment_value(deployment),
         "listen": {
             "address": "127.0.0.1:0", "key_file": key_file, "stall": Span(stall).text(), "silence": "6s",
         },
--- a/crates/settings/tests/files.rs
+++ b/crates/settings/tests/files.rs
@@ -1,6 +1,6 @@
 //! Files that are right, and files that are wrong: the field, the line, and what was expected.
 
-use grebespool_settings::{Day, Planned, settings_text, show};
+use grebespool_settings::{Day, Planned, Sweep, settings_text, show};
 use rstest::rstest;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -50,6 +50,12 @@
 #[case::a_trouble_of_no_length("lasts = \"8s\", what = 'Silent", "what = 'Silent", &["troubles[0]", "needs to last"])]
 #[case::no_such_trouble("'ListOld", "'ListBlue", &["ListBlue"])]
 #[case::a_trouble_in_no_zone("'ZoneCut { zone = \"west\"", "'ZoneCut { zone = \"moon\"", &["troubles[10]", "\"moon\""])]
+#[case::two_kills_at_once("{ at = \"24s\", what = 'ListOld },", "{ at = \"18200ms\", lasts = \"1s\", what = 'PlannerStalled },",
+    &["troubles[7]", "contradicts troubles[4]"])]
+#[case::two_bursts("lasts = \"3s\", what = 'Burst { factor = 1.5 } }", "lasts = \"3s\", what = 'Burst { factor = 1.5 } }, { at = \"34s\", lasts = \"9s\", what = 'Burst { factor = 2 } }",
+    &["troubles[12]", "contradicts troubles[11]"])]
+#[case::more_servers_than_there_are("'Silent { servers = 2 }", "'Frozen { servers = 12 }", &["troubles[0]", "takes 12 servers; the day has 11"])]
+#[case::more_proxies_than_there_are("'Unmarked { proxies = 2 }", "'Unmarked { proxies = 13 }", &["troubles[15]", "takes 13 proxies; the day has 12"])]
 #[case::a_share("share = 0.6", "share = 6", &["expected a number from 0 to 1"])]
 fn bad_days_are_named(#[case] from: &str, #[case] to: &str, #[case] says: &[&str]) {
     let (_folder, file) = altered("bad-day.ncl", from, to);
@@ -97,3 +103,39 @@
     let listen = Planned::read(&example("serve.ncl")).unwrap().listen;
     assert_eq!(listen.allowed().holds(ip.parse().unwrap()), holds);
 }
+
+fn sweep(text: &str) -> Result<Sweep, String> {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("sweep.ncl");
+    std::fs::write(&file, text).unwrap();
+    Sweep::read(&file).map_err(|bad| bad.to_string())
+}
+
+#[rstest]
+#[case::no_variant("variants = []", &["variants", "expected at least one"])]
+#[case::variants_left_out("seeds = 2", &["variants"])]
+#[case::a_name_twice("variants = [{ name = \"a\" }, { name = \"a\" }]", &["variants[1].name", "there twice"])]
+#[case::no_value("variants = [{ name = \"a\", set = [\"fast\"] }]", &["expected path=value"])]
+#[case::no_seed("variants = [{ name = \"a\" }], seeds = 0", &["expected a whole number from 1"])]
+#[case::an_unknown_field("variants = [{ name = \"a\", colour = 1 }]", &["colour"])]
+fn bad_sweeps_are_named(#[case] part: &str, #[case] says: &[&str]) {
+    let said = sweep(&format!("{{ name = \"s\", days = [{{ name = \"d\" }}], {part} }}")).unwrap_err();
+    for part in says {
+        assert!(said.contains(part), "{part:?} is not in:\n{said}");
+    }
+}
+
+#[rstest]
+fn a_settings_file_takes_the_place_of_a_days_whole_deployment() {
+    let (settings, day) = (example("serve.ncl"), example("bad-day.ncl"));
+    let (settings, day) = (settings.as_path(), day.as_path());
+    // Its routes are others, so callers of the third have none.
+    let bad = Day::read_with(day, Some(settings), &[]).unwrap_err().to_string();
+    assert!(bad.contains("callers[2].route") && bad.contains("2 routes"), "{bad}");
+    let set = ["callers=[{zone=\"east\", route=0, rate=1, work=\"1ms\"}]".into()];
+    let read = Day::read_with(day, Some(settings), &set).unwrap().deployment;
+    let whole = Planned::read(settings).unwrap().deployment;
+    // Even what it leaves to its defaults: the day states messages a proxy, the settings do not.
+    assert_eq!(format!("{read:?}"), format!("{whole:?}"));
+    assert_eq!(read.channel.most_messages, 0);
+}
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -1,7 +1,7 @@
 //! What runs the planner of a rehearsal, and can kill or stall it.
 
 use grebespool_engine::Start;
-use grebespool_planner::{Passage, Untouched, serve};
+use grebespool_planner::{Passage, Untouched, Unwatched, serve};
 use grebespool_settings::{Deployment, ListSource, Listen, settings_text};
 use grebespool_wire::Key;
 use std::io::{self, BufRead, BufReader};
@@ -89,7 +89,8 @@
                 let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
                 let probe_limit = Duration::from_millis(500);
                 let passage = Boxed(passage());
-                let serving = serve(listener, start, key, deployment, listen, list, probe_limit, passage);
+                let serving =
+                    serve(listener, start, key, deployment, listen, list, probe_limit, passage, Unwatched);
                 let commanded = async {
                     loop {
                         match told.recv().await {
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -280,6 +280,7 @@
             };
             let _ = socket.set_nodelay(true);
             self.open(server, far, socket);
+            self.world.put(Passed::Connected { proxy: self.number, server });
         }
         {
             let conns = self.conns.borrow();
--- a/crates/standin/src/rehearsal.rs
+++ b/crates/standin/src/rehearsal.rs
@@ -29,10 +29,6 @@
     pub record: Record,
     pub verdicts: [Verdict; 5],
     pub service: Service,
-    /// Messages and lines that were ordered, and joins.
-    pub messages: usize,
-    pub lines: usize,
-    pub joins: usize,
 }
 
 impl Played {
@@ -64,13 +60,7 @@
     let record = tasks.block_on(&runtime, play(day, host, progress, recorder))?;
     let verdicts = check(&record, &facts(day));
     let service = Service::of(&record, &day.deployment);
-    let ordered = record.passed.iter().filter_map(|(_, p)| match p {
-        Passed::Ordered { orders, .. } => Some(orders.parts.len()),
-        _ => None,
-    });
-    let (messages, lines) = ordered.fold((0, 0), |(m, l), n| (m + 1, l + n));
-    let joins = record.passed.iter().filter(|(_, p)| matches!(p, Passed::Joined { .. })).count();
-    Ok(Played { verdicts, service, messages, lines, joins, record })
+    Ok(Played { verdicts, service, record })
 }
 
 struct Stage {
@@ -107,6 +97,7 @@
         deployment: day.deployment.clone(),
         record: RefCell::default(),
         recorder: RefCell::new(recorder),
+        starts: Cell::new(0),
         cut: RefCell::default(),
         burst: Cell::new(1.0),
     });
@@ -127,6 +118,7 @@
     let first_list: Vec<Entry> = servers.iter().map(|s| entry(&world, s, Phase::Ready)).collect();
     list.begin(first_list.clone());
     let source = ListSource::new(list.addr, day.list.mode, day.list.ask_within);
+    world.planner_began();
     let planner = Rc::new(Cell::new(host.start(&day.deployment, &source, &key_file)?));
     let zones: BTreeMap<ServerId, u16> = servers.iter().map(|s| (s.id(), s.zone)).collect();
     let zones = Rc::new(RefCell::new(zones));
@@ -244,6 +236,7 @@
     }
 
     fn start_planner(&self) -> io::Result<()> {
+        self.world.planner_began();
         let mut host = self.host.borrow_mut();
         let addr = host.start(&self.world.deployment, &self.source, &self.key_file)?;
         self.planner.set(addr);
@@ -251,7 +244,7 @@
     }
 
     /// Puts `on` for as long as the trouble lasts, for the servers that it takes.
-    async fn while_lasts(&self, servers: usize, lasts: Duration, set: impl Fn(&Server, bool)) {
+    async fn while_lasts(&self, servers: usize, lasts: Duration, set: impl Fn(&Rc<Server>, bool)) {
         let taken = self.take(servers);
         taken.iter().for_each(|i| set(&self.servers[*i], true));
         sleep(lasts).await;
@@ -271,6 +264,9 @@
             What::Erring { servers } => {
                 self.while_lasts(servers, lasts, |s, on| s.manner.erring.set(on)).await;
             }
+            What::Frozen { servers } => {
+                self.while_lasts(servers, lasts, |s, on| s.freeze(on)).await;
+            }
             What::Lying { servers, figure } => {
                 let lie = |on: bool| on.then_some(figure as f32);
                 self.while_lasts(servers, lasts, |s, on| s.manner.lie.set(lie(on))).await;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -20,6 +20,8 @@
 pub struct Manner {
     /// Takes calls and answers none.
     pub silent: Cell<bool>,
+    /// Stands still, as a stopped process does.
+    frozen: Cell<bool>,
     pub erring: Cell<bool>,
     pub lie: Cell<Option<f32>>,
     pub draining: Cell<bool>,
@@ -36,6 +38,8 @@
     waiting: RefCell<BTreeMap<u64, Waiting>>,
     next: Cell<u64>,
     changed: Notify,
+    /// What came while it stood still.
+    came: RefCell<Vec<(Call, mpsc::UnboundedSender<Message>)>>,
     open: Cell<usize>,
 }
 
@@ -79,6 +83,17 @@
         }
     }
 
+    /// Stands still with all that it has in hand, or runs on and meets what came meanwhile.
+    pub fn freeze(self: &Rc<Self>, still: bool) {
+        self.manner.frozen.set(still);
+        let life = self.life.borrow().as_ref().map(|l| l.0.clone());
+        let Some(life) = life else { return };
+        life.machine.borrow_mut().freeze(self.world.now(), still);
+        let came = if still { vec![] } else { std::mem::take(&mut *life.came.borrow_mut()) };
+        came.into_iter().for_each(|(call, to)| take(self, &life, call, &to));
+        life.changed.notify_one();
+    }
+
     /// Ends at once, with all that it has in hand.
     pub fn stop(&self) {
         if let Some((_, task)) = self.life.borrow_mut().take() {
@@ -101,6 +116,7 @@
         };
         self.number.set(number);
         self.manner.draining.set(false);
+        self.manner.frozen.set(false);
         self.started_ms.set(self.world.now_ms());
         self.run(listener, true);
         Ok(())
@@ -115,6 +131,7 @@
             waiting: RefCell::default(),
             next: Cell::new(0),
             changed: Notify::new(),
+            came: RefCell::default(),
             open: Cell::new(0),
         });
         let task = spawn_local(live(self.clone(), life.clone(), listener)).abort_handle();
@@ -195,7 +212,10 @@
             match message {
                 Message::Call(call) => take(&server, &life, call, &answers),
                 Message::Probe { number } => {
-                    if server.manner.silent.get() || life.machine.borrow().fallen {
+                    if server.manner.silent.get()
+                        || server.manner.frozen.get()
+                        || life.machine.borrow().fallen
+                    {
                         continue;
                     }
                     life.machine.borrow_mut().toil(now, Duration::from_millis(1));
@@ -217,6 +237,9 @@
 }
 
 fn take(server: &Rc<Server>, life: &Rc<Life>, call: Call, answers: &mpsc::UnboundedSender<Message>) {
+    if server.manner.frozen.get() {
+        return life.came.borrow_mut().push((call, answers.clone()));
+    }
     let now = server.world.now();
     server.world.put(Passed::Received { server: server.id(), call });
     if server.manner.silent.get() {
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -1,12 +1,12 @@
 //! What all stand-ins of one day share: the clock, the record, and which zones are cut off.
 
 use grebespool_rules::{Passed, Record};
-use grebespool_settings::Deployment;
+use grebespool_settings::{Deployment, deployment_text};
 use grebespool_trace::{Call, Event, Listed, Phase, Recorder, Timed};
 use grebespool_wire::Key;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::time::Instant;
 
 pub struct World {
@@ -16,6 +16,8 @@
     pub record: RefCell<Record>,
     /// The day as it is to be replayed.
     pub recorder: RefCell<Option<Recorder>>,
+    /// Planners started so far; the last is the one that runs.
+    pub starts: Cell<u64>,
     pub cut: RefCell<BTreeSet<u16>>,
     /// Callers call so many times as often.
     pub burst: Cell<f64>,
@@ -32,13 +34,27 @@
 
     pub fn put_at(&self, at: Duration, what: Passed) {
         if let Some(recorder) = &mut *self.recorder.borrow_mut()
-            && let Some(event) = recorded(&what, &self.deployment)
+            && let Some(event) = recorded(&what, &self.deployment, self.starts.get())
         {
             recorder.put(Timed { at_us: at.as_micros() as u64, event });
         }
         self.record.borrow_mut().put(at, what);
     }
 
+    /// A planner was started: what a recording has to say of it.
+    pub fn planner_began(&self) {
+        self.starts.set(self.starts.get() + 1);
+        if let Some(recorder) = &mut *self.recorder.borrow_mut() {
+            let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+            let event = Event::Began {
+                planner: self.starts.get(),
+                unix_ms: unix.as_millis() as u64,
+                settings: deployment_text(&self.deployment),
+            };
+            recorder.put(Timed { at_us: self.now().as_micros() as u64, event });
+        }
+    }
+
     /// Whether nothing passes between two zones.
     pub fn apart(&self, a: u16, b: u16) -> bool {
         let cut = self.cut.borrow();
@@ -56,7 +72,7 @@
 }
 
 /// What a recording keeps of what passed.
-fn recorded(passed: &Passed, deployment: &Deployment) -> Option<Event> {
+fn recorded(passed: &Passed, deployment: &Deployment, planner: u64) -> Option<Event> {
     let phase = |p| match p {
         grebespool_wire::Phase::Gone => Phase::Gone,
         grebespool_wire::Phase::Ready => Phase::Ready,
@@ -81,13 +97,13 @@
                 started_ms: e.started_ms,
             };
             let entries = list.entries.iter().map(entry).collect();
-            Event::List { version: list.version, base: list.base, entries }
+            Event::List { version: list.version, base: list.base, now_ms: list.now_ms, entries }
         }
         Passed::Joined { proxy, .. } => {
             Event::Joined { proxy: (*proxy).into(), zone: String::new(), bare: false }
         }
         Passed::Left { proxy } => Event::Left { proxy: (*proxy).into() },
-        Passed::PlannerKilled => Event::PlannerLost { planner: 0 },
+        Passed::PlannerKilled => Event::PlannerLost { planner },
         _ => return None,
     })
 }
--- a/crates/standin/tests/days.rs
+++ b/crates/standin/tests/days.rs
@@ -39,6 +39,7 @@
 #[rstest]
 #[case::silent_servers("{ at = \"3s\", lasts = \"5s\", what = 'Silent { servers = 2 } }", 0.5)]
 #[case::slow_servers("{ at = \"3s\", lasts = \"5s\", what = 'Slow { servers = 2, factor = 8 } }", 0.6)]
+#[case::servers_that_stand_still("{ at = \"3s\", lasts = \"2s\", what = 'Frozen { servers = 2 } }", 0.6)]
 #[case::erring_servers("{ at = \"3s\", lasts = \"5s\", what = 'Erring { servers = 2 } }", 0.6)]
 #[case::reports_of_nought("{ at = \"3s\", lasts = \"6s\", what = 'Lying { servers = 2, figure = 0 } }", 0.7)]
 #[case::huge_reports("{ at = \"3s\", lasts = \"6s\", what = 'Lying { servers = 2, figure = 1e30 } }", 0.7)]
--- a/crates/trace/src/block.rs
+++ b/crates/trace/src/block.rs
@@ -3,8 +3,8 @@
 use crate::event::{Event, Timed};
 
 pub const MAGIC: &[u8; 8] = b"GREBEDAY";
-/// The version of the format that is written; older ones have none yet.
-pub const VERSION: u16 = 1;
+/// The version of the format. 1 had lists without their time; it is not read any more.
+pub const VERSION: u16 = 2;
 pub const FILE_HEAD: usize = 10;
 pub const BLOCK_MAGIC: &[u8; 4] = b"blk\n";
 pub const BLOCK_HEAD: usize = 48;
--- a/crates/trace/src/event.rs
+++ b/crates/trace/src/event.rs
@@ -43,12 +43,20 @@
         settings: String,
     },
     Call(Call),
-    /// `base` 0: the whole list.
+    /// `base` 0: the whole list. `now_ms`: when it was sent, by the clock that its servers' starts are told in.
     List {
         version: u64,
         base: u64,
+        now_ms: u64,
         entries: Vec<Listed>,
     },
+    /// So many calls of a route, clients' repeats among them, came to the proxy within the cycle that ends here:
+    /// all that a planner is told of calls.
+    Came {
+        proxy: u32,
+        route: u8,
+        calls: u32,
+    },
     Joined {
         proxy: u32,
         zone: String,
--- a/crates/trace/src/recorder.rs
+++ b/crates/trace/src/recorder.rs
@@ -12,6 +12,8 @@
 pub struct Recorder {
     to: SyncSender<Timed>,
     lost: u64,
+    /// Of those, how many a gap tells of already.
+    told: u64,
     thread: JoinHandle<io::Result<()>>,
 }
 
@@ -27,23 +29,28 @@
     pub fn new(file: impl Write + Send + 'static) -> io::Result<Recorder> {
         let (to, from) = sync_channel(Self::WAITING);
         let writer = Writer::new(file)?;
-        Ok(Recorder { to, lost: 0, thread: std::thread::spawn(move || write(writer, &from)) })
+        Ok(Recorder { to, lost: 0, told: 0, thread: std::thread::spawn(move || write(writer, &from)) })
     }
 
     pub fn put(&mut self, timed: Timed) {
-        if self.lost > 0 {
-            let gap = Timed { at_us: timed.at_us, event: Event::Gap { lost: self.lost } };
+        if self.lost > self.told {
+            let gap = Timed { at_us: timed.at_us, event: Event::Gap { lost: self.lost - self.told } };
             if self.to.try_send(gap).is_err() {
                 self.lost += 1;
                 return;
             }
-            self.lost = 0;
+            self.told = self.lost;
         }
         if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) = self.to.try_send(timed) {
             self.lost += 1;
         }
     }
 
+    /// Events that were left out so far.
+    pub fn lost(&self) -> u64 {
+        self.lost
+    }
+
     /// Ends the recording and waits until it is written.
     ///
     /// # Errors
--- a/crates/trace/src/work.rs
+++ b/crates/trace/src/work.rs
@@ -14,6 +14,8 @@
     pub repeats: u64,
     /// Calls without a client's id: whether they are repeats can't be known.
     pub anonymous: u64,
+    /// Calls that a planner was told of as counts.
+    pub counted: u64,
     pub by_route: BTreeMap<u8, u64>,
     pub proxies: usize,
     pub joins: u64,
@@ -23,6 +25,8 @@
     pub servers: usize,
     pub planners: BTreeSet<u64>,
     pub gaps: u64,
+    /// The longest time between two events that follow each other: quiet, or a clock set forward.
+    pub longest_silence_us: u64,
     /// Events that lie before one that came earlier in the file.
     pub out_of_order: u64,
     pub first_us: Option<u64>,
@@ -37,6 +41,7 @@
     let (mut s, mut proxies, mut servers) = (Summary::default(), BTreeSet::new(), BTreeSet::new());
     while let Some(Timed { at_us, event }) = reader.event()? {
         s.events += 1;
+        s.longest_silence_us = s.longest_silence_us.max(at_us.saturating_sub(s.last_us.unwrap_or(at_us)));
         s.out_of_order += u64::from(s.last_us.is_some_and(|last| at_us < last));
         s.first_us = Some(s.first_us.map_or(at_us, |f| f.min(at_us)));
         s.last_us = Some(s.last_us.map_or(at_us, |l| l.max(at_us)));
@@ -56,6 +61,11 @@
                 s.joins += 1;
                 proxies.insert(proxy);
             }
+            Event::Came { proxy, route, calls } => {
+                s.counted += u64::from(calls);
+                *s.by_route.entry(route).or_default() += u64::from(calls);
+                proxies.insert(proxy);
+            }
             Event::Left { .. } => s.lefts += 1,
             Event::Began { planner, .. } => drop(s.planners.insert(planner)),
             Event::Gap { .. } => s.gaps += 1,
--- a/crates/trace/tests/trace.rs
+++ b/crates/trace/tests/trace.rs
@@ -27,7 +27,7 @@
         Timed { at_us: 0, event: Event::Began { planner: 9, unix_ms: 5, settings: "{ }".into() } },
         Timed {
             at_us: 10,
-            event: Event::List { version: 1, base: 0, entries: vec![listed(1, Phase::Ready)] },
+            event: Event::List { version: 1, base: 0, now_ms: 1, entries: vec![listed(1, Phase::Ready)] },
         },
         Timed { at_us: 20, event: Event::Joined { proxy: 1, zone: "east".into(), bare: true } },
         Timed { at_us: 21, event: Event::Joined { proxy: 2, zone: "east".into(), bare: true } },
@@ -125,7 +125,7 @@
 #[rstest]
 #[case::foreign(b"not a recording at all".to_vec(), "this is no recording")]
 #[case::empty(vec![], "this is no recording")]
-#[case::a_later_version(b"GREBEDAY\x00\x07".to_vec(), "version 7; this program reads version 1")]
+#[case::a_later_version(b"GREBEDAY\x00\x07".to_vec(), "version 7; this program reads version 2")]
 fn what_is_no_recording_is_named(#[case] bytes: Vec<u8>, #[case] says: &str) {
     let flaw = read(&bytes, false).1.unwrap_err().to_string();
     assert!(flaw.contains(says), "{flaw}");
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -18,7 +18,7 @@
     Watcher,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     Gone,
     Ready,
