--- a/crates/cli/benches/scale.rs
+++ b/crates/cli/benches/scale.rs
@@ -150,7 +150,7 @@
     (ticks / 100.0, kib / 1024.0)
 }
 
-async fn measure(proxies: usize, servers: usize) {
+async fn measure(proxies: usize, servers: usize, record: bool) {
     let folder = tempfile::tempdir().unwrap();
     let key_file = folder.path().join("key");
     std::fs::write(&key_file, KEY).unwrap();
@@ -164,7 +164,10 @@
     let entries = ids.iter().map(|s| entry(*s, Phase::Ready)).collect();
     spawn_local(serve_list(listener, entries, told));
     let program = PathBuf::from(env!("CARGO_BIN_EXE_grebespool-cli"));
-    let mut host = ProcessHost::new(program, Duration::from_secs(20)).unwrap();
+    let trace = folder.path().join("day.trace").display().to_string();
+    let recorded = ["--record", trace.as_str()];
+    let arguments = if record { &recorded[..] } else { &[] };
+    let mut host = ProcessHost::new(program, Duration::from_secs(20)).unwrap().with(arguments);
     let address = host.start(&deployment(proxies), &source, &key_file).unwrap();
     sleep(Duration::from_millis(800)).await;
     let id = host.id().unwrap();
@@ -219,7 +222,15 @@
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    if std::env::args().any(|a| a == "recording") {
+        // In pairs, so that what else the machine does falls on both.
+        for i in 0..8 {
+            println!("| {} ", if i % 2 == 0 { "without" } else { "recorded" });
+            LocalSet::new().block_on(&runtime, measure(600, 545, i % 2 == 1));
+        }
+        return;
+    }
     for (proxies, servers) in [(10, 100), (100, 100), (600, 545), (2000, 2000)] {
-        LocalSet::new().block_on(&runtime, measure(proxies, servers));
+        LocalSet::new().block_on(&runtime, measure(proxies, servers, false));
     }
 }
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -158,6 +158,7 @@
     program: PathBuf,
     folder: tempfile::TempDir,
     stall: Duration,
+    arguments: Vec<String>,
     child: Option<Child>,
 }
 
@@ -168,7 +169,14 @@
     ///
     /// No folder can be made for its settings.
     pub fn new(program: PathBuf, stall: Duration) -> io::Result<ProcessHost> {
-        Ok(ProcessHost { program, folder: tempfile::tempdir()?, stall, child: None })
+        let folder = tempfile::tempdir()?;
+        Ok(ProcessHost { program, folder, stall, arguments: vec![], child: None })
+    }
+
+    /// Starts it with further arguments of `serve`.
+    pub fn with(mut self, arguments: &[&str]) -> ProcessHost {
+        self.arguments = arguments.iter().map(|a| a.to_string()).collect();
+        self
     }
 
     /// The process's id, while there is one.
@@ -194,7 +202,7 @@
         let file = self.folder.path().join("settings.ncl");
         std::fs::write(&file, settings_text(deployment, list, key_file, self.stall))?;
         let mut command = Command::new(&self.program);
-        command.args(["--log", "error", "serve", "--listen", "127.0.0.1:0"]).arg(&file);
+        command.args(["--log", "error", "serve", "--listen", "127.0.0.1:0"]).arg(&file).args(&self.arguments);
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()?;
         let mut line = String::new();
         if let Some(out) = child.stdout.take() {
