--- a/crates/behaviour/src/held.rs
+++ b/crates/behaviour/src/held.rs
@@ -31,6 +31,8 @@
     withdrawn: BTreeSet<ServerId>,
     failures: BTreeMap<ServerId, (u32, Duration)>,
     stream: Option<(u64, u32)>,
+    /// The newest epoch that it has seen; kept over broken streams.
+    epoch: u64,
     seq: u64,
     /// Start and number of the last orders in force.
     pub last: (u64, u64),
@@ -48,6 +50,7 @@
             withdrawn: BTreeSet::new(),
             failures: BTreeMap::new(),
             stream: None,
+            epoch: 0,
             seq: 0,
             last: (0, 0),
         };
@@ -66,9 +69,21 @@
         self.last == (0, 0)
     }
 
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
     /// A stream of a planner's start was welcomed: only its orders count from here on.
-    pub fn welcomed(&mut self, start: u64, stream: u32) {
-        (self.stream, self.seq) = (Some((start, stream)), 0);
+    ///
+    /// # Errors
+    ///
+    /// The planner leads in an older epoch than one that was seen: nothing of it is to be obeyed.
+    pub fn welcomed(&mut self, start: u64, stream: u32, epoch: u64) -> Result<(), Stale> {
+        if epoch < self.epoch {
+            return Err(Stale);
+        }
+        (self.stream, self.seq, self.epoch) = (Some((start, stream)), 0, epoch);
+        Ok(())
     }
 
     pub fn left(&mut self) {
@@ -81,7 +96,8 @@
     ///
     /// The orders are stale, and nothing of them is put in force.
     pub fn obey(&mut self, orders: &Orders) -> Result<Option<u16>, Stale> {
-        if self.stream != Some((orders.start, orders.stream)) || orders.seq <= self.seq {
+        let of_stream = self.stream == Some((orders.start, orders.stream)) && orders.epoch == self.epoch;
+        if !of_stream || orders.seq <= self.seq {
             return Err(Stale);
         }
         (self.seq, self.last) = (orders.seq, (orders.start, orders.seq));
--- a/crates/behaviour/tests/cores.rs
+++ b/crates/behaviour/tests/cores.rs
@@ -14,7 +14,7 @@
 }
 
 fn orders(start: u64, stream: u32, seq: u64, parts: Vec<Order>) -> Orders {
-    Orders { start, stream, seq, ordered_us: 0, list: 0, cause: Cause::Join, parts }
+    Orders { epoch: 0, start, stream, seq, ordered_us: 0, list: 0, cause: Cause::Join, parts }
 }
 
 fn bind(weights: &[f32]) -> Order {
@@ -25,7 +25,7 @@
 
 fn held(picks: Picks, weights: &[f32]) -> Held {
     let mut held = Held::new(picks, (3, Duration::from_secs(2)), &[id(7)]);
-    held.welcomed(1, 1);
+    held.welcomed(1, 1, 0).unwrap();
     held.obey(&orders(1, 1, 1, vec![bind(weights), Order::Mark(5)])).unwrap();
     held
 }
@@ -172,3 +172,21 @@
     assert_eq!(report.figures, [0.25, 0.0]);
     assert_eq!(machine.report(at(1050), &[Figure::CpuShare], Some(0.0)).figures, [0.0, 0.0]);
 }
+
+#[rstest]
+#[case::the_same_epoch(4, true)]
+#[case::a_newer(5, true)]
+#[case::an_older(3, false)]
+#[case::a_planner_that_shares_nothing(0, false)]
+fn a_proxy_obeys_no_epoch_older_than_the_newest_that_it_has_seen(#[case] epoch: u64, #[case] obeyed: bool) {
+    let mut held = Held::new(Picks::Weighted, (0, Duration::ZERO), &[]);
+    held.welcomed(7, 1, 4).unwrap();
+    let bind = |epoch, start| Orders { epoch, ..orders(start, 1, 1, vec![Order::Mark(3)]) };
+    assert_eq!(held.obey(&bind(3, 7)), Err(Stale), "orders that say another epoch than their stream's");
+    assert_eq!(held.obey(&bind(4, 7)), Ok(Some(3)));
+    // Kept over a broken stream.
+    held.left();
+    assert_eq!(held.welcomed(8, 1, epoch).is_ok(), obeyed);
+    assert_eq!(held.obey(&bind(epoch, 8)).is_ok(), obeyed);
+    assert_eq!(held.epoch(), epoch.max(4));
+}
--- a/crates/cli/benches/scale.rs
+++ b/crates/cli/benches/scale.rs
@@ -58,7 +58,7 @@
     socket.write_all(&challenge.frame()).await.unwrap();
     let Ok(Message::Join(join)) = next(&mut socket, &mut inbox).await else { return };
     let proof = key.planner([&nonce, &[7; 16]], 1, &name, &join.zone);
-    socket.write_all(&Message::Welcome { stream: 1, proof }.frame()).await.unwrap();
+    socket.write_all(&Message::Welcome { stream: 1, epoch: 0, proof }.frame()).await.unwrap();
     let list = Message::List { version: 1, base: 0, now_ms: 1, entries };
     socket.write_all(&list.frame()).await.unwrap();
     while let Some(change) = changes.recv().await {
@@ -101,7 +101,7 @@
     socket.set_nodelay(true).unwrap();
     let zone = if number.is_multiple_of(2) { "east" } else { "west" };
     let (name, nonce) = (format!("p{number}"), (number as u128).to_be_bytes());
-    let peer = Peer { role: Role::Proxy, name: &name, zone, rate: 5.0, bare: true, held: (0, 0) };
+    let peer = Peer { role: Role::Proxy, name: &name, zone, rate: 5.0, bare: true, held: (0, 0), epoch: 0 };
     let mut dialled = shake_hands(&mut socket, &Key::derive(KEY), nonce, &peer).await.unwrap();
     let (mut from, mut to) = socket.into_split();
     let mut table = BTreeSet::new();
@@ -168,7 +168,7 @@
     let recorded = ["--record", trace.as_str()];
     let arguments = if record { &recorded[..] } else { &[] };
     let mut host = ProcessHost::new(program, Duration::from_secs(20)).unwrap().with(arguments);
-    let address = host.start(&deployment(proxies), &source, &key_file).unwrap();
+    let address = host.start(&deployment(proxies), &source, &key_file).unwrap()[0];
     sleep(Duration::from_millis(800)).await;
     let id = host.id().unwrap();
     let seen = Rc::new(RefCell::new(Seen::default()));
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod compare;
+mod members;
 mod record;
 mod rehearse;
 mod replay;
@@ -74,6 +75,11 @@
         #[command(subcommand)]
         command: trace::TraceCommand,
     },
+    /// The controllers of a fleet: state folders, who leads, who takes part
+    Members {
+        #[command(subcommand)]
+        command: members::MembersCommand,
+    },
     /// Check or show settings and day files
     Settings {
         #[command(subcommand)]
@@ -117,6 +123,7 @@
         Command::Experiment(arguments) => replay::experiment(&arguments),
         Command::Compare(arguments) => compare::compare(&arguments),
         Command::Trace { command } => trace::trace(command),
+        Command::Members { command } => members::members(command),
         Command::Settings { command: SettingsCommand::Check { file, kind } } => check(&file, kind),
         Command::Settings { command: SettingsCommand::Show { file } } => {
             grebespool_settings::Planned::read(&file)
--- /dev/null
+++ b/crates/cli/src/members.rs
@@ -0,0 +1,154 @@
+//! `members`: state folders, and what operators ask of the controllers of a fleet.
+
+use clap::Subcommand;
+use grebespool_members::{Answer, Keys, Question, Store, ask, fleet_id, seat_id};
+use grebespool_settings::{Members, Planned};
+use grebespool_succession::{Roster, Seat};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+#[derive(Subcommand)]
+pub enum MembersCommand {
+    /// Make this member's state for a new fleet of all that its settings name; once in a member's life
+    Form { settings: PathBuf },
+    /// Make this member's state, to be added to a fleet that runs
+    Join { settings: PathBuf },
+    /// Say who leads, since when, by which epoch, and who is missing
+    Show {
+        settings: PathBuf,
+        /// Ask the member at this address instead of the settings' own
+        #[arg(long, value_name = "ADDRESS")]
+        at: Option<String>,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Let the member that runs at ADDRESS take part; asked of the leader
+    Add { settings: PathBuf, name: String, address: String },
+    /// Take a member out; asked of the leader
+    Remove { settings: PathBuf, name: String },
+    /// Have the leader leave the lead to another
+    StepDown { settings: PathBuf },
+}
+
+fn members_of(file: &Path) -> Result<Members, String> {
+    let planned = Planned::read(file).map_err(|bad| bad.to_string())?;
+    planned.members.ok_or_else(|| format!("{}: members: the settings name none", file.display()))
+}
+
+/// Who takes part from the beginning, by a member's settings.
+pub fn first_roster(m: &Members) -> Roster {
+    let fleet = fleet_id(&m.fleet);
+    let own = (m.name.clone(), m.address.to_string());
+    let all = m.peers.iter().map(|p| (p.name.clone(), p.address.to_string())).chain([own]);
+    let seats = all.map(|(name, address)| (seat_id(fleet, &name), Seat { name, address })).collect();
+    Roster { epoch: 0, number: 0, seats }
+}
+
+pub fn members(command: MembersCommand) -> Result<ExitCode, String> {
+    let said = |why: grebespool_members::Unusable| why.to_string();
+    match command {
+        MembersCommand::Form { settings } => {
+            let m = members_of(&settings)?;
+            let fleet = fleet_id(&m.fleet);
+            Store::form(&m.folder, fleet, seat_id(fleet, &m.name), first_roster(&m)).map_err(said)?;
+            println!(
+                "{}: {} of fleet {}, {} members",
+                m.folder.display(),
+                m.name,
+                m.fleet,
+                m.peers.len() + 1
+            );
+        }
+        MembersCommand::Join { settings } => {
+            let m = members_of(&settings)?;
+            let id = rand::random::<u64>().max(1);
+            Store::form(&m.folder, fleet_id(&m.fleet), id, Roster::default()).map_err(said)?;
+            println!("{}: {} of fleet {}, to be added", m.folder.display(), m.name, m.fleet);
+            println!("start it, then: members add SETTINGS {} {}", m.name, m.address);
+        }
+        MembersCommand::Show { settings, at, json } => {
+            let m = members_of(&settings)?;
+            let answer = question(&m, at, Question::Show)?;
+            if json {
+                println!("{}", serde_json::to_string_pretty(&answer).map_err(|e| e.to_string())?);
+            } else {
+                show(&answer);
+            }
+        }
+        MembersCommand::Add { settings, name, address } => {
+            return of_leader(&members_of(&settings)?, &Question::Add { name, address });
+        }
+        MembersCommand::Remove { settings, name } => {
+            return of_leader(&members_of(&settings)?, &Question::Remove { name });
+        }
+        MembersCommand::StepDown { settings } => {
+            return of_leader(&members_of(&settings)?, &Question::StepDown);
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn question(m: &Members, at: Option<String>, question: Question) -> Result<Answer, String> {
+    let keys = Keys::read(&m.key_file).map_err(|e| format!("{}: {e}", m.key_file.display()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let address = at.unwrap_or_else(|| m.address.to_string());
+    let asked = ask(&address, fleet_id(&m.fleet), &keys, question);
+    runtime.map_err(|e| e.to_string())?.block_on(asked).map_err(|e| format!("{address}: {e}"))
+}
+
+/// Asks the settings' own member who leads, and then that one.
+fn of_leader(m: &Members, wanted: &Question) -> Result<ExitCode, String> {
+    let at = match question(m, None, Question::Show)? {
+        Answer::Status { leader: Some(leader), members, .. } => {
+            members.into_iter().find(|s| s.name == leader).map(|s| s.address)
+        }
+        _ => return Err("no leader is known; nothing is changed without one".into()),
+    };
+    match question(m, at, wanted.clone())? {
+        Answer::Done(what) => {
+            println!("{what}");
+            Ok(ExitCode::SUCCESS)
+        }
+        Answer::Refused(why) => Err(why),
+        Answer::Status { .. } => Err("it answered something else".into()),
+    }
+}
+
+fn show(answer: &Answer) {
+    let Answer::Status {
+        name,
+        standing,
+        leader,
+        epoch,
+        since_ms,
+        stood_down,
+        members,
+        settled,
+        memory,
+        refused,
+    } = answer
+    else {
+        return println!("{answer:?}");
+    };
+    println!("{name} {standing}, epoch {epoch}, for {:.1} s", *since_ms as f64 / 1000.0);
+    println!("leader: {}", leader.as_deref().unwrap_or("none is known"));
+    if let Some(why) = stood_down {
+        println!("it last led until {why}");
+    }
+    for m in members {
+        println!(
+            "  {:<16} {:<22} {:016x}{}",
+            m.name,
+            m.address,
+            m.id,
+            if m.missing { "  missing" } else { "" }
+        );
+    }
+    if standing == "leads" && !settled {
+        println!("the last change of members is not yet known to a majority");
+    }
+    if let Some((epoch, number, age_ms)) = memory {
+        println!("memory: epoch {epoch}, number {number}, {:.1} s old", *age_ms as f64 / 1000.0);
+    }
+    println!("refused since its start: {refused}");
+}
--- a/crates/cli/src/record.rs
+++ b/crates/cli/src/record.rs
@@ -106,6 +106,8 @@
         });
     }
 
+    fn passed_over(&mut self, _: u64) {}
+
     fn joined(&mut self, now: Duration, name: &str, zone: &str, bare: bool) {
         self.put(now, |open| Event::Joined { proxy: open.number(name), zone: zone.into(), bare });
     }
--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -3,7 +3,9 @@
 use clap::ValueEnum;
 use grebespool_rules::Verdict;
 use grebespool_settings::{Day, What};
-use grebespool_standin::{PlannerHost, Played, ProcessHost, Progress, ThreadHost, rehearse as play};
+use grebespool_standin::{
+    FleetHost, PlannerHost, Played, ProcessHost, Progress, ThreadHost, rehearse as play,
+};
 use grebespool_trace::Recorder;
 use indicatif::{ProgressBar, ProgressStyle};
 use std::io::{self, IsTerminal};
@@ -17,6 +19,8 @@
 pub enum Runs {
     Process,
     Thread,
+    /// Three controllers, a process each; what befalls the planner befalls the one that leads
+    Fleet,
 }
 
 /// What runs the day's planner.
@@ -25,9 +29,13 @@
     let stall = day.rules.grace.0.mul_f64(0.75).max(Duration::from_millis(500));
     Ok(match runs {
         Runs::Thread => Box::new(ThreadHost::new(day.seed, stall)),
-        Runs::Process => {
+        Runs::Process | Runs::Fleet => {
             let program = std::env::current_exe().map_err(|e| e.to_string())?;
-            Box::new(ProcessHost::new(program, stall).map_err(|e| e.to_string())?)
+            let host: io::Result<Box<dyn PlannerHost>> = match runs {
+                Runs::Fleet => FleetHost::new(program, stall, 3).map(|h| Box::new(h) as Box<dyn PlannerHost>),
+                _ => ProcessHost::new(program, stall).map(|h| Box::new(h) as Box<dyn PlannerHost>),
+            };
+            host.map_err(|e| e.to_string())?
         }
     })
 }
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -2,18 +2,21 @@
 
 use crate::record::Recording;
 use grebespool_engine::Start;
-use grebespool_planner::{Untouched, serve as serve_planner};
-use grebespool_settings::Planned;
-use grebespool_wire::Key;
+use grebespool_members::{Change, Running, Store, fleet_id, run as run_member};
+use grebespool_planner::{Passage, Untouched, Watch, send_elsewhere, serve as serve_planner};
+use grebespool_settings::{Members, Planned};
+use grebespool_succession::{Memory, Terms};
+use grebespool_wire::{CameLine, Entry, Key, Orders};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::LocalSet;
+use tokio::task::{JoinSet, LocalSet, spawn_local};
 use tokio::time::Instant;
-use tracing::warn;
+use tracing::{info, warn};
 
 /// An interrupt, or what service managers send.
 async fn told_to_stop() -> std::io::Result<()> {
@@ -31,17 +34,16 @@
     record: Option<&Path>,
     cloak: Option<&Path>,
 ) -> Result<ExitCode, String> {
-    let Planned { deployment, listen: stated, list, probe_limit } =
-        Planned::read(file).map_err(|bad| bad.to_string())?;
-    let key_file = &stated.key_file;
+    let planned = Planned::read(file).map_err(|bad| bad.to_string())?;
+    let key_file = &planned.listen.key_file;
     let key = std::fs::read(key_file)
         .map_err(|e| format!("{}: listen.key_file: {}: {e}", file.display(), key_file.display()))?;
     if key.len() < 16 {
         return Err(format!("{}: a key has at least 16 bytes; this has {}", key_file.display(), key.len()));
     }
-    let start = Start { id: rand::random::<u64>() | 1, seed: rand::random() };
+    let start = start_in(0);
     let recording = match record {
-        Some(path) => Recording::begin(path, cloak, start.id, &deployment)?,
+        Some(path) => Recording::begin(path, cloak, start.id, &planned.deployment)?,
         None => Recording::none(),
     };
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -49,27 +51,22 @@
         .build()
         .map_err(|e| format!("no runtime: {e}"))?;
     LocalSet::new().block_on(&runtime, async {
-        let address = listen.unwrap_or(stated.address);
-        let listener =
-            TcpListener::bind(address).await.map_err(|e| format!("cannot listen at {address}: {e}"))?;
-        let address = listener.local_addr().map_err(|e| e.to_string())?;
-        // For whoever starts it with port 0; standard output has nothing else.
-        println!("listening at {address}");
-        std::io::stdout().flush().map_err(|e| e.to_string())?;
+        let address = listen.unwrap_or(planned.listen.address);
+        let listener = std::net::TcpListener::bind(address)
+            .and_then(|l| l.set_nonblocking(true).map(|()| l))
+            .map_err(|e| format!("cannot listen at {address}: {e}"))?;
         let began = Instant::now();
-        let serving = serve_planner(
-            listener,
-            start,
-            Key::derive(&key),
-            deployment,
-            stated,
-            list,
-            probe_limit.0,
-            Untouched,
-            recording.clone(),
-        );
+        let serving = async {
+            match planned.members.clone() {
+                Some(members) => lead_or_follow(file, listener, planned, members, &key, &recording).await,
+                None => {
+                    let listener = told_open(listener).map_err(|e| e.to_string())?;
+                    plan(file, listener, start, &planned, &key, Untouched, recording.clone()).await
+                }
+            }
+        };
         tokio::select! {
-            ended = serving => ended.map_err(|why| format!("{}: {why}", file.display()))?,
+            ended = serving => ended?,
             stopped = told_to_stop() => stopped.map_err(|e| e.to_string())?,
         }
         let lost = recording.finish(began.elapsed())?;
@@ -79,3 +76,165 @@
         Ok(ExitCode::SUCCESS)
     })
 }
+
+fn start_in(epoch: u64) -> Start {
+    Start { id: rand::random::<u64>() | 1, seed: rand::random(), epoch }
+}
+
+/// For whoever starts it with port 0; standard output has nothing else.
+fn told_open(listener: std::net::TcpListener) -> std::io::Result<TcpListener> {
+    println!("listening at {}", listener.local_addr()?);
+    std::io::stdout().flush()?;
+    TcpListener::from_std(listener)
+}
+
+async fn plan(
+    file: &Path,
+    listener: TcpListener,
+    start: Start,
+    planned: &Planned,
+    key: &[u8],
+    passage: impl Passage,
+    watch: impl Watch,
+) -> Result<(), String> {
+    let Planned { deployment, listen, list, probe_limit, .. } = planned.clone();
+    let serving = serve_planner(
+        listener,
+        start,
+        Key::derive(key),
+        deployment,
+        listen,
+        list,
+        probe_limit.0,
+        passage,
+        watch,
+    );
+    serving.await.map_err(|why| format!("{}: {why}", file.display()))
+}
+
+/// Lets orders out only while this controller may give them.
+struct Gate {
+    member: Running,
+    epoch: u64,
+}
+
+impl Passage for Gate {
+    fn pass(&mut self, _: u32, orders: Orders) -> Option<Orders> {
+        self.member.may_order(self.epoch).then_some(orders)
+    }
+}
+
+/// What a controller that leads tells its member, beside what is recorded.
+struct Leading {
+    member: Running,
+    epoch: u64,
+    number: u64,
+    every: Duration,
+    memory: Option<Box<Memory>>,
+    recording: Recording,
+}
+
+impl Watch for Leading {
+    fn list(&mut self, now: Duration, version: u64, base: u64, now_ms: u64, entries: &[Entry]) {
+        self.recording.list(now, version, base, now_ms, entries);
+    }
+    fn joined(&mut self, now: Duration, name: &str, zone: &str, bare: bool) {
+        self.recording.joined(now, name, zone, bare);
+    }
+    fn left(&mut self, now: Duration, name: &str) {
+        self.recording.left(now, name);
+    }
+    fn came(&mut self, now: Duration, name: &str, came: &[CameLine]) {
+        self.recording.came(now, name, came);
+    }
+    fn passed_over(&mut self, epoch: u64) {
+        // Not from within the planner's own turn: standing down ends it.
+        let member = self.member.clone();
+        spawn_local(async move { member.passed_over(epoch) });
+    }
+    fn recall(&mut self) -> Option<Memory> {
+        self.memory.take().map(|m| *m)
+    }
+    fn remembers_every(&self) -> Option<Duration> {
+        Some(self.every)
+    }
+    fn remember(&mut self, mut memory: Memory) {
+        self.number += 1;
+        (memory.epoch, memory.number) = (self.epoch, self.number);
+        if let Err(why) = self.member.remember(&memory) {
+            warn!(%why, "what is known cannot be kept for the next leader");
+        }
+    }
+}
+
+/// A controller among others: plans while it leads, and sends proxies on while it does not.
+async fn lead_or_follow(
+    file: &Path,
+    listener: std::net::TcpListener,
+    planned: Planned,
+    members: Members,
+    key: &[u8],
+    recording: &Recording,
+) -> Result<(), String> {
+    let (store, kept) =
+        Store::open(&members.folder, fleet_id(&members.fleet)).map_err(|why| why.to_string())?;
+    if kept.roster.epoch == 0
+        && !kept.roster.seats.is_empty()
+        && kept.roster != crate::members::first_roster(&members)
+    {
+        return Err(format!(
+            "{}: members: these are not the members that {} was formed with",
+            file.display(),
+            members.folder.display()
+        ));
+    }
+    let between = TcpListener::bind(members.address)
+        .await
+        .map_err(|e| format!("cannot listen for members at {}: {e}", members.address))?;
+    let terms = Terms { beat: members.beat.0, lease: members.lease.0, drift: members.drift };
+    let mut tasks = JoinSet::new();
+    let (member, mut changes) = run_member(
+        between,
+        &members.name,
+        store,
+        kept,
+        terms,
+        &members.key_file,
+        members.weights_kept.0,
+        &mut tasks,
+    )
+    .map_err(|why| why.to_string())?;
+    drop(told_open(listener.try_clone().map_err(|e| e.to_string())?).map_err(|e| e.to_string())?);
+    loop {
+        let change = changes.borrow_and_update().clone();
+        let own = listener.try_clone().and_then(TcpListener::from_std).map_err(|e| e.to_string())?;
+        let acting = async {
+            match change {
+                Change::Follow => {
+                    let known = member.clone();
+                    send_elsewhere(own, move || known.leader()).await;
+                    Ok(())
+                }
+                Change::Lead { epoch, memory } => {
+                    let gate = Gate { member: member.clone(), epoch };
+                    let watch = Leading {
+                        member: member.clone(),
+                        epoch,
+                        number: 0,
+                        every: members.remember.0,
+                        memory,
+                        recording: recording.clone(),
+                    };
+                    plan(file, own, start_in(epoch), &planned, key, gate, watch).await
+                }
+            }
+        };
+        tokio::select! {
+            ended = acting => return ended,
+            changed = changes.changed() => {
+                changed.map_err(|_| "the member has ended".to_string())?;
+                info!(change = ?changes.borrow().name(), "what this controller does changes");
+            }
+        }
+    }
+}
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -120,7 +120,7 @@
 /// Joins, tells that seven calls came, stays a little, and leaves.
 async fn visit(to: &str, name: &str, zone: &str) {
     let mut socket = TcpStream::connect(to).await.unwrap();
-    let peer = Peer { role: Role::Proxy, name, zone, rate: 1.0, bare: true, held: (0, 0) };
+    let peer = Peer { role: Role::Proxy, name, zone, rate: 1.0, bare: true, held: (0, 0), epoch: 0 };
     shake_hands(&mut socket, &Key::derive(KEY), [3; 16], &peer).await.unwrap();
     let sums = Message::Sums { met: vec![], came: vec![CameLine { route: 1, calls: 7 }] };
     socket.write_all(&sums.frame()).await.unwrap();
--- a/crates/engine/src/door.rs
+++ b/crates/engine/src/door.rs
@@ -70,4 +70,8 @@
         self.indices.insert(name.into(), index);
         Some(index)
     }
+
+    pub fn names(&self) -> impl Iterator<Item = (&str, Proxy)> {
+        self.indices.iter().map(|(name, index)| (name.as_str(), *index))
+    }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -38,6 +38,8 @@
 pub struct Start {
     pub id: u64,
     pub seed: u64,
+    /// The leader's epoch, told with every order; 0 where planners share nothing.
+    pub epoch: u64,
 }
 
 /// What is held at the most.
@@ -160,6 +162,12 @@
     servers: Servers,
     proxies: Proxies,
     streams: BTreeMap<StreamId, Proxy>,
+    /// Servers that drain, since when this planner has known.
+    drains: BTreeMap<ServerId, Duration>,
+    /// When the list was sent by its own clock, and when it came.
+    list_at: (u64, Duration),
+    /// The last message that each stream is known to have in force.
+    applied: BTreeMap<StreamId, u64>,
 }
 
 impl<O: Outlet> Engine<O> {
@@ -220,9 +228,48 @@
             servers: Servers::default(),
             proxies: Proxies::default(),
             streams: BTreeMap::new(),
+            drains: BTreeMap::new(),
+            list_at: (0, Duration::ZERO),
+            applied: BTreeMap::new(),
         })
     }
 
+    /// Begins with what a former leader had learnt of servers, each as a multiple of its pool's mean: called after
+    /// the first list and before any join.
+    pub fn recall(&mut self, weights: &BTreeMap<ServerId, f64>) {
+        for (id, weight) in weights {
+            if let Some(server) = self.servers.find(*id).filter(|_| self.list.lists(*id)) {
+                self.planner.recall(server, *weight);
+            }
+        }
+    }
+
+    /// What it has learnt of servers, each as a multiple of its pool's mean.
+    pub fn learnt(&self) -> Vec<(ServerId, f64)> {
+        let learnt = self.planner.learnt().into_iter().map(|(s, w)| (self.servers.id(s), w));
+        learnt.filter(|(id, _)| self.list.lists(*id)).collect()
+    }
+
+    /// The list that is believed, and the time now by the list's clock.
+    pub fn believed(&self, now: Duration) -> (u64, u64, Vec<Entry>) {
+        let (sent, came) = self.list_at;
+        let ms = if sent == 0 { 0 } else { sent + now.saturating_sub(came).as_millis() as u64 };
+        (self.list.version(), ms, self.list.entries())
+    }
+
+    /// Servers that drain, and since when this planner has known.
+    pub fn drains(&self) -> impl Iterator<Item = (ServerId, Duration)> {
+        self.drains.iter().map(|(id, at)| (*id, *at))
+    }
+
+    /// Joined proxies by name, and the last message that each is known to have in force; 0 for none.
+    pub fn in_force(&self) -> Vec<(String, u64)> {
+        let books = self.books.borrow();
+        let stream = |proxy: Proxy| books.proxies.get(&proxy).map(|j| j.stream);
+        let joined = self.proxies.names().filter_map(|(name, proxy)| Some((name, stream(proxy)?)));
+        joined.map(|(name, s)| (name.into(), self.applied.get(&s).copied().unwrap_or(0))).collect()
+    }
+
     /// The version of the list that is believed.
     pub fn list_version(&self) -> u64 {
         self.list.version()
@@ -291,6 +338,7 @@
             self.books.borrow_mut().proxies.remove(&proxy);
             self.channel.drop_stream(stream);
             self.confirm.ended(stream);
+            self.applied.remove(&stream);
             self.planner.left(proxy);
         }
     }
@@ -307,6 +355,7 @@
     ) {
         if told == (self.start.id, stream) && self.streams.contains_key(&stream) {
             self.confirm.answered(stream, seq);
+            self.applied.insert(stream, seq);
             mark.into_iter().for_each(|m| self.planner.applied(now, m));
             self.settle(now, Cause::Interval);
         }
@@ -349,6 +398,14 @@
         });
         match taken {
             Ok(()) => {
+                self.list_at = (now_ms, now);
+                for e in entries {
+                    match e.phase {
+                        wire::Phase::Draining => drop(self.drains.entry(e.server).or_insert(now)),
+                        wire::Phase::Ready | wire::Phase::Gone => drop(self.drains.remove(&e.server)),
+                    }
+                }
+                self.drains.retain(|id, _| self.list.lists(*id));
                 // What the list left out was put as gone, so all that is whole about it is in the entries.
                 self.planner.list(now, false, &listed);
                 self.settle(now, Cause::List);
@@ -456,6 +513,7 @@
                 parts.extend(books.mark.map(Order::Mark));
                 joined.seq += 1;
                 let orders = Orders {
+                    epoch: self.start.epoch,
                     start: self.start.id,
                     stream: joined.stream,
                     seq: joined.seq,
--- a/crates/engine/src/trust.rs
+++ b/crates/engine/src/trust.rs
@@ -49,6 +49,18 @@
         self.version
     }
 
+    /// The list as it is believed, with starts by its own clock.
+    pub fn entries(&self) -> Vec<Entry> {
+        let listed = self.known.iter().filter(|(_, k)| k.phase != Phase::Gone);
+        let entry = |(id, k): (&ServerId, &Known)| Entry {
+            server: *id,
+            zone: self.zones[usize::from(k.zone)].clone(),
+            phase: k.phase,
+            started_ms: k.started_ms,
+        };
+        listed.map(entry).collect()
+    }
+
     pub fn zone(&self, name: &str) -> Option<Zone> {
         self.zones.iter().position(|z| z == name).map(|z| z as Zone)
     }
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -248,7 +248,16 @@
 }
 
 fn orders() -> Orders {
-    Orders { start: 1, stream: 1, seq: 1, ordered_us: 0, list: 0, cause: Cause::Join, parts: vec![] }
+    Orders {
+        epoch: 0,
+        start: 1,
+        stream: 1,
+        seq: 1,
+        ordered_us: 0,
+        list: 0,
+        cause: Cause::Join,
+        parts: vec![],
+    }
 }
 
 #[rstest]
--- a/crates/engine/tests/helpers/mod.rs
+++ b/crates/engine/tests/helpers/mod.rs
@@ -86,7 +86,7 @@
         let sight = Sight { fields: vec![Field::CpuShare], cycle: ms(500), probing: true, ask_within: None };
         let engine = Engine::start(
             desk,
-            Start { id: 77, seed: 1 },
+            Start { id: 77, seed: 1, epoch: 0 },
             Bounds { servers: 50, proxies: 200, joins: 4, unconfirmed: ms(4000) },
             vec!["a".into(), "b".into()],
             vec![route],
--- /dev/null
+++ b/crates/members/src/lib.rs
@@ -0,0 +1,15 @@
+//! A member of several controllers on sockets and disks (`docs/design/succession.md`). All decisions are
+//! [`grebespool_succession`]'s; here are the state folder ([`Store`]), the sealed streams between members ([`seal`]),
+//! and the task that runs one ([`run`]).
+
+mod disk;
+mod keys;
+mod operator;
+mod run;
+pub mod seal;
+mod store;
+
+pub use keys::Keys;
+pub use operator::{Answer, Question, ask};
+pub use run::{Change, Running, Unrunnable, run};
+pub use store::{Store, Unusable, fleet_id, seat_id};
--- /dev/null
+++ b/crates/members/src/operator.rs
@@ -0,0 +1,74 @@
+//! What operators ask of a member.
+
+use crate::keys::Keys;
+use crate::seal::{Own, Packet, Sealed};
+use serde::{Deserialize, Serialize};
+use std::io;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Question {
+    Show,
+    /// The member that listens at this address takes part from here on.
+    Add {
+        name: String,
+        address: String,
+    },
+    Remove {
+        name: String,
+    },
+    StepDown,
+}
+
+/// A member as another sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shown {
+    pub name: String,
+    pub address: String,
+    pub id: u64,
+    /// Known to the leader only.
+    pub missing: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    Status {
+        name: String,
+        /// "leads", "follows", "alone", "mute".
+        standing: String,
+        leader: Option<String>,
+        epoch: u64,
+        since_ms: u64,
+        stood_down: Option<String>,
+        members: Vec<Shown>,
+        settled: bool,
+        /// Of the newest memory on this member's disk: whose epoch, which, and how old.
+        memory: Option<(u64, u64, u64)>,
+        /// Peers and frames that were refused since the start.
+        refused: u64,
+    },
+    Done(String),
+    Refused(String),
+}
+
+/// Asks a member on behalf of an operator who holds the key.
+///
+/// # Errors
+///
+/// The stream's; `PermissionDenied` where it does not take the key.
+pub async fn ask(address: &str, fleet: u64, keys: &Keys, question: Question) -> io::Result<Answer> {
+    let asking = async {
+        let stream = TcpStream::connect(address).await?;
+        let mut sealed = Sealed::dial(stream, Own { fleet, id: 0 }, keys).await?;
+        sealed.meet("operator", 0).await?;
+        sealed.say(&Packet::Question(question)).await?;
+        match sealed.hear().await? {
+            Packet::Answer(answer) => Ok(answer),
+            Packet::Refused(why) => Err(io::Error::new(io::ErrorKind::PermissionDenied, why)),
+            _ => Err(io::Error::new(io::ErrorKind::InvalidData, "it answered something else")),
+        }
+    };
+    timeout(Duration::from_secs(10), asking).await?
+}
--- /dev/null
+++ b/crates/members/src/run.rs
@@ -0,0 +1,543 @@
+//! The task that runs a member.
+
+use crate::disk::{Disk, Written};
+use crate::keys::KeyFile;
+use crate::operator::{Answer, Question, Shown};
+use crate::seal::{Own, Packet, Sealed};
+use crate::store::Store;
+use grebespool_succession::{Host, Id, Kept, Member, Memory, Seat, Standing, Terms, Why, Word};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::{AbortHandle, JoinSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+use tracing::{info, warn};
+
+/// Whether this member is to plan.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// Plan in this epoch, beginning with what the last leader told, as far as it is still true.
+    Lead { epoch: u64, memory: Option<Box<Memory>> },
+    /// Order nothing.
+    Follow,
+}
+
+impl Change {
+    /// For logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Change::Lead { .. } => "lead",
+            Change::Follow => "follow",
+        }
+    }
+}
+
+#[derive(Debug, Error)]
+pub enum Unrunnable {
+    #[error("{path}: {why}")]
+    Key { path: String, why: io::Error },
+    #[error("the newest memory cannot be read: {0}")]
+    Memory(String),
+}
+
+/// Words wait for a peer that is out of reach, a few: what is older than a lease helps nobody.
+const WORDS_KEPT: usize = 32;
+const PIECE: usize = 64 << 10;
+/// Between two pieces of a memory: on a slow way, beats pass between them.
+const BETWEEN_PIECES: Duration = Duration::from_millis(5);
+const DIALLED_WITHIN: Duration = Duration::from_secs(2);
+const REDIAL: Duration = Duration::from_millis(200);
+const SILENCE: Duration = Duration::from_secs(30);
+
+/// What a memory's pieces come to.
+struct Coming {
+    order: (u64, u64),
+    parts: u32,
+    bytes: Vec<u8>,
+    next: u32,
+}
+
+/// A way to one other member: words on one stream, memories on another, so that these never hold up those.
+struct Way {
+    words: Rc<RefCell<VecDeque<Word>>>,
+    come: Rc<Notify>,
+    freight: Rc<RefCell<Option<Freight>>>,
+    laden: Rc<Notify>,
+    tasks: [AbortHandle; 2],
+}
+
+type Freight = ((u64, u64), Rc<Vec<u8>>);
+
+impl Drop for Way {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(AbortHandle::abort);
+    }
+}
+
+struct Desk {
+    disk: Disk,
+    said: Vec<(Id, Word)>,
+    change: watch::Sender<Change>,
+    led: Option<u64>,
+}
+
+impl Host for Desk {
+    fn keep(&mut self, kept: &Kept) {
+        self.disk.keep(kept.clone());
+    }
+    fn say(&mut self, to: Id, word: Word) {
+        self.said.push((to, word));
+    }
+    fn lead(&mut self, epoch: u64) {
+        self.led = Some(epoch);
+    }
+    fn stand_down(&mut self, epoch: u64, why: Why) {
+        warn!(epoch, %why, "this member leads no more");
+        self.led = None;
+        self.change.send_replace(Change::Follow);
+    }
+    fn note(&mut self, text: &str) {
+        info!("{text}");
+    }
+}
+
+struct Shared {
+    began: Instant,
+    own: Own,
+    name: String,
+    member: RefCell<Member<Desk>>,
+    keys: RefCell<KeyFile>,
+    ways: RefCell<BTreeMap<Id, Way>>,
+    woken: Notify,
+    /// The newest memory of a leader, and when it came.
+    memory: RefCell<Option<(Memory, Instant)>>,
+    weights_kept: Duration,
+    refused: Cell<u64>,
+}
+
+/// A member that runs. Cheap to clone.
+#[derive(Clone)]
+pub struct Running(Rc<Shared>);
+
+impl Running {
+    /// Whether an order may leave at this very moment.
+    pub fn may_order(&self, epoch: u64) -> bool {
+        let member = self.0.member.borrow();
+        member.epoch() == epoch && member.may_order(self.0.began.elapsed())
+    }
+
+    /// A proxy holds orders of this epoch.
+    pub fn passed_over(&self, epoch: u64) {
+        self.0.call(|member, now| member.passed_over(now, epoch));
+    }
+
+    /// Who leads, by name.
+    pub fn leader(&self) -> Option<String> {
+        let member = self.0.member.borrow();
+        let roster = &member.kept_state().roster;
+        member.leader().and_then(|id| roster.seats.get(&id).map(|s| s.name.clone()))
+    }
+
+    /// Hands a memory of this leader to its disk and to all others.
+    ///
+    /// # Errors
+    ///
+    /// It is too large to be kept.
+    pub fn remember(&self, memory: &Memory) -> Result<(), grebespool_succession::Damaged> {
+        let bytes = Rc::new(memory.bytes()?);
+        self.0.member.borrow_mut().host().disk.remember(memory.order(), bytes.to_vec());
+        *self.0.memory.borrow_mut() = Some((memory.clone(), Instant::now()));
+        for way in self.0.ways.borrow().values() {
+            // One that has not gone out yet is not worth more than the newest.
+            *way.freight.borrow_mut() = Some((memory.order(), bytes.clone()));
+            way.laden.notify_one();
+        }
+        Ok(())
+    }
+}
+
+impl Shared {
+    /// Calls the member at this moment, and carries out what it asked.
+    fn call<T>(self: &Rc<Self>, what: impl FnOnce(&mut Member<Desk>, Duration) -> T) -> T {
+        let (done, said, led) = {
+            let mut member = self.member.borrow_mut();
+            let done = what(&mut member, self.began.elapsed());
+            let desk = member.host();
+            (done, std::mem::take(&mut desk.said), desk.led.take())
+        };
+        self.reach();
+        let ways = self.ways.borrow();
+        for (to, word) in said {
+            let Some(way) = ways.get(&to) else { continue };
+            let mut words = way.words.borrow_mut();
+            if words.len() == WORDS_KEPT {
+                words.pop_front();
+            }
+            words.push_back(word);
+            way.come.notify_one();
+        }
+        drop(ways);
+        if let Some(epoch) = led {
+            let memory = self
+                .memory
+                .borrow()
+                .as_ref()
+                .map(|(memory, came)| Box::new(memory.after(came.elapsed(), self.weights_kept)));
+            info!(epoch, memory = ?memory.as_ref().map(|m| m.order()), "this member leads");
+            self.member.borrow_mut().host().change.send_replace(Change::Lead { epoch, memory });
+        }
+        self.woken.notify_one();
+        done
+    }
+
+    /// A way to each other member of the roster, and to nobody else.
+    fn reach(self: &Rc<Self>) {
+        let seats: Vec<(Id, Seat)> = {
+            let member = self.member.borrow();
+            let kept = member.kept_state();
+            let others = kept.roster.seats.iter().filter(|s| *s.0 != kept.id);
+            others.map(|(id, seat)| (*id, seat.clone())).collect()
+        };
+        let mut ways = self.ways.borrow_mut();
+        ways.retain(|id, _| seats.iter().any(|s| s.0 == *id));
+        for (id, seat) in seats {
+            ways.entry(id).or_insert_with(|| {
+                let (words, come) = (Rc::default(), Rc::new(Notify::new()));
+                let (freight, laden) = (Rc::default(), Rc::new(Notify::new()));
+                let words_task =
+                    spawn_local(speak(self.clone(), id, seat.clone(), Rc::clone(&words), come.clone()));
+                let freight_task =
+                    spawn_local(carry(self.clone(), id, seat, Rc::clone(&freight), laden.clone()));
+                let tasks = [words_task.abort_handle(), freight_task.abort_handle()];
+                Way { words, come, freight, laden, tasks }
+            });
+        }
+    }
+
+    fn refuse(&self, what: &str, why: &io::Error) {
+        self.refused.set(self.refused.get() + 1);
+        warn!(refused = self.refused.get(), "{what}: {why}");
+    }
+
+    /// A stream to the member with this id, and with nobody else at its address.
+    async fn dial(&self, id: Id, seat: &Seat) -> io::Result<Sealed<TcpStream>> {
+        let dialling = async {
+            let stream = TcpStream::connect(&seat.address).await?;
+            stream.set_nodelay(true)?;
+            let keys = self.keys.borrow_mut().keys();
+            let mut sealed = Sealed::dial(stream, self.own, &keys).await?;
+            let stamp = self.member.borrow().kept_state().stamp;
+            let (name, _) = sealed.meet(&self.name, stamp).await?;
+            if sealed.peer != id {
+                let text = format!("{name} ({:016x}) is there in place of {id:016x}", sealed.peer);
+                return Err(io::Error::new(io::ErrorKind::PermissionDenied, text));
+            }
+            Ok(sealed)
+        };
+        timeout(DIALLED_WITHIN, dialling).await?
+    }
+
+    fn status(&self) -> Answer {
+        let member = self.member.borrow();
+        let now = self.began.elapsed();
+        let status = member.status(now);
+        let name = |id: Id| status.roster.seats.get(&id).map_or(format!("{id:016x}"), |s| s.name.clone());
+        let (standing, leader) = match status.standing {
+            Standing::Leads => ("leads", Some(self.name.clone())),
+            Standing::Follows(id) => ("follows", Some(name(id))),
+            Standing::Alone => ("alone", None),
+            Standing::Mute => ("mute", None),
+        };
+        let shown = |(id, seat): (&Id, &Seat)| Shown {
+            name: seat.name.clone(),
+            address: seat.address.clone(),
+            id: *id,
+            missing: status.missing.contains(id),
+        };
+        let memory = self
+            .memory
+            .borrow()
+            .as_ref()
+            .map(|(m, came)| (m.epoch, m.number, came.elapsed().as_millis() as u64));
+        Answer::Status {
+            name: self.name.clone(),
+            standing: standing.into(),
+            leader,
+            epoch: status.epoch,
+            since_ms: now.saturating_sub(status.since).as_millis() as u64,
+            stood_down: status.stood_down.map(|w| w.to_string()),
+            members: status.roster.seats.iter().map(shown).collect(),
+            settled: status.settled,
+            memory,
+            refused: self.refused.get(),
+        }
+    }
+
+    async fn answer(self: &Rc<Self>, question: Question) -> Answer {
+        let done = match question {
+            Question::Show => return self.status(),
+            Question::StepDown => self.call(|m, now| m.step_down(now)).map(|()| "it stands down".to_string()),
+            Question::Remove { name } => {
+                self.call(|m, now| m.remove(now, &name)).map(|()| format!("{name} takes no part any more"))
+            }
+            Question::Add { name, address } => {
+                let id = match self.who(&address).await {
+                    Ok((id, there)) if there == name => id,
+                    Ok((_, there)) => return Answer::Refused(format!("{there} is at {address}, not {name}")),
+                    Err(why) => return Answer::Refused(format!("{address}: {why}")),
+                };
+                let seat = Seat { name: name.clone(), address };
+                self.call(|m, now| m.add(now, id, seat)).map(|()| format!("{name} takes part"))
+            }
+        };
+        done.map_or_else(|why| Answer::Refused(why.to_string()), Answer::Done)
+    }
+
+    /// Who listens at an address.
+    async fn who(&self, address: &str) -> io::Result<(Id, String)> {
+        let asking = async {
+            let stream = TcpStream::connect(address).await?;
+            let keys = self.keys.borrow_mut().keys();
+            let mut sealed = Sealed::dial(stream, self.own, &keys).await?;
+            let (name, _) = sealed.meet(&self.name, self.member.borrow().kept_state().stamp).await?;
+            Ok((sealed.peer, name))
+        };
+        timeout(DIALLED_WITHIN, asking).await?
+    }
+}
+
+/// Says what is to be said to one other, dialling anew whenever the stream ends.
+async fn speak(shared: Rc<Shared>, id: Id, seat: Seat, words: Rc<RefCell<VecDeque<Word>>>, come: Rc<Notify>) {
+    let mut said = String::new();
+    loop {
+        let failed = async {
+            let mut sealed = shared.dial(id, &seat).await?;
+            said.clear();
+            loop {
+                let word = words.borrow_mut().pop_front();
+                match word {
+                    Some(word) => sealed.say(&Packet::Word(word)).await?,
+                    None => come.notified().await,
+                }
+            }
+        };
+        let failed: io::Result<()> = failed.await;
+        if let Err(why) = failed {
+            // Once for each cause, not with each dialling.
+            if why.to_string() != said {
+                said = why.to_string();
+                match why.kind() {
+                    io::ErrorKind::PermissionDenied => shared.refuse(&seat.name, &why),
+                    _ => info!(member = seat.name, error = said, "out of reach"),
+                }
+            }
+        }
+        sleep(REDIAL).await;
+    }
+}
+
+/// Ships the newest memory to one other.
+async fn carry(
+    shared: Rc<Shared>,
+    id: Id,
+    seat: Seat,
+    freight: Rc<RefCell<Option<Freight>>>,
+    laden: Rc<Notify>,
+) {
+    loop {
+        laden.notified().await;
+        let shipped: io::Result<()> = async {
+            let mut sealed = shared.dial(id, &seat).await?;
+            loop {
+                let Some((order, bytes)) = freight.borrow_mut().take() else {
+                    laden.notified().await;
+                    continue;
+                };
+                let pieces = bytes.chunks(PIECE);
+                let parts = pieces.len() as u32;
+                for (part, piece) in pieces.enumerate() {
+                    let bytes = piece.to_vec();
+                    sealed.say(&Packet::Memory { order, part: part as u32, parts, bytes }).await?;
+                    sleep(BETWEEN_PIECES).await;
+                }
+            }
+        }
+        .await;
+        if shipped.is_err() {
+            sleep(REDIAL).await;
+        }
+    }
+}
+
+/// One stream that another member or an operator dialled.
+async fn listen(shared: Rc<Shared>, stream: TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let keys = shared.keys.borrow_mut().keys();
+    let meeting = async {
+        let mut sealed = Sealed::accept(stream, shared.own, &keys).await?;
+        let (_, told) = sealed.met().await?;
+        let peer = sealed.peer;
+        if peer != 0
+            && let Err(why) = shared.call(|m, _| m.met(peer, told))
+        {
+            sealed.say(&Packet::Refused(why.to_string())).await?;
+            return Err(io::Error::new(io::ErrorKind::PermissionDenied, why));
+        }
+        let stamp = shared.member.borrow().kept_state().stamp;
+        sealed.say(&Packet::Here { name: shared.name.clone(), stamp }).await?;
+        io::Result::Ok(sealed)
+    };
+    let mut sealed = timeout(DIALLED_WITHIN, meeting).await??;
+    let peer = sealed.peer;
+    let mut coming: Option<Coming> = None;
+    loop {
+        match timeout(SILENCE, sealed.hear()).await?? {
+            Packet::Word(word) if peer != 0 => shared.call(|m, now| m.heard(now, peer, word)),
+            Packet::Memory { order, part, parts, bytes } if peer != 0 => {
+                piece(&shared, &mut coming, (order, part, parts), &bytes)?;
+            }
+            Packet::Question(question) if peer == 0 => {
+                let answer = shared.answer(question).await;
+                sealed.say(&Packet::Answer(answer)).await?;
+            }
+            _ => return Err(io::Error::new(io::ErrorKind::InvalidData, "what does not belong here")),
+        }
+    }
+}
+
+/// Puts a memory's pieces together, and takes it once it is whole.
+fn piece(
+    shared: &Rc<Shared>,
+    coming: &mut Option<Coming>,
+    (order, part, parts): ((u64, u64), u32, u32),
+    bytes: &[u8],
+) -> io::Result<()> {
+    let bad = |text: String| Err(io::Error::new(io::ErrorKind::InvalidData, text));
+    if part == 0 {
+        *coming = Some(Coming { order, parts, bytes: vec![], next: 0 });
+    }
+    let Some(c) = coming.as_mut().filter(|c| c.order == order && c.parts == parts && c.next == part) else {
+        return bad(format!("piece {part} of a memory out of its order"));
+    };
+    if c.bytes.len() + bytes.len() > grebespool_succession::MOST_BYTES {
+        return bad("a memory that is too large".into());
+    }
+    c.bytes.extend_from_slice(bytes);
+    c.next += 1;
+    if c.next < parts {
+        return Ok(());
+    }
+    let whole = coming.take().map(|c| c.bytes).unwrap_or_default();
+    match Memory::read(&whole) {
+        Ok(memory) if memory.order() == order => {
+            let newer = shared.memory.borrow().as_ref().is_none_or(|m| m.0.order() < order);
+            if newer {
+                *shared.memory.borrow_mut() = Some((memory, Instant::now()));
+                shared.member.borrow_mut().host().disk.remember(order, whole);
+            }
+            Ok(())
+        }
+        Ok(_) => bad("a memory under another's number".into()),
+        Err(why) => bad(format!("a damaged memory: {why}")),
+    }
+}
+
+async fn accept(shared: Rc<Shared>, listener: TcpListener) {
+    let mut streams = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, from)) => {
+                    let shared = shared.clone();
+                    streams.spawn_local(async move {
+                        if let Err(why) = listen(shared.clone(), stream).await
+                            && !matches!(why.kind(), io::ErrorKind::UnexpectedEof | io::ErrorKind::ConnectionReset)
+                        {
+                            shared.refuse(&format!("a stream from {from}"), &why);
+                        }
+                    });
+                }
+                Err(error) => {
+                    warn!(%error, "a connection could not be accepted");
+                    sleep(Duration::from_millis(50)).await;
+                }
+            },
+            Some(_) = streams.join_next() => {}
+        }
+    }
+}
+
+async fn tick(shared: Rc<Shared>) {
+    loop {
+        let due = shared.began + shared.member.borrow().due();
+        tokio::select! {
+            () = tokio::time::sleep_until(due) => shared.call(|m, now| m.woken(now)),
+            () = shared.woken.notified() => {}
+        }
+    }
+}
+
+async fn disk_told(shared: Rc<Shared>, mut told: mpsc::UnboundedReceiver<Written>) {
+    while let Some(written) = told.recv().await {
+        match written {
+            Written::Kept(stamp) => shared.call(|m, now| m.kept(now, stamp)),
+            Written::Failed(why) => {
+                warn!(why, "the disk takes no writes: this member neither votes nor leads");
+                shared.call(|m, now| m.disk_failed(now));
+            }
+        }
+    }
+}
+
+/// Runs a member on the current `LocalSet`. Gives it, and what tells whether to plan. It runs until the task set that
+/// it adds to is dropped.
+///
+/// # Errors
+///
+/// The key file's, and a memory that the disk cannot give.
+#[expect(clippy::too_many_arguments, reason = "each part takes its own few settings; none holds them all")]
+pub fn run(
+    listener: TcpListener,
+    name: &str,
+    store: Store,
+    kept: Kept,
+    terms: Terms,
+    key_file: &Path,
+    weights_kept: Duration,
+    tasks: &mut JoinSet<()>,
+) -> Result<(Running, watch::Receiver<Change>), Unrunnable> {
+    let keys = KeyFile::open(key_file)
+        .map_err(|why| Unrunnable::Key { path: key_file.display().to_string(), why })?;
+    let damaged = |order: (u64, u64), why| warn!(?order, %why, "a damaged memory is set aside");
+    let memory = store.memory(damaged).map_err(|why| Unrunnable::Memory(why.to_string()))?;
+    let (told, written) = mpsc::unbounded_channel();
+    let (change, changes) = watch::channel(Change::Follow);
+    let own = Own { fleet: kept.fleet, id: kept.id };
+    let desk = Desk { disk: Disk::new(Arc::new(store), told), said: vec![], change, led: None };
+    let member = Member::start(desk, kept, terms, rand::random(), Duration::ZERO);
+    let shared = Rc::new(Shared {
+        began: Instant::now(),
+        own,
+        name: name.into(),
+        member: RefCell::new(member),
+        keys: RefCell::new(keys),
+        ways: RefCell::default(),
+        woken: Notify::new(),
+        // How old it is nobody knows: only what no time makes untrue is taken of it.
+        memory: RefCell::new(memory.map(|m| (m.after(weights_kept, weights_kept), Instant::now()))),
+        weights_kept,
+        refused: Cell::new(0),
+    });
+    shared.reach();
+    tasks.spawn_local(accept(shared.clone(), listener));
+    tasks.spawn_local(tick(shared.clone()));
+    tasks.spawn_local(disk_told(shared.clone(), written));
+    Ok((Running(shared), changes))
+}
--- /dev/null
+++ b/crates/members/src/store.rs
@@ -0,0 +1,212 @@
+//! A member's state folder.
+
+use grebespool_succession::{Damaged, Id, Kept, Memory, Roster};
+use redb::{Database, ReadableTable, TableDefinition, TableError};
+use std::io;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+const STATE: TableDefinition<&str, &[u8]> = TableDefinition::new("state");
+const MEMORIES: TableDefinition<(u64, u64), &[u8]> = TableDefinition::new("memories");
+const SET_ASIDE: TableDefinition<(u64, u64), &[u8]> = TableDefinition::new("set aside");
+
+/// Why a state folder cannot be used.
+#[derive(Debug, Error)]
+pub enum Unusable {
+    #[error(
+        "{0}: no member's state is here; `members form` makes one for a new fleet, `members join` one for a member that \
+         is to be added"
+    )]
+    Empty(String),
+    #[error("{0}: a member's state is here already; it would vote again as another")]
+    Taken(String),
+    #[error("{path}: another process has it open, or it cannot be opened: {why}")]
+    Open { path: String, why: String },
+    #[error("{path}: it is of another fleet ({found:016x}, not {wanted:016x})")]
+    Fleet { path: String, found: u64, wanted: u64 },
+    #[error("{path}: the state in it cannot be read: {why}")]
+    Damaged { path: String, why: String },
+    #[error("{path}: {why}")]
+    Io { path: String, why: io::Error },
+}
+
+/// Stands for a fleet: members of others are strangers.
+pub fn fleet_id(name: &str) -> u64 {
+    number("grebespool 2026 fleet", name.as_bytes())
+}
+
+/// The id of a member that is there from the beginning.
+pub fn seat_id(fleet: u64, name: &str) -> Id {
+    let mut bytes = fleet.to_be_bytes().to_vec();
+    bytes.extend_from_slice(name.as_bytes());
+    number("grebespool 2026 seat", &bytes)
+}
+
+fn number(context: &str, bytes: &[u8]) -> u64 {
+    let hash = blake3::derive_key(context, bytes);
+    // 0 is nobody's.
+    hash.first_chunk::<8>().map_or(1, |b| u64::from_be_bytes(*b)).max(1)
+}
+
+/// An open state folder: what a member must find again, and the memories of leaders.
+pub struct Store {
+    state: Database,
+    memories: Database,
+    folder: PathBuf,
+}
+
+impl Store {
+    const MEMORIES_KEPT: usize = 2;
+
+    fn path(&self) -> String {
+        self.folder.display().to_string()
+    }
+
+    fn files(folder: &Path) -> (PathBuf, PathBuf) {
+        (folder.join("state.redb"), folder.join("memories.redb"))
+    }
+
+    /// Makes a folder's first state. `roster`: the whole fleet's for one that is there from the beginning, empty
+    /// for one that is to be added.
+    ///
+    /// # Errors
+    ///
+    /// There is one already, or the folder's.
+    pub fn form(folder: &Path, fleet: u64, id: Id, roster: Roster) -> Result<(), Unusable> {
+        let path = folder.display().to_string();
+        std::fs::create_dir_all(folder).map_err(|why| Unusable::Io { path: path.clone(), why })?;
+        if Self::files(folder).0.exists() {
+            return Err(Unusable::Taken(path));
+        }
+        let store = Self::create(folder)?;
+        let kept = Kept { id, fleet, epoch: 0, vote: None, roster, stamp: 1 };
+        store.keep(&kept).map_err(|why| Unusable::Damaged { path, why: why.to_string() })
+    }
+
+    fn create(folder: &Path) -> Result<Store, Unusable> {
+        let path = folder.display().to_string();
+        let (state, memories) = Self::files(folder);
+        let open = |file: PathBuf| {
+            Database::create(file).map_err(|why| Unusable::Open { path: path.clone(), why: why.to_string() })
+        };
+        Ok(Store { state: open(state)?, memories: open(memories)?, folder: folder.into() })
+    }
+
+    /// # Errors
+    ///
+    /// Nothing was made here, another process has it, it is of another fleet, or it cannot be read.
+    pub fn open(folder: &Path, fleet: u64) -> Result<(Store, Kept), Unusable> {
+        let path = folder.display().to_string();
+        if !Self::files(folder).0.exists() {
+            return Err(Unusable::Empty(path));
+        }
+        let store = Self::create(folder)?;
+        let kept = store.kept().map_err(|why| Unusable::Damaged { path: path.clone(), why })?;
+        if kept.fleet != fleet {
+            return Err(Unusable::Fleet { path, found: kept.fleet, wanted: fleet });
+        }
+        Ok((store, kept))
+    }
+
+    fn kept(&self) -> Result<Kept, String> {
+        let read = self.state.begin_read().map_err(|e| e.to_string())?;
+        let table = read.open_table(STATE).map_err(|e| e.to_string())?;
+        let bytes = table.get("kept").map_err(|e| e.to_string())?.ok_or("nothing is in it")?;
+        let (content, sum) =
+            bytes.value().split_at_checked(bytes.value().len().saturating_sub(16)).ok_or("short")?;
+        if blake3::hash(content).as_bytes()[..16] != *sum {
+            return Err("its sum is wrong".into());
+        }
+        postcard::from_bytes(content).map_err(|e| e.to_string())
+    }
+
+    /// Writes what must be found again, and returns once it is on disk.
+    ///
+    /// # Errors
+    ///
+    /// The disk's.
+    pub fn keep(&self, kept: &Kept) -> Result<(), redb::Error> {
+        let mut bytes = postcard::to_stdvec(kept).expect("memory takes all");
+        let sum = blake3::hash(&bytes);
+        bytes.extend_from_slice(&sum.as_bytes()[..16]);
+        let write = self.state.begin_write()?;
+        write.open_table(STATE)?.insert("kept", bytes.as_slice())?;
+        Ok(write.commit()?)
+    }
+
+    /// Writes a leader's memory, and forgets all but the newest two.
+    ///
+    /// # Errors
+    ///
+    /// The disk's.
+    pub fn remember(&self, order: (u64, u64), bytes: &[u8]) -> Result<(), redb::Error> {
+        let write = self.memories.begin_write()?;
+        {
+            let mut table = write.open_table(MEMORIES)?;
+            table.insert(order, bytes)?;
+            let mut all: Vec<(u64, u64)> = vec![];
+            for entry in table.iter()? {
+                all.push(entry?.0.value());
+            }
+            for old in all.iter().rev().skip(Self::MEMORIES_KEPT) {
+                table.remove(old)?;
+            }
+        }
+        Ok(write.commit()?)
+    }
+
+    /// The newest memory that can be read. Damaged ones are named to `damaged`, and set aside.
+    ///
+    /// # Errors
+    ///
+    /// The disk's.
+    pub fn memory(
+        &self,
+        mut damaged: impl FnMut((u64, u64), Damaged),
+    ) -> Result<Option<Memory>, redb::Error> {
+        let write = self.memories.begin_write()?;
+        let mut found = None;
+        {
+            let (mut table, mut aside) = (write.open_table(MEMORIES)?, write.open_table(SET_ASIDE)?);
+            let mut all: Vec<((u64, u64), Vec<u8>)> = vec![];
+            for entry in table.iter()? {
+                let (order, bytes) = entry?;
+                all.push((order.value(), bytes.value().to_vec()));
+            }
+            for (order, bytes) in all.into_iter().rev() {
+                match Memory::read(&bytes) {
+                    Ok(memory) => {
+                        found = Some(memory);
+                        break;
+                    }
+                    Err(why) => {
+                        damaged(order, why);
+                        aside.insert(order, bytes.as_slice())?;
+                        table.remove(order)?;
+                    }
+                }
+            }
+        }
+        write.commit()?;
+        Ok(found)
+    }
+
+    /// How many memories were set aside.
+    ///
+    /// # Errors
+    ///
+    /// The disk's.
+    pub fn set_aside(&self) -> Result<u64, redb::Error> {
+        let read = self.memories.begin_read()?;
+        match read.open_table(SET_ASIDE) {
+            Ok(table) => Ok(redb::ReadableTableMetadata::len(&table)?),
+            Err(TableError::TableDoesNotExist(_)) => Ok(0),
+            Err(why) => Err(why.into()),
+        }
+    }
+
+    /// For logs.
+    pub fn folder(&self) -> String {
+        self.path()
+    }
+}
--- a/crates/model/src/agenda.rs
+++ b/crates/model/src/agenda.rs
@@ -184,7 +184,7 @@
 impl Outlet for Out {
     fn welcome(&mut self, stream: StreamId) {
         let proof = grebespool_wire::Proof([0; 32]);
-        self.agenda.borrow_mut().carry(stream, Message::Welcome { stream, proof });
+        self.agenda.borrow_mut().carry(stream, Message::Welcome { stream, epoch: 0, proof });
     }
     fn send(&mut self, stream: StreamId, orders: Orders) {
         self.agenda.borrow_mut().carry(stream, Message::Orders(orders));
--- a/crates/model/src/play.rs
+++ b/crates/model/src/play.rs
@@ -250,7 +250,7 @@
         self.start_id = 1000 * self.day.seed + self.starts;
         self.began = self.now();
         self.wake_at = None;
-        let start = Start { id: self.start_id, seed: self.day.seed + self.starts };
+        let start = Start { id: self.start_id, seed: self.day.seed + self.starts, epoch: 0 };
         let out = Out { agenda: self.agenda.clone() };
         // As `rehearse` has it: orders have to be known in force within the grace.
         let unconfirmed = self.day.rules.grace.0.mul_f64(0.75).max(Duration::from_millis(500));
--- a/crates/model/src/proxies.rs
+++ b/crates/model/src/proxies.rs
@@ -87,8 +87,8 @@
         match message {
             Message::Welcome { .. } => {
                 let p = &mut self.proxies[proxy];
-                p.held.welcomed(start, stream);
-                p.joined = true;
+                // All planners of a modelled day share nothing, so none is older than another.
+                p.joined = p.held.welcomed(start, stream, 0).is_ok();
                 let mut agenda = self.agenda.borrow_mut();
                 agenda.put(Passed::Joined { proxy: number, start });
                 agenda.after(Duration::ZERO, Due::Sums(stream));
--- a/crates/planner/src/dial.rs
+++ b/crates/planner/src/dial.rs
@@ -13,6 +13,8 @@
     pub rate: f32,
     pub bare: bool,
     pub held: (u64, u64),
+    /// The newest epoch that it has seen.
+    pub epoch: u64,
 }
 
 /// A stream that was welcomed.
@@ -20,6 +22,7 @@
     /// The other side's start.
     pub start: u64,
     pub stream: u32,
+    pub epoch: u64,
     pub inbox: Inbox,
 }
 
@@ -65,12 +68,20 @@
     };
     let proof: Proof = key.peer([&nonce, &theirs], start, peer.name, peer.zone);
     let (held_start, held_seq) = peer.held;
-    let join = Join { zone: peer.zone.into(), rate: peer.rate, bare: peer.bare, held_start, held_seq, proof };
+    let join = Join {
+        zone: peer.zone.into(),
+        rate: peer.rate,
+        bare: peer.bare,
+        held_start,
+        held_seq,
+        epoch: peer.epoch,
+        proof,
+    };
     socket.write_all(&Message::Join(join).frame()).await?;
     match next(socket, &mut inbox).await? {
-        Message::Welcome { stream, proof } => {
+        Message::Welcome { stream, epoch, proof } => {
             if proof.holds(&key.planner([&nonce, &theirs], start, peer.name, peer.zone)) {
-                Ok(Dialled { start, stream, inbox })
+                Ok(Dialled { start, stream, epoch, inbox })
             } else {
                 denied("it does not show the fleet's key".into())
             }
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -6,14 +6,18 @@
 //! polled, and dropping that future ends the planner at once, as a kill would.
 
 pub mod dial;
+mod elsewhere;
 mod list;
+mod memory;
 mod outgoing;
 mod probe;
 mod stream;
 
+pub use elsewhere::send_elsewhere;
 use grebespool::host::Probed;
 use grebespool_engine::{Engine, Outlet, Start, StreamId, Unsupported};
 use grebespool_settings::{Deployment, ListSource, Listen};
+use grebespool_succession::Memory;
 use grebespool_wire::{CameLine, Entry, Key, Message, Orders, Reason, ServerId};
 use outgoing::Outgoing;
 use std::cell::{Cell, RefCell};
@@ -26,7 +30,8 @@
 use tokio::time::Instant;
 use tracing::{debug, info, warn};
 
-/// Lets a test's host stand between the engine and the streams. The planner that is run has [`Untouched`].
+/// Stands between the engine and the streams: [`Untouched`] but for tests, and for a controller that may order only
+/// while it leads.
 pub trait Passage: 'static {
     fn pass(&mut self, stream: StreamId, orders: Orders) -> Option<Orders>;
 }
@@ -48,6 +53,18 @@
     fn left(&mut self, now: Duration, name: &str);
     /// So many calls of each route came to the proxy within its last cycle.
     fn came(&mut self, now: Duration, name: &str, came: &[CameLine]);
+    /// A proxy holds orders of an epoch that is newer than this planner's.
+    fn passed_over(&mut self, epoch: u64);
+    /// What a former leader of the fleet knew, to begin with. Asked once, before anybody is listened to.
+    fn recall(&mut self) -> Option<Memory> {
+        None
+    }
+    /// How often [`Watch::remember`] is to be told.
+    fn remembers_every(&self) -> Option<Duration> {
+        None
+    }
+    /// What this planner knows now; its epoch and number are the hearer's to set.
+    fn remember(&mut self, _: Memory) {}
 }
 
 pub struct Unwatched;
@@ -57,6 +74,7 @@
     fn joined(&mut self, _: Duration, _: &str, _: &str, _: bool) {}
     fn left(&mut self, _: Duration, _: &str) {}
     fn came(&mut self, _: Duration, _: &str, _: &[CameLine]) {}
+    fn passed_over(&mut self, _: u64) {}
 }
 
 /// What the tasks of one planner share. All of it is on one thread, and no borrow lives over an await.
@@ -110,7 +128,8 @@
 impl Outlet for Shell {
     fn welcome(&mut self, stream: StreamId) {
         if let Some(out) = self.outgoing(stream) {
-            out.put(self.began.elapsed(), &Message::Welcome { stream, proof: out.proof.get() });
+            let (epoch, proof) = (self.start.epoch, out.proof.get());
+            out.put(self.began.elapsed(), &Message::Welcome { stream, epoch, proof });
         }
     }
 
@@ -214,7 +233,8 @@
         probes: probes.clone(),
         passage: Box::new(passage),
     };
-    let engine = Engine::start(
+    let mut watch = watch;
+    let mut engine = Engine::start(
         shell,
         start,
         deployment.bounds(listen.stall.0),
@@ -225,6 +245,10 @@
         deployment.pace(),
         deployment.sight(source.ask_within()),
     )?;
+    if let Some(memory) = watch.recall() {
+        memory::recall(&mut engine, &memory);
+    }
+    let every = watch.remembers_every();
     let shared = Rc::new(Shared {
         began,
         start,
@@ -245,6 +269,9 @@
     tasks.spawn_local(clock(shared.clone()));
     tasks.spawn_local(list::follow(shared.clone(), source));
     tasks.spawn_local(probe::run(shared.clone(), probe_limit));
+    if let Some(every) = every {
+        tasks.spawn_local(memory::remember(shared.clone(), every));
+    }
     accept(shared, listener, tasks).await;
     Ok(())
 }
--- a/crates/planner/src/list.rs
+++ b/crates/planner/src/list.rs
@@ -32,7 +32,8 @@
     let mut nonce = [0; 16];
     rand::rng().fill_bytes(&mut nonce);
     let name = format!("planner-{:x}", shared.start.id);
-    let peer = Peer { role: Role::Watcher, name: &name, zone: "", rate: 0.0, bare: false, held: (0, 0) };
+    let peer =
+        Peer { role: Role::Watcher, name: &name, zone: "", rate: 0.0, bare: false, held: (0, 0), epoch: 0 };
     let shaken = timeout(source.patience.0, shake_hands(&mut socket, &shared.key, nonce, &peer)).await??;
     let Dialled { mut inbox, .. } = shaken;
     let (mut from, mut to) = socket.into_split();
--- a/crates/planner/src/stream.rs
+++ b/crates/planner/src/stream.rs
@@ -147,6 +147,12 @@
     if !join.proof.holds(&shared.key.peer(nonces, start, &name, &join.zone)) {
         return Err(Ended(Reason::Refused, format!("{name:?} does not show the fleet's key")));
     }
+    if join.epoch > shared.start.epoch {
+        shared.watch.borrow_mut().passed_over(join.epoch);
+        let text =
+            format!("it holds orders of epoch {}; this planner's is {}", join.epoch, shared.start.epoch);
+        return Err(Ended(Reason::PassedOver, text));
+    }
     out.proof.set(shared.key.planner(nonces, start, &name, &join.zone));
     debug!(stream = id, name, held = join.held_start, seq = join.held_seq, bare = join.bare, "asks to join");
     let arrival = Arrival { name: &name, zone: &join.zone, rate: join.rate, bare: join.bare };
--- a/crates/planner/tests/streams.rs
+++ b/crates/planner/tests/streams.rs
@@ -29,7 +29,7 @@
         listen.handshake = Span(Duration::from_millis(500));
         let nowhere = ([127, 0, 0, 1], 1).into();
         let source = ListSource::new(nowhere, ListMode::Pushed, Span(SOON));
-        let start = Start { id: 9, seed: 1 };
+        let start = Start { id: 9, seed: 1, epoch: 0 };
         let serving =
             serve(listener, start, Key::derive(KEY), deployment, listen, source, SOON, Untouched, Unwatched);
         spawn_local(async move { serving.await.unwrap() });
@@ -39,7 +39,7 @@
 
 async fn join(to: SocketAddr, key: &[u8], name: &str, zone: &str) -> std::io::Result<(TcpStream, Dialled)> {
     let mut socket = TcpStream::connect(to).await?;
-    let peer = Peer { role: Role::Proxy, name, zone, rate: 1.0, bare: true, held: (0, 0) };
+    let peer = Peer { role: Role::Proxy, name, zone, rate: 1.0, bare: true, held: (0, 0), epoch: 0 };
     let dialled = shake_hands(&mut socket, &Key::derive(key), [3; 16], &peer).await?;
     Ok((socket, dialled))
 }
@@ -107,7 +107,8 @@
             panic!("no challenge");
         };
         let proof = Key::derive(KEY).peer([&[1; 16], &nonce], start, "p", "east");
-        let join = Join { zone: "east".into(), rate: 1.0, bare: true, held_start: 0, held_seq: 0, proof };
+        let join =
+            Join { zone: "east".into(), rate: 1.0, bare: true, held_start: 0, held_seq: 0, epoch: 0, proof };
         let mut second = TcpStream::connect(to).await.unwrap();
         second.write_all(&hello(VERSION, Role::Proxy, "p")).await.unwrap();
         second.write_all(&Message::Join(join).frame()).await.unwrap();
@@ -134,7 +135,7 @@
         listen.allow_only(&["10.0.0.0/8".parse().unwrap()]);
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let to = listener.local_addr().unwrap();
-        let start = Start { id: 9, seed: 1 };
+        let start = Start { id: 9, seed: 1, epoch: 0 };
         let serving =
             serve(listener, start, Key::derive(KEY), deployment, listen, list, SOON, Untouched, Unwatched);
         spawn_local(async move { serving.await.unwrap() });
--- a/crates/rules/src/once.rs
+++ b/crates/rules/src/once.rs
@@ -15,7 +15,8 @@
     refused: BTreeMap<(u64, u8, u8), Duration>,
     tries: BTreeMap<(u64, u8), Vec<Try>>,
     zones: BTreeMap<ServerId, String>,
-    newest: BTreeMap<u16, (u64, u32, u64)>,
+    /// By proxy: the epoch and the start, stream and number of its newest orders.
+    newest: BTreeMap<u16, (u64, (u64, u32, u64))>,
     former: BTreeMap<u16, BTreeSet<u64>>,
     /// Calls that are over, since when.
     over: VecDeque<(Duration, u64)>,
@@ -101,9 +102,10 @@
             Passed::Delivered { proxy, orders } => {
                 pass.checked();
                 let this = (orders.start, orders.stream, orders.seq);
-                let last = self.newest.get(proxy).copied();
+                let (epoch, last) = self.newest.get(proxy).map_or((0, None), |n| (n.0, Some(n.1)));
                 let repeated = last.is_some_and(|l| l.0 == this.0 && l.1 == this.1 && l.2 >= this.2);
-                let stale = self.former.get(proxy).is_some_and(|f| f.contains(&this.0))
+                let stale = orders.epoch < epoch
+                    || self.former.get(proxy).is_some_and(|f| f.contains(&this.0))
                     || last.is_some_and(|l| l.0 == this.0 && l.1 > this.1);
                 if let Some(l) = last.filter(|l| l.0 != this.0) {
                     self.former.entry(*proxy).or_default().insert(l.0);
@@ -118,7 +120,7 @@
                         |p| matches!(p, Passed::Delivered { proxy, .. } if *proxy == number),
                     );
                 } else {
-                    self.newest.insert(*proxy, this);
+                    self.newest.insert(*proxy, (orders.epoch, this));
                 }
             }
             Passed::Done { id, .. } => {
--- a/crates/rules/tests/rules.rs
+++ b/crates/rules/tests/rules.rs
@@ -39,7 +39,7 @@
 }
 
 fn orders(start: u64, seq: u64, ordered: u64, list: u64, parts: Vec<Order>) -> Orders {
-    Orders { start, stream: 1, seq, ordered_us: ordered * 1000, list, cause: Cause::List, parts }
+    Orders { epoch: 0, start, stream: 1, seq, ordered_us: ordered * 1000, list, cause: Cause::List, parts }
 }
 
 fn bind(lines: &[u32]) -> Order {
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -149,6 +149,31 @@
     pub listen: Listen,
     pub list: ListSource,
     pub probe_limit: Span,
+    /// Where several controllers serve the fleet.
+    pub members: Option<Members>,
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct PeerSeat {
+    pub name: String,
+    pub address: SocketAddr,
+}
+
+/// This controller among those that follow each other.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Members {
+    pub fleet: String,
+    pub name: String,
+    pub address: SocketAddr,
+    pub folder: PathBuf,
+    pub key_file: PathBuf,
+    pub peers: Vec<PeerSeat>,
+    pub beat: Span,
+    pub lease: Span,
+    pub drift: f64,
+    pub remember: Span,
+    pub weights_kept: Span,
 }
 
 impl Deployment {
@@ -223,11 +248,39 @@
         planned.deployment.check(path)?;
         if let Some(folder) = path.parent() {
             planned.listen.key_file = folder.join(&planned.listen.key_file);
+            if let Some(members) = &mut planned.members {
+                members.key_file = folder.join(&members.key_file);
+                members.folder = folder.join(&members.folder);
+            }
+        }
+        if let Some(members) = &planned.members {
+            members.check(path)?;
         }
         Ok(planned)
     }
 }
 
+impl Members {
+    fn check(&self, path: &Path) -> Result<(), Bad> {
+        let bad = |of: &str, why: String| Err(field(path, &format!("members.{of}"), why));
+        if self.lease.0 < self.beat.0 * 3 {
+            let why = format!("{:?} is shorter than three beats of {:?}", self.lease.0, self.beat.0);
+            return bad("lease", why);
+        }
+        let mut names = vec![self.name.as_str()];
+        for (i, peer) in self.peers.iter().enumerate() {
+            if names.contains(&peer.name.as_str()) {
+                return bad(&format!("peers[{i}].name"), format!("{:?} is there twice", peer.name));
+            }
+            if peer.address == self.address {
+                return bad(&format!("peers[{i}].address"), "it is this member's own".into());
+            }
+            names.push(&peer.name);
+        }
+        Ok(())
+    }
+}
+
 impl Listen {
     pub fn new(address: SocketAddr, key_file: PathBuf, stall: Duration, silence: Duration) -> Listen {
         let allowed = ["127.0.0.0/8", "::1/128"].map(|n| n.parse().expect("a network"));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,4 +15,4 @@
 pub use deployment::*;
 pub use experiment::*;
 pub use read::{Bad, show};
-pub use text::{deployment_text, settings_text};
+pub use text::{deployment_text, member_text, settings_text};
--- a/crates/settings/src/text.rs
+++ b/crates/settings/src/text.rs
@@ -3,6 +3,7 @@
 use crate::deployment::{Deployment, ListSource, Span};
 use crate::read::nickel;
 use serde_json::{Value, json};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
@@ -65,3 +66,26 @@
     });
     nickel(&text)
 }
+
+/// The text of a controller's settings file among others of a fleet. `peers`: names and addresses of the others.
+#[expect(clippy::too_many_arguments, reason = "each part takes its own few settings; none holds them all")]
+pub fn member_text(
+    deployment: &Deployment,
+    list: &ListSource,
+    key_file: &Path,
+    stall: Duration,
+    name: &str,
+    address: SocketAddr,
+    folder: &Path,
+    peers: &[(String, SocketAddr)],
+) -> String {
+    let peers: Vec<Value> =
+        peers.iter().map(|(name, address)| json!({ "name": name, "address": address.to_string() })).collect();
+    let members = json!({
+        "members": {
+            "fleet": "fleet", "name": name, "address": address.to_string(), "folder": folder, "key_file": key_file,
+            "peers": peers, "beat": "150ms", "lease": "750ms", "remember": "500ms",
+        }
+    });
+    format!("{} & {}", settings_text(deployment, list, key_file, stall), nickel(&members))
+}
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -2,7 +2,7 @@
 
 use grebespool_engine::Start;
 use grebespool_planner::{Passage, Untouched, Unwatched, serve};
-use grebespool_settings::{Deployment, ListSource, Listen, settings_text};
+use grebespool_settings::{Deployment, ListSource, Listen, member_text, settings_text};
 use grebespool_wire::Key;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
@@ -12,10 +12,10 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// Runs one planner at a time.
+/// Runs a day's planner, or several controllers of which one leads.
 pub trait PlannerHost {
     /// Starts a planner of the deployment that follows the list at `list`, with the key in `key_file`. Gives
-    /// the address that it listens at.
+    /// where proxies may find it.
     ///
     /// # Errors
     ///
@@ -25,7 +25,7 @@
         deployment: &Deployment,
         list: &ListSource,
         key_file: &Path,
-    ) -> io::Result<SocketAddr>;
+    ) -> io::Result<Vec<SocketAddr>>;
     /// Ends it outright: nothing is said to anybody.
     fn kill(&mut self);
     /// It stands still from now until it is resumed, at the latest after `most`.
@@ -71,10 +71,10 @@
         deployment: &Deployment,
         list: &ListSource,
         key_file: &Path,
-    ) -> io::Result<SocketAddr> {
+    ) -> io::Result<Vec<SocketAddr>> {
         self.kill();
         self.starts += 1;
-        let start = Start { id: 1000 * self.seed + self.starts, seed: self.seed + self.starts };
+        let start = Start { id: 1000 * self.seed + self.starts, seed: self.seed + self.starts, epoch: 0 };
         let key = Key::derive(&std::fs::read(key_file)?);
         let listener = std::net::TcpListener::bind(("127.0.0.1", 0))?;
         listener.set_nonblocking(true)?;
@@ -109,7 +109,7 @@
             });
         });
         self.running = Some(Running { commands, thread, resume: None });
-        Ok(addr)
+        Ok(vec![addr])
     }
 
     fn kill(&mut self) {
@@ -197,7 +197,7 @@
         deployment: &Deployment,
         list: &ListSource,
         key_file: &Path,
-    ) -> io::Result<SocketAddr> {
+    ) -> io::Result<Vec<SocketAddr>> {
         self.kill();
         let file = self.folder.path().join("settings.ncl");
         std::fs::write(&file, settings_text(deployment, list, key_file, self.stall))?;
@@ -210,7 +210,8 @@
         }
         self.child = Some(child);
         let address = line.trim().strip_prefix("listening at ").and_then(|a| a.parse().ok());
-        address.ok_or_else(|| io::Error::other(format!("the planner did not start ({line:?})")))
+        let started = address.map(|a| vec![a]);
+        started.ok_or_else(|| io::Error::other(format!("the planner did not start ({line:?})")))
     }
 
     fn kill(&mut self) {
@@ -234,3 +235,156 @@
         self.kill();
     }
 }
+
+/// Several controllers of one fleet, a process each; what befalls the planner befalls the one that leads.
+pub struct FleetHost {
+    program: PathBuf,
+    folder: tempfile::TempDir,
+    stall: Duration,
+    controllers: Vec<Controller>,
+    /// The one that was stopped, to be resumed.
+    stalled: Option<usize>,
+}
+
+struct Controller {
+    settings: PathBuf,
+    /// Where proxies come, the same after a restart.
+    address: SocketAddr,
+    child: Option<Child>,
+}
+
+/// Ports that were free a moment ago.
+fn free_ports(count: usize) -> io::Result<Vec<SocketAddr>> {
+    let listeners: Vec<_> =
+        (0..count).map(|_| std::net::TcpListener::bind(("127.0.0.1", 0))).collect::<io::Result<_>>()?;
+    listeners.iter().map(std::net::TcpListener::local_addr).collect()
+}
+
+impl FleetHost {
+    /// `program`: the command line. `stall`: as for one planner.
+    ///
+    /// # Errors
+    ///
+    /// No folder can be made, or no ports are free.
+    pub fn new(program: PathBuf, stall: Duration, members: usize) -> io::Result<FleetHost> {
+        let folder = tempfile::tempdir()?;
+        let controller = |(i, address)| Controller {
+            settings: folder.path().join(format!("m{i}.ncl")),
+            address,
+            child: None,
+        };
+        let controllers = free_ports(members)?.into_iter().enumerate().map(controller).collect();
+        Ok(FleetHost { program, folder, stall, controllers, stalled: None })
+    }
+
+    fn run(&self, arguments: &[&str], settings: &Path) -> io::Result<String> {
+        let mut command = Command::new(&self.program);
+        let output = command.args(arguments).arg(settings).stdin(Stdio::null()).output()?;
+        match output.status.success() {
+            true => Ok(String::from_utf8_lossy(&output.stdout).into_owned()),
+            false => Err(io::Error::other(String::from_utf8_lossy(&output.stderr).into_owned())),
+        }
+    }
+
+    /// Writes the settings and forms the state of all.
+    fn form(&self, deployment: &Deployment, list: &ListSource, key_file: &Path) -> io::Result<()> {
+        let between = free_ports(self.controllers.len())?;
+        for (i, controller) in self.controllers.iter().enumerate() {
+            let others = (0..between.len()).filter(|o| *o != i);
+            let peers: Vec<_> = others.map(|o| (format!("m{o}"), between[o])).collect();
+            let (name, state) = (format!("m{i}"), self.folder.path().join(format!("state{i}")));
+            let text = member_text(deployment, list, key_file, self.stall, &name, between[i], &state, &peers);
+            std::fs::write(&controller.settings, text)?;
+            self.run(&["members", "form"], &controller.settings)?;
+        }
+        Ok(())
+    }
+
+    fn launch(&mut self, i: usize) -> io::Result<()> {
+        let controller = &self.controllers[i];
+        let mut command = Command::new(&self.program);
+        let listen = controller.address.to_string();
+        command.args(["--log", "error", "serve", "--listen", &listen]).arg(&controller.settings);
+        let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()?;
+        let mut line = String::new();
+        if let Some(out) = child.stdout.take() {
+            BufReader::new(out).read_line(&mut line)?;
+        }
+        self.controllers[i].child = Some(child);
+        match line.starts_with("listening at ") {
+            true => Ok(()),
+            false => Err(io::Error::other("a controller did not start")),
+        }
+    }
+
+    /// Which of those that run says that it leads.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |c: &Controller| {
+            let shown = self.run(&["members", "show", "--json"], &c.settings);
+            shown.is_ok_and(|text| text.contains("\"standing\": \"leads\""))
+        };
+        (0..self.controllers.len()).find(|i| {
+            let c = &self.controllers[*i];
+            c.child.is_some() && self.stalled != Some(*i) && leads(c)
+        })
+    }
+
+    fn signal(&self, i: usize, name: &str) {
+        if let Some(child) = &self.controllers[i].child {
+            let _ = Command::new("kill").args([name, &child.id().to_string()]).status();
+        }
+    }
+
+    fn end(&mut self, i: usize) {
+        if let Some(mut child) = self.controllers[i].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl PlannerHost for FleetHost {
+    /// The first time all are formed and started, later those that do not run.
+    fn start(
+        &mut self,
+        deployment: &Deployment,
+        list: &ListSource,
+        key_file: &Path,
+    ) -> io::Result<Vec<SocketAddr>> {
+        if !self.controllers[0].settings.exists() {
+            self.form(deployment, list, key_file)?;
+        }
+        for i in 0..self.controllers.len() {
+            if self.controllers[i].child.is_none() {
+                self.launch(i)?;
+            }
+        }
+        Ok(self.controllers.iter().map(|c| c.address).collect())
+    }
+
+    fn kill(&mut self) {
+        if let Some(leader) = self.leader() {
+            self.end(leader);
+        }
+    }
+
+    fn stall(&mut self, _: Duration) {
+        if let Some(leader) = self.leader() {
+            self.signal(leader, "-STOP");
+            self.stalled = Some(leader);
+        }
+    }
+
+    fn resume(&mut self) {
+        if let Some(stalled) = self.stalled.take() {
+            self.signal(stalled, "-CONT");
+        }
+    }
+}
+
+impl Drop for FleetHost {
+    fn drop(&mut self) {
+        self.resume();
+        (0..self.controllers.len()).for_each(|i| self.end(i));
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,5 +12,5 @@
 mod visitor;
 mod world;
 
-pub use host::{PlannerHost, ProcessHost, ThreadHost};
+pub use host::{FleetHost, PlannerHost, ProcessHost, ThreadHost};
 pub use rehearsal::{Played, Progress, rehearse};
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -30,7 +30,9 @@
     proxy: u16,
     pub zone: u16,
     pub addr: SocketAddr,
-    planner: Rc<Cell<SocketAddr>>,
+    /// Where planners are; it dials the next after each stream that was not welcomed.
+    planners: Rc<RefCell<Vec<SocketAddr>>>,
+    turn: Cell<usize>,
     /// Before what the planner sends arrives.
     pub delay: Cell<Duration>,
     /// Of what the planner sends; the rest waits here, as on a slow way.
@@ -51,7 +53,7 @@
         world: Rc<World>,
         proxy: u16,
         zone: u16,
-        planner: Rc<Cell<SocketAddr>>,
+        planners: Rc<RefCell<Vec<SocketAddr>>>,
     ) -> io::Result<Rc<Link>> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let link = Rc::new(Link {
@@ -59,7 +61,8 @@
             proxy,
             zone,
             addr: listener.local_addr()?,
-            planner,
+            planners,
+            turn: Cell::new(0),
             delay: Cell::new(Duration::ZERO),
             bytes_per_s: Cell::new(f64::INFINITY),
             reads_per_s: Cell::new(f64::INFINITY),
@@ -76,7 +79,13 @@
                     continue;
                 }
                 let serving = serving.clone();
-                spawn_local(async move { drop(serving.carry(near).await) });
+                spawn_local(async move {
+                    let welcomed = Cell::new(false);
+                    let _ = serving.carry(near, &welcomed).await;
+                    if !welcomed.get() {
+                        serving.turn.set(serving.turn.get() + 1);
+                    }
+                });
             }
         });
         Ok(link)
@@ -86,23 +95,29 @@
         let _ = self.breaks.send(Some(how));
     }
 
+    fn next_planner(&self) -> io::Result<SocketAddr> {
+        let planners = self.planners.borrow();
+        let count = planners.len().max(1);
+        planners.get(self.turn.get() % count).copied().ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+
     async fn while_held(&self) {
         while self.held.get() {
             sleep(Duration::from_millis(5)).await;
         }
     }
 
-    async fn carry(self: &Rc<Self>, near: TcpStream) -> io::Result<()> {
+    async fn carry(self: &Rc<Self>, near: TcpStream, welcomed: &Cell<bool>) -> io::Result<()> {
         let mut breaks = self.breaks.subscribe();
         breaks.mark_unchanged();
-        let far = TcpStream::connect(self.planner.get()).await?;
+        let far = TcpStream::connect(self.next_planner()?).await?;
         near.set_nodelay(true)?;
         far.set_nodelay(true)?;
         let (from_proxy, to_proxy) = near.into_split();
         let (from_planner, to_planner) = far.into_split();
         let half = Rc::new(Cell::new(None));
         {
-            let down = self.down(from_planner, to_proxy, half.clone());
+            let down = self.down(from_planner, to_proxy, half.clone(), welcomed);
             let up = self.up(from_proxy, to_planner);
             tokio::pin!(down, up);
             tokio::select! {
@@ -135,6 +150,7 @@
         mut from: OwnedReadHalf,
         to: OwnedWriteHalf,
         broken: Rc<Cell<Option<Break>>>,
+        welcomed: &Cell<bool>,
     ) -> io::Result<()> {
         let queue = RefCell::new(VecDeque::<(Duration, Message)>::new());
         let (came, ended) = (Notify::new(), Cell::new(false));
@@ -201,6 +217,7 @@
                 let now = self.world.now();
                 match &message {
                     Message::Welcome { .. } => {
+                        welcomed.set(true);
                         self.world.put(Passed::Joined { proxy: self.proxy, start: start.get() });
                     }
                     _ => self.world.record.borrow_mut().delivered(now, self.proxy, &message),
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -120,7 +120,7 @@
             return socket.write_all(&bye.frame()).await;
         }
         let proof = key.planner(nonces, 1, &name, &zone);
-        socket.write_all(&Message::Welcome { stream: 1, proof }.frame()).await?;
+        socket.write_all(&Message::Welcome { stream: 1, epoch: 0, proof }.frame()).await?;
         let (mut from, mut to) = socket.into_split();
         let (sender, mut waiting) = mpsc::unbounded_channel::<Message>();
         let writing = async {
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -6,7 +6,7 @@
 use grebespool_planner::dial::{Peer, next, shake_hands};
 use grebespool_rules::Passed;
 use grebespool_settings::ProxyKind;
-use grebespool_wire::{Answer, Call, Inbox, MOST_BODY, Message, Outcome, Role, ServerId, Tries};
+use grebespool_wire::{Answer, Call, Inbox, MOST_BODY, Message, Outcome, Reason, Role, ServerId, Tries};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cell::{Cell, RefCell};
@@ -132,7 +132,12 @@
         socket.set_nodelay(true)?;
         let dialled = timeout(Duration::from_secs(3), self.join(&mut socket, &self.name())).await??;
         let mut inbox = dialled.inbox;
-        self.held.borrow_mut().welcomed(dialled.start, dialled.stream);
+        let welcomed = self.held.borrow_mut().welcomed(dialled.start, dialled.stream, dialled.epoch);
+        if welcomed.is_err() {
+            let text = format!("epoch {} has been seen", self.held.borrow().epoch());
+            let bye = Message::Bye { reason: Reason::PassedOver, text };
+            return socket.write_all(&bye.frame()).await;
+        }
         joined.set(true);
         let (mut from, mut to) = socket.into_split();
         let mut sums = tokio::time::interval(self.world.deployment.reports.cycle.0);
@@ -162,9 +167,12 @@
         socket: &mut TcpStream,
         name: &str,
     ) -> io::Result<grebespool_planner::dial::Dialled> {
-        let (bare, held) = (self.held.borrow().bare(), self.held.borrow().last);
+        let (bare, held, epoch) = {
+            let held = self.held.borrow();
+            (held.bare(), held.last, held.epoch())
+        };
         let zone = &self.world.deployment.zones[usize::from(self.zone)];
-        let peer = Peer { role: Role::Proxy, name, zone, rate: self.rate, bare, held };
+        let peer = Peer { role: Role::Proxy, name, zone, rate: self.rate, bare, held, epoch };
         shake_hands(socket, &self.world.key, self.nonce(), &peer).await
     }
 
--- a/crates/standin/src/rehearsal.rs
+++ b/crates/standin/src/rehearsal.rs
@@ -70,7 +70,7 @@
     list: Rc<ServerList>,
     first_list: Vec<Entry>,
     host: RefCell<Box<dyn PlannerHost>>,
-    planner: Rc<Cell<std::net::SocketAddr>>,
+    planners: Rc<RefCell<Vec<std::net::SocketAddr>>>,
     source: ListSource,
     key_file: std::path::PathBuf,
     rng: RefCell<Pcg64Mcg>,
@@ -119,7 +119,7 @@
     list.begin(first_list.clone());
     let source = ListSource::new(list.addr, day.list.mode, day.list.ask_within);
     world.planner_began();
-    let planner = Rc::new(Cell::new(host.start(&day.deployment, &source, &key_file)?));
+    let planners = Rc::new(RefCell::new(host.start(&day.deployment, &source, &key_file)?));
     let zones: BTreeMap<ServerId, u16> = servers.iter().map(|s| (s.id(), s.zone)).collect();
     let zones = Rc::new(RefCell::new(zones));
     let rate = day.callers.iter().map(|c| c.rate).sum::<f64>() / day.proxy_count() as f64;
@@ -127,7 +127,7 @@
     for kind in &day.proxies {
         for _ in 0..kind.count {
             let (number, zone) = (proxies.len() as u16, world.zone(&kind.zone));
-            let link = Link::new(world.clone(), number, zone, planner.clone()).await?;
+            let link = Link::new(world.clone(), number, zone, planners.clone()).await?;
             let mut near: Vec<ServerId> = servers.iter().filter(|s| s.zone == zone).map(|s| s.id()).collect();
             near.shuffle(&mut rng);
             near.truncate(kind.standing);
@@ -162,7 +162,7 @@
         list,
         first_list,
         host: RefCell::new(host),
-        planner,
+        planners,
         source,
         key_file,
         rng: RefCell::new(rng),
@@ -239,7 +239,7 @@
         self.world.planner_began();
         let mut host = self.host.borrow_mut();
         let addr = host.start(&self.world.deployment, &self.source, &self.key_file)?;
-        self.planner.set(addr);
+        *self.planners.borrow_mut() = addr;
         Ok(())
     }
 
@@ -379,7 +379,7 @@
     async fn phantom_link(&self, zone: u16) -> io::Result<(u16, Rc<Link>)> {
         let number = self.phantoms.get();
         self.phantoms.set(number + 1);
-        Ok((number, Link::new(self.world.clone(), number, zone, self.planner.clone()).await?))
+        Ok((number, Link::new(self.world.clone(), number, zone, self.planners.clone()).await?))
     }
 
     async fn loop_joins(&self, i: usize, every: Duration, lasts: Duration) -> io::Result<()> {
--- a/crates/standin/src/visitor.rs
+++ b/crates/standin/src/visitor.rs
@@ -24,7 +24,7 @@
 async fn stay(world: &World, link: &Link, name: &str, nonce: u64, joined: &mut bool) -> io::Result<()> {
     let mut socket = TcpStream::connect(link.addr).await?;
     let zone = &world.deployment.zones[usize::from(link.zone)];
-    let peer = Peer { role: Role::Proxy, name, zone, rate: 1.0, bare: false, held: (0, 0) };
+    let peer = Peer { role: Role::Proxy, name, zone, rate: 1.0, bare: false, held: (0, 0), epoch: 0 };
     let nonce = (u128::MAX - u128::from(nonce)).to_be_bytes();
     let mut dialled = shake_hands(&mut socket, &world.key, nonce, &peer).await?;
     *joined = true;
--- a/crates/standin/tests/days.rs
+++ b/crates/standin/tests/days.rs
@@ -192,7 +192,12 @@
 struct Unlimited(ThreadHost);
 
 impl PlannerHost for Unlimited {
-    fn start(&mut self, deployment: &Deployment, list: &ListSource, key: &Path) -> io::Result<SocketAddr> {
+    fn start(
+        &mut self,
+        deployment: &Deployment,
+        list: &ListSource,
+        key: &Path,
+    ) -> io::Result<Vec<SocketAddr>> {
         let mut deployment = deployment.clone();
         let channel = &mut deployment.channel;
         (channel.lines_per_s, channel.most_waiting, channel.most_messages) = (25.0, 1e9, 0);
--- a/crates/succession/src/memory.rs
+++ b/crates/succession/src/memory.rs
@@ -140,6 +140,7 @@
         let known = age.as_millis() as u64;
         let mut memory = self.clone();
         memory.weights = if left > 0.0 { self.weights.iter().map(fade).collect() } else { vec![] };
+        memory.list_ms += if memory.list_ms > 0 { known } else { 0 };
         memory.drains.iter_mut().for_each(|d| d.known_for_ms += known);
         // What of a proxy's orders was in force says nothing once it may have heard others.
         if age > weights_kept {
--- a/crates/wire/benches/frames.rs
+++ b/crates/wire/benches/frames.rs
@@ -19,6 +19,7 @@
     let mut parts: Vec<Order> = (0..12).map(line).collect();
     parts.push(Order::Mark(7));
     Message::Orders(Orders {
+        epoch: 3,
         start: 1,
         stream: 2,
         seq: 3,
--- a/crates/wire/examples/fuzz.rs
+++ b/crates/wire/examples/fuzz.rs
@@ -31,6 +31,7 @@
     [
         Message::Hello { version: 1, role: Role::Proxy, name: "p".into(), nonce: [1; 16] },
         Message::Orders(Orders {
+            epoch: 3,
             start: 1,
             stream: 2,
             seq: 3,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,7 +14,7 @@
 pub use proof::{Key, Proof};
 
 /// The version that this crate speaks. A peer of another version is told so and closed.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 
 /// The most bytes that a frame's body may have, and what is taken from a peer that has not joined yet.
 pub const MOST_BODY: usize = 4 << 20;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -88,6 +88,8 @@
 /// What one turn of the planner orders one proxy.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Orders {
+    /// The leader's epoch where several controllers serve one fleet; 0 where planners share nothing.
+    pub epoch: u64,
     /// The planner's start, so that orders from before a restart are known.
     pub start: u64,
     /// The stream's number, so that orders from before a break are known.
@@ -163,6 +165,10 @@
     Busy,
     /// A message that does not belong here.
     State,
+    /// Another controller leads the fleet; the text is where it is, if that is known.
+    Elsewhere,
+    /// The proxy holds orders of a newer epoch than this controller's.
+    PassedOver,
 }
 
 /// One call, as a caller or a proxy sends it.
@@ -202,6 +208,8 @@
     /// Start and number of the last orders in force; 0 for none.
     pub held_start: u64,
     pub held_seq: u64,
+    /// The newest epoch whose orders it has seen.
+    pub epoch: u64,
     pub proof: Proof,
 }
 
@@ -221,6 +229,8 @@
     Join(Join),
     Welcome {
         stream: u32,
+        /// That of all orders on this stream.
+        epoch: u64,
         proof: Proof,
     },
     Orders(Orders),
@@ -272,7 +282,7 @@
 const CAUSES: [Cause; 3] = [Cause::Join, Cause::List, Cause::Interval];
 const OUTCOMES: [Outcome; 4] = [Outcome::Answered, Outcome::Throttled, Outcome::Failed, Outcome::Repeat];
 const STATES: [ProbeState; 3] = [ProbeState::Ready, ProbeState::Draining, ProbeState::Busy];
-const REASONS: [Reason; 9] = [
+const REASONS: [Reason; 11] = [
     Reason::Stopping,
     Reason::Malformed,
     Reason::Version,
@@ -282,6 +292,8 @@
     Reason::Silent,
     Reason::Busy,
     Reason::State,
+    Reason::Elsewhere,
+    Reason::PassedOver,
 ];
 
 fn read_server(f: &mut Fields) -> Result<ServerId, Malformed> {
@@ -458,10 +470,16 @@
                 bare: f.flag("whether it is bare")?,
                 held_start: f.u64("a start")?,
                 held_seq: f.u64("a sequence number")?,
+                epoch: f.u64("an epoch")?,
                 proof: Proof(f.take("a proof")?),
             }),
-            4 => Message::Welcome { stream: f.u32("a stream")?, proof: Proof(f.take("a proof")?) },
+            4 => Message::Welcome {
+                stream: f.u32("a stream")?,
+                epoch: f.u64("an epoch")?,
+                proof: Proof(f.take("a proof")?),
+            },
             5 => Message::Orders(Orders {
+                epoch: f.u64("an epoch")?,
                 start: f.u64("a start")?,
                 stream: f.u32("a stream")?,
                 seq: f.u64("a sequence number")?,
@@ -568,15 +586,18 @@
                 p.u8(j.bare.into());
                 p.u64(j.held_start);
                 p.u64(j.held_seq);
+                p.u64(j.epoch);
                 p.put(&j.proof.0);
             }
-            Message::Welcome { stream, proof } => {
+            Message::Welcome { stream, epoch, proof } => {
                 p.u8(4);
                 p.u32(*stream);
+                p.u64(*epoch);
                 p.put(&proof.0);
             }
             Message::Orders(o) => {
                 p.u8(5);
+                p.u64(o.epoch);
                 p.u64(o.start);
                 p.u32(o.stream);
                 p.u64(o.seq);
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -59,6 +59,7 @@
         }),
         (any::<u64>(), any::<u32>(), any::<u64>(), proptest::collection::vec(order(), 0..6)).prop_map(
             |(start, stream, seq, parts)| Message::Orders(Orders {
+                epoch: 0,
                 start,
                 stream,
                 seq,
@@ -156,7 +157,8 @@
 fn no_weight_but_a_finite_one_is_read(#[case] weight: f32) {
     let server = ServerId { addr: ([127, 0, 0, 1], 80).into(), number: 1 };
     let parts = vec![Order::Line { table: 0, version: 1, server, weight }];
-    let orders = Orders { start: 1, stream: 1, seq: 1, ordered_us: 0, list: 0, cause: Cause::List, parts };
+    let orders =
+        Orders { epoch: 0, start: 1, stream: 1, seq: 1, ordered_us: 0, list: 0, cause: Cause::List, parts };
     assert!(Message::read(&Message::Orders(orders).frame()[4..]).is_err());
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -375,6 +375,22 @@
         (peer.zone, peer.phase, peer.warm_at, peer.doubted) = (entry.zone, entry.phase, warm_at, false);
     }
 
+    /// What it has learnt of servers, each as a multiple of its pool's mean, over the pools that hold it.
+    pub fn learnt(&self) -> BTreeMap<Server, f64> {
+        let mut learnt: BTreeMap<Server, Vec<f64>> = BTreeMap::new();
+        for pool in &self.pools {
+            pool.lines.iter().for_each(|l| learnt.entry(l.server).or_default().push(l.learnt / pool.mean()));
+        }
+        learnt.into_iter().filter_map(|(s, all)| Some((s, mean(all.into_iter())?))).collect()
+    }
+
+    /// Begins with what a former planner had learnt of a server, in place of its pool's mean. Told after the
+    /// first list and before any join; what is cold or unwell is held back by other means.
+    pub fn recall(&mut self, s: Server, weight: f64) {
+        let lines = self.pools.iter_mut().flat_map(|p| &mut p.lines).filter(|l| l.server == s);
+        lines.for_each(|l| l.learnt = weight.clamp(Pool::FLOOR * Pool::CEILING, Pool::CEILING));
+    }
+
     /// Asked at the next look, lest a list that turns calls away be flooded.
     pub fn list_failed(&mut self, now: Duration) {
         self.ask_at = Some(now);
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -470,3 +470,26 @@
     rig.list(true, &[]);
     assert!((0..3).all(|s| rig.weight(0, s) == 0.0));
 }
+
+#[rstest]
+#[case::taken_over([1.6, 0.4, 1.0], [1.6, 0.4, 1.0])]
+#[case::beyond_the_ceiling([9.0, 1.0, 1.0], [3.0, 1.0, 1.0])]
+#[case::nought([0.0, 1.0, 1.0], [0.06, 1.0, 1.0])]
+fn a_planner_that_takes_over_begins_with_what_was_learnt(#[case] told: [f64; 3], #[case] bound: [f32; 3]) {
+    let routes = vec![route(1.0, Effect::Repeatable)];
+    let mut rig = Rig::new(1, PACE, routes, 1.2);
+    let mut entries: Vec<Listed> = (0..3).map(|s| listed(s, 0, Phase::Ready, None)).collect();
+    // A server that started just now was learnt of by nobody: it rises by its steps.
+    entries.push(listed(3, 0, Phase::Ready, Some(ms(1))));
+    rig.list(true, &entries);
+    for (s, weight) in told.iter().enumerate() {
+        rig.planner.recall(s, *weight);
+    }
+    rig.planner.joined(rig.now, 0, 0, false, 1.0);
+    for (s, weight) in bound.iter().enumerate() {
+        assert!((rig.weight(0, s) - weight).abs() < 1e-6, "server {s} at {}", rig.weight(0, s));
+    }
+    assert!(rig.weight(0, 3) < 0.3);
+    let learnt = rig.planner.learnt();
+    assert!((learnt[&0] / learnt[&1] - f64::from(bound[0] / bound[1])).abs() < 1e-3, "{learnt:?}");
+}
