Rehearse a fleet of controllers: the leader killed, stopped or cut off in mid-deploy

A serve whose starter has gone no longer panics over its closed output (found by a relaunch in these tests).

--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -91,7 +91,7 @@
 fn question(m: &Members, at: Option<String>, question: Question) -> Result<Answer, String> {
     let keys = Keys::read(&m.key_file).map_err(|e| format!("{}: {e}", m.key_file.display()))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let address = at.unwrap_or_else(|| m.address.to_string());
+    let address = at.unwrap_or_else(|| m.listen.unwrap_or(m.address).to_string());
     let asked = ask(&address, fleet_id(&m.fleet), &keys, question);
     runtime.map_err(|e| e.to_string())?.block_on(asked).map_err(|e| format!("{address}: {e}"))
 }
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -83,8 +83,9 @@
 
 /// For whoever starts it with port 0; standard output has nothing else.
 fn told_open(listener: std::net::TcpListener) -> std::io::Result<TcpListener> {
-    println!("listening at {}", listener.local_addr()?);
-    std::io::stdout().flush()?;
+    // Whoever started it may have gone since; that is no reason to stop.
+    let mut out = std::io::stdout();
+    let _ = writeln!(out, "listening at {}", listener.local_addr()?).and_then(|()| out.flush());
     TcpListener::from_std(listener)
 }
 
@@ -188,9 +189,9 @@
             members.folder.display()
         ));
     }
-    let between = TcpListener::bind(members.address)
-        .await
-        .map_err(|e| format!("cannot listen for members at {}: {e}", members.address))?;
+    let at = members.listen.unwrap_or(members.address);
+    let between =
+        TcpListener::bind(at).await.map_err(|e| format!("cannot listen for members at {at}: {e}"))?;
     let terms = Terms { beat: members.beat.0, lease: members.lease.0, drift: members.drift };
     let mut tasks = JoinSet::new();
     let (member, mut changes) = run_member(
--- /dev/null
+++ b/crates/cli/tests/fleet.rs
@@ -0,0 +1,225 @@
+//! Three controllers as processes over one fleet: the one that leads is killed, stopped, cut off, each in the middle
+//! of something, and the rules are checked from what passed on the sockets.
+
+use grebespool_rules::{Passed, Record};
+use grebespool_settings::Day;
+use grebespool_standin::{FleetHost, Played, rehearse};
+use rstest::rstest;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+const SMALL: &str = include_str!("../../standin/tests/small.ncl");
+const DEPLOY: &str = "{ at = \"3s\", what = 'Deploy { servers = 3, every = \"500ms\", drain = \"2500ms\", down = \"300ms\" } }";
+
+fn day(troubles: &str) -> Day {
+    let text = format!("({SMALL}) & {{ troubles = [{troubles}] }}");
+    Day::parse(&text, "a day").unwrap_or_else(|bad| panic!("{bad}"))
+}
+
+fn play(day: &Day, cutting: bool) -> Played {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_grebespool-cli"));
+    let host = FleetHost::new(program, Duration::from_millis(1800), 3).unwrap();
+    let host = if cutting { host.cutting() } else { host };
+    rehearse(day, Box::new(host), None, None).unwrap()
+}
+
+/// The epochs whose orders proxies had in force, and how often one came after a newer.
+fn epochs(record: &Record) -> (BTreeSet<u64>, usize) {
+    let (mut seen, mut newest, mut older) = (BTreeSet::new(), BTreeMap::<u16, u64>::new(), 0);
+    for (_, passed) in &record.passed {
+        if let Passed::Delivered { proxy, orders } = passed {
+            seen.insert(orders.epoch);
+            let last = newest.entry(*proxy).or_default();
+            older += usize::from(orders.epoch < *last);
+            *last = orders.epoch.max(*last);
+        }
+    }
+    (seen, older)
+}
+
+#[rstest]
+#[case::killed_in_a_deploy("{ at = \"4s\", lasts = \"3s\", what = 'PlannerKilled }", false, 0.7)]
+#[case::stopped_in_a_deploy("{ at = \"4s\", lasts = \"3s\", what = 'PlannerStalled }", false, 0.7)]
+#[case::cut_off_in_a_deploy("{ at = \"4s\", lasts = \"3s\", what = 'PlannerStalled }", true, 0.7)]
+#[case::killed_in_a_rush_of_joins(
+    "{ at = \"4s\", what = 'StreamsBreak { share = 1 } }, { at = \"4100ms\", lasts = \"3s\", what = 'PlannerKilled }",
+    false,
+    0.7
+)]
+#[case::killed_twice(
+    "{ at = \"3500ms\", lasts = \"1500ms\", what = 'PlannerKilled }, { at = \"6s\", lasts = \"2s\", what = 'PlannerKilled }",
+    false,
+    0.6
+)]
+fn another_takes_over_and_all_rules_are_kept(
+    #[case] trouble: &str,
+    #[case] cutting: bool,
+    #[case] least: f64,
+) {
+    let played = play(&day(&format!("{DEPLOY}, {trouble}")), cutting);
+    let broken: Vec<_> = played.verdicts.iter().filter(|v| v.first.is_some()).collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+    assert!(played.service.whole > least, "service {:.3}", played.service.whole);
+    let (epochs, older) = epochs(&played.record);
+    assert!(epochs.len() >= 2, "nobody took over: {epochs:?}");
+    assert_eq!(older, 0, "orders of a former leader came after a newer one's");
+    // Not from the beginning: what was learnt of servers goes on.
+    let starts: BTreeSet<u64> = (played.record.passed.iter())
+        .filter_map(|(_, p)| if let Passed::Joined { start, .. } = p { Some(*start) } else { None })
+        .collect();
+    assert_eq!(starts.len(), epochs.len(), "each leader is a planner of its own");
+}
+
+#[rstest]
+fn a_calm_day_has_one_leader() {
+    let played = play(&day(""), false);
+    assert!(played.kept());
+    assert_eq!(epochs(&played.record).0.len(), 1);
+}
+
+/// Controllers that are driven by the command line alone.
+struct Fleet {
+    folder: tempfile::TempDir,
+    ports: Vec<u16>,
+    running: Vec<Option<Child>>,
+}
+
+impl Fleet {
+    fn new(members: usize) -> Fleet {
+        let listeners: Vec<TcpListener> =
+            (0..members * 2).map(|_| TcpListener::bind(("127.0.0.1", 0)).unwrap()).collect();
+        let ports = listeners.iter().map(|l| l.local_addr().unwrap().port()).collect();
+        let folder = tempfile::tempdir().unwrap();
+        std::fs::write(folder.path().join("fleet.key"), "the key that proxies share").unwrap();
+        std::fs::write(folder.path().join("members.key"), "the key that members share").unwrap();
+        Fleet { folder, ports, running: (0..members).map(|_| None).collect() }
+    }
+
+    /// `peers`: the others that it names.
+    fn settle(&self, i: usize, peers: &[usize]) {
+        let serve =
+            include_str!("../../../examples/serve.ncl").replace("7400", &self.ports[2 * i].to_string());
+        let peer =
+            |p: &usize| format!("{{ name = \"m{p}\", address = \"127.0.0.1:{}\" }}", self.ports[2 * p + 1]);
+        let peers: Vec<String> = peers.iter().map(peer).collect();
+        let members = format!(
+            "{{ members = {{ fleet = \"f\", name = \"m{i}\", address = \"127.0.0.1:{}\", folder = \"state{i}\",
+               key_file = \"members.key\", peers = [{}], beat = \"150ms\", lease = \"900ms\" }} }}",
+            self.ports[2 * i + 1],
+            peers.join(", ")
+        );
+        std::fs::write(self.folder.path().join(format!("m{i}.ncl")), format!("({serve}) & {members}"))
+            .unwrap();
+    }
+
+    fn command(&self, arguments: &[&str]) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_grebespool-cli"));
+        command.args(arguments).current_dir(self.folder.path());
+        command
+    }
+
+    fn run(&self, arguments: &[&str]) -> (Option<i32>, String) {
+        let output = self.command(arguments).output().unwrap();
+        let text = String::from_utf8_lossy(&output.stdout) + String::from_utf8_lossy(&output.stderr);
+        (output.status.code(), text.into_owned())
+    }
+
+    fn start(&mut self, i: usize) {
+        let file = format!("m{i}.ncl");
+        let mut child =
+            self.command(&["--log", "error", "serve", &file]).stdout(Stdio::piped()).spawn().unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.as_mut().unwrap()).read_line(&mut line).unwrap();
+        assert!(line.starts_with("listening at"), "{line}");
+        self.running[i] = Some(child);
+    }
+
+    /// Who leads, once one of these says so.
+    fn leader(&self, among: &[usize]) -> usize {
+        for _ in 0..60 {
+            for i in among {
+                let (code, text) = self.run(&["members", "show", &format!("m{i}.ncl")]);
+                if code == Some(0) && text.starts_with(&format!("m{i} leads")) {
+                    return *i;
+                }
+            }
+        }
+        panic!("nobody leads");
+    }
+
+    /// Tries until what is asked is done: the leader may be under way to know that a majority has the last change.
+    fn done(&self, arguments: &[&str], says: &str) {
+        let mut last = String::new();
+        for _ in 0..20 {
+            let (code, text) = self.run(arguments);
+            if code == Some(0) {
+                assert!(text.contains(says), "{text}");
+                return;
+            }
+            last = text;
+        }
+        panic!("{arguments:?}: {last}");
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for child in self.running.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+#[rstest]
+fn members_are_formed_shown_added_removed_and_step_down() {
+    let mut fleet = Fleet::new(4);
+    let (code, text) = {
+        fleet.settle(0, &[1, 2]);
+        fleet.run(&["serve", "m0.ncl"])
+    };
+    assert!(code == Some(2) && text.contains("no member's state is here"), "{text}");
+    for i in 0..3 {
+        let others: Vec<usize> = (0..3).filter(|o| *o != i).collect();
+        fleet.settle(i, &others);
+        fleet.done(&["members", "form", &format!("m{i}.ncl")], "3 members");
+    }
+    let (code, text) = fleet.run(&["members", "form", "m0.ncl"]);
+    assert!(code == Some(2) && text.contains("would vote again as another"), "{text}");
+    // A member list that is not the one that the folder was formed with.
+    fleet.settle(0, &[1]);
+    let (code, text) = fleet.run(&["serve", "m0.ncl"]);
+    assert!(code == Some(2) && text.contains("not the members that"), "{text}");
+    fleet.settle(0, &[1, 2]);
+    (0..3).for_each(|i| fleet.start(i));
+    let first = fleet.leader(&[0, 1, 2]);
+    let (code, text) = fleet.run(&["serve", &format!("m{first}.ncl"), "--listen", "127.0.0.1:0"]);
+    assert!(code == Some(2) && text.contains("another process has it open"), "{text}");
+    fleet.done(&["members", "step-down", &format!("m{first}.ncl")], "it stands down");
+    let others: Vec<usize> = (0..3).filter(|i| *i != first).collect();
+    let second = fleet.leader(&others);
+    // One more, and one less: asked of a member that does not lead.
+    fleet.settle(3, &[]);
+    fleet.done(&["members", "join", "m3.ncl"], "to be added");
+    fleet.start(3);
+    let (asked, address) = (format!("m{first}.ncl"), format!("127.0.0.1:{}", fleet.ports[7]));
+    let (_, text) = fleet.run(&["members", "add", &asked, "m9", &address]);
+    assert!(text.contains("m3 is at") && text.contains("not m9"), "{text}");
+    fleet.done(&["members", "add", &asked, "m3", &address], "m3 takes part");
+    fleet.done(&["members", "remove", &asked, &format!("m{first}")], "takes no part any more");
+    let (_, text) = fleet.run(&["members", "show", &format!("m{second}.ncl")]);
+    assert!(text.contains("m3 ") && !text.contains(&format!("  m{first} ")), "{text}");
+    // With the former leader gone, the two that stayed and the new one go on without the second.
+    for i in [first, second] {
+        let mut child = fleet.running[i].take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+    let rest: Vec<usize> = (0..4).filter(|i| *i != first && *i != second).collect();
+    let third = fleet.leader(&rest);
+    assert!(rest.contains(&third));
+}
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -166,6 +166,7 @@
     pub fleet: String,
     pub name: String,
     pub address: SocketAddr,
+    pub listen: Option<SocketAddr>,
     pub folder: PathBuf,
     pub key_file: PathBuf,
     pub peers: Vec<PeerSeat>,
--- a/crates/settings/src/text.rs
+++ b/crates/settings/src/text.rs
@@ -67,7 +67,8 @@
     nickel(&text)
 }
 
-/// The text of a controller's settings file among others of a fleet. `peers`: names and addresses of the others.
+/// The text of a controller's settings file among others of a fleet: where they reach it, and where it listens.
+/// `peers`: names and addresses of the others.
 #[expect(clippy::too_many_arguments, reason = "each part takes its own few settings; none holds them all")]
 pub fn member_text(
     deployment: &Deployment,
@@ -75,7 +76,7 @@
     key_file: &Path,
     stall: Duration,
     name: &str,
-    address: SocketAddr,
+    (address, listen): (SocketAddr, SocketAddr),
     folder: &Path,
     peers: &[(String, SocketAddr)],
 ) -> String {
@@ -83,7 +84,8 @@
         peers.iter().map(|(name, address)| json!({ "name": name, "address": address.to_string() })).collect();
     let members = json!({
         "members": {
-            "fleet": "fleet", "name": name, "address": address.to_string(), "folder": folder, "key_file": key_file,
+            "fleet": "fleet", "name": name, "address": address.to_string(),
+            "listen": listen.to_string(), "folder": folder, "key_file": key_file,
             "peers": peers, "beat": "150ms", "lease": "750ms", "remember": "500ms",
         }
     });
--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -86,7 +86,7 @@
             if due >= length {
                 break;
             }
-            sleep_until(self.world.began + due).await;
+            sleep_until(self.world.began() + due).await;
             self.made.set(self.made.get() + 1);
             let id = self.first + self.made.get();
             self.open.set(self.open.get() + 1);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! loopback, and records what passed at both ends of the sockets.
 
 mod callers;
+mod fleet;
 mod host;
 mod link;
 mod list;
@@ -12,5 +13,6 @@
 mod visitor;
 mod world;
 
-pub use host::{FleetHost, PlannerHost, ProcessHost, ThreadHost};
+pub use fleet::FleetHost;
+pub use host::{PlannerHost, ProcessHost, ThreadHost};
 pub use rehearsal::{Played, Progress, rehearse};
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -199,7 +199,7 @@
                     let _ = timeout(Duration::from_millis(20), came.notified()).await;
                     continue;
                 };
-                tokio::time::sleep_until(self.world.began + due).await;
+                tokio::time::sleep_until(self.world.began() + due).await;
                 self.while_held().await;
                 let frame = message.frame();
                 if self.bytes_per_s.get().is_finite() {
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -65,7 +65,7 @@
 
     async fn publish(self: Rc<Self>, mut changes: mpsc::UnboundedReceiver<(Duration, Vec<Entry>)>) {
         while let Some((due, changed)) = changes.recv().await {
-            tokio::time::sleep_until(self.world.began + due).await;
+            tokio::time::sleep_until(self.world.began() + due).await;
             for e in &changed {
                 let mut entries = self.entries.borrow_mut();
                 match e.phase {
--- a/crates/standin/src/rehearsal.rs
+++ b/crates/standin/src/rehearsal.rs
@@ -22,7 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::{JoinSet, LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{sleep, sleep_until};
 
 /// A day that was played.
 pub struct Played {
@@ -91,16 +91,7 @@
     let key_file = folder.path().join("fleet.key");
     let key = format!("the key of a rehearsal, seed {}", day.seed);
     std::fs::write(&key_file, &key)?;
-    let world = Rc::new(World {
-        began: Instant::now(),
-        key: Key::derive(key.as_bytes()),
-        deployment: day.deployment.clone(),
-        record: RefCell::default(),
-        recorder: RefCell::new(recorder),
-        starts: Cell::new(0),
-        cut: RefCell::default(),
-        burst: Cell::new(1.0),
-    });
+    let world = Rc::new(World::new(Key::derive(key.as_bytes()), day.deployment.clone(), recorder));
     let mut rng = Pcg64Mcg::seed_from_u64(day.seed);
     let list = ServerList::new(world.clone(), day.list.late.0).await?;
     let mut servers = vec![];
@@ -118,8 +109,10 @@
     let first_list: Vec<Entry> = servers.iter().map(|s| entry(&world, s, Phase::Ready)).collect();
     list.begin(first_list.clone());
     let source = ListSource::new(list.addr, day.list.mode, day.list.ask_within);
-    world.planner_began();
     let planners = Rc::new(RefCell::new(host.start(&day.deployment, &source, &key_file)?));
+    // Processes take their time to start, and nothing has happened yet.
+    world.begin();
+    world.planner_began();
     let zones: BTreeMap<ServerId, u16> = servers.iter().map(|s| (s.id(), s.zone)).collect();
     let zones = Rc::new(RefCell::new(zones));
     let rate = day.callers.iter().map(|c| c.rate).sum::<f64>() / day.proxy_count() as f64;
@@ -174,7 +167,7 @@
     for trouble in day.troubles.clone() {
         let (stage, began) = (stage.clone(), began.clone());
         spawn_local(async move {
-            sleep_until(stage.world.began + trouble.at.0).await;
+            sleep_until(stage.world.began() + trouble.at.0).await;
             began.borrow_mut().push(trouble.what.clone());
             if let Err(error) = stage.strike(trouble).await {
                 eprintln!("a trouble could not be made: {error}");
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -149,7 +149,7 @@
         let due = life.machine.borrow().due();
         let done = async {
             match due {
-                Some(due) => tokio::time::sleep_until(server.world.began + due).await,
+                Some(due) => tokio::time::sleep_until(server.world.began() + due).await,
                 None => std::future::pending().await,
             }
         };
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 pub struct World {
-    pub began: Instant,
+    began: Cell<Instant>,
     pub key: Key,
     pub deployment: Deployment,
     pub record: RefCell<Record>,
@@ -24,8 +24,30 @@
 }
 
 impl World {
+    pub fn new(key: Key, deployment: Deployment, recorder: Option<Recorder>) -> World {
+        World {
+            began: Cell::new(Instant::now()),
+            key,
+            deployment,
+            record: RefCell::default(),
+            recorder: RefCell::new(recorder),
+            starts: Cell::new(0),
+            cut: RefCell::default(),
+            burst: Cell::new(1.0),
+        }
+    }
+
+    pub fn began(&self) -> Instant {
+        self.began.get()
+    }
+
+    /// The day begins now: what was made ready for it took a while.
+    pub fn begin(&self) {
+        self.began.set(Instant::now());
+    }
+
     pub fn now(&self) -> Duration {
-        self.began.elapsed()
+        self.began.get().elapsed()
     }
 
     pub fn put(&self, what: Passed) {
