--- /dev/null
+++ b/crates/cli/benches/takeover.rs
@@ -0,0 +1,274 @@
+//! Controllers that are killed again and again: how long a fleet is without a leader, until the first orders of the
+//! next, until all proxies are bound, and what that takes; what membership costs beside a lone planner; what a memory
+//! weighs. All in one run.
+
+use grebespool_members::Store;
+use grebespool_planner::dial::{Peer, next, shake_hands};
+use grebespool_settings::{Deployment, ListMode, ListSource, Planned, Span};
+use grebespool_standin::{FleetHost, PlannerHost, ProcessHost};
+use grebespool_succession::{Held, Listed, Memory, Phase as Known, Roster, Weight};
+use grebespool_wire::*;
+use hdrhistogram::Histogram;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+const KEY: &[u8] = b"the key of a benchmark";
+const PROXIES: usize = 60;
+const SERVERS: usize = 100;
+
+fn deployment() -> Deployment {
+    let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/serve.ncl");
+    let mut deployment = Planned::read(&example).unwrap_or_else(|bad| panic!("{bad}")).deployment;
+    deployment.proxies.expected = PROXIES;
+    // Each proxy joins at every kill.
+    deployment.proxies.joins = 100;
+    deployment.reports.probing = false;
+    deployment
+}
+
+fn server(n: usize) -> ServerId {
+    ServerId { addr: ([127, 1, (n >> 8) as u8, n as u8], 9000).into(), number: n as u32 }
+}
+
+/// Serves the same list to whoever watches.
+async fn serve_list(listener: TcpListener) {
+    loop {
+        let Ok((mut socket, _)) = listener.accept().await else { continue };
+        spawn_local(async move {
+            let (mut inbox, key) = (Inbox::new(MOST_BODY), Key::derive(KEY));
+            let Ok(Message::Hello { name, nonce, .. }) = next(&mut socket, &mut inbox).await else { return };
+            let challenge = Message::Challenge { version: VERSION, start: 1, nonce: [7; 16] };
+            let _ = socket.write_all(&challenge.frame()).await;
+            let Ok(Message::Join(join)) = next(&mut socket, &mut inbox).await else { return };
+            let proof = key.planner([&nonce, &[7; 16]], 1, &name, &join.zone);
+            let _ = socket.write_all(&Message::Welcome { stream: 1, epoch: 0, proof }.frame()).await;
+            let entry = |n: usize| {
+                let zone = if n.is_multiple_of(2) { "east" } else { "west" }.into();
+                Entry { server: server(n), zone, phase: Phase::Ready, started_ms: 0 }
+            };
+            while let Ok(Message::AskList { have, .. }) = next(&mut socket, &mut inbox).await {
+                if have < 1 {
+                    let entries = (0..SERVERS).map(entry).collect();
+                    let list = Message::List { version: 1, base: 0, now_ms: 1, entries };
+                    let _ = socket.write_all(&list.frame()).await;
+                }
+            }
+        });
+    }
+}
+
+/// What all proxies met of the newest epoch.
+#[derive(Default)]
+struct Seen {
+    epoch: Cell<u64>,
+    welcomed: Cell<Option<Instant>>,
+    ordered: Cell<Option<Instant>>,
+    bound: RefCell<BTreeMap<usize, Instant>>,
+    lines: Cell<usize>,
+}
+
+impl Seen {
+    fn of(&self, epoch: u64) -> bool {
+        if epoch > self.epoch.get() {
+            self.epoch.set(epoch);
+            self.welcomed.take();
+            self.ordered.take();
+            self.bound.borrow_mut().clear();
+            self.lines.set(0);
+        }
+        epoch == self.epoch.get()
+    }
+}
+
+/// Follows whichever controller leads.
+async fn proxy(number: usize, at: Vec<SocketAddr>, seen: Rc<Seen>) {
+    let (name, zone) = (format!("p{number}"), if number.is_multiple_of(2) { "east" } else { "west" });
+    let (mut epoch, mut turn, mut dials) = (0, number, 0u64);
+    loop {
+        dials += 1;
+        let nonce = ((number as u128) << 64 | u128::from(dials)).to_be_bytes();
+        let to = at[turn % at.len()];
+        let dialled = async {
+            let mut socket = TcpStream::connect(to).await?;
+            socket.set_nodelay(true)?;
+            let peer = Peer {
+                role: Role::Proxy,
+                name: &name,
+                zone,
+                rate: 5.0,
+                bare: dials == 1,
+                held: (0, 0),
+                epoch,
+            };
+            shake_hands(&mut socket, &Key::derive(KEY), nonce, &peer).await.map(|d| (socket, d))
+        };
+        let Ok(Ok((socket, mut dialled))) = timeout(Duration::from_millis(500), dialled).await else {
+            turn += 1;
+            sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        if dialled.epoch < epoch {
+            continue;
+        }
+        epoch = dialled.epoch;
+        if seen.of(epoch) {
+            seen.welcomed.set(seen.welcomed.get().or(Some(Instant::now())));
+        }
+        let (mut from, mut to) = socket.into_split();
+        while let Ok(Message::Orders(orders)) = next(&mut from, &mut dialled.inbox).await {
+            if seen.of(orders.epoch) {
+                let now = Instant::now();
+                seen.ordered.set(seen.ordered.get().or(Some(now)));
+                for part in &orders.parts {
+                    if let Order::Bind { lines, .. } = part {
+                        seen.bound.borrow_mut().entry(number).or_insert(now);
+                        seen.lines.set(seen.lines.get() + lines.len());
+                    }
+                }
+            }
+            let mark = orders.parts.iter().find_map(|p| if let Order::Mark(m) = p { Some(*m) } else { None });
+            let Orders { start, stream, seq, .. } = orders;
+            if to.write_all(&Message::Applied { start, stream, seq, mark }.frame()).await.is_err() {
+                break;
+            }
+        }
+    }
+}
+
+/// CPU seconds used by a process.
+fn cpu(id: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap();
+    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap().split(' ').collect();
+    (fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap()) / 100.0
+}
+
+fn waits() -> Histogram<u64> {
+    Histogram::new(3).unwrap()
+}
+
+fn row(what: &str, h: &Histogram<u64>, scale: f64) {
+    let of = |q: f64| h.value_at_quantile(q) as f64 / scale;
+    println!("| {what} | {:.0} | {:.0} | {:.0} |", of(0.5), of(0.99), h.max() as f64 / scale);
+}
+
+async fn kills(count: usize) {
+    let folder = tempfile::tempdir().unwrap();
+    let key_file = folder.path().join("key");
+    std::fs::write(&key_file, KEY).unwrap();
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let source =
+        ListSource::new(listener.local_addr().unwrap(), ListMode::Pushed, Span(Duration::from_secs(10)));
+    spawn_local(serve_list(listener));
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_grebespool-cli"));
+    let stall = Duration::from_secs(20);
+    let mut lone = ProcessHost::new(program.clone(), stall).unwrap();
+    let alone = lone.start(&deployment(), &source, &key_file).unwrap();
+    let mut fleet = FleetHost::new(program, stall, 3).unwrap();
+    let at = fleet.start(&deployment(), &source, &key_file).unwrap();
+    let (seen, lone_seen) = (Rc::new(Seen::default()), Rc::new(Seen::default()));
+    for number in 0..PROXIES {
+        spawn_local(proxy(number, at.clone(), seen.clone()));
+        spawn_local(proxy(number, alone.clone(), lone_seen.clone()));
+    }
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!((seen.bound.borrow().len(), lone_seen.bound.borrow().len()), (PROXIES, PROXIES));
+    let ids: Vec<u32> = fleet.ids();
+    let before = (cpu(lone.id().unwrap()), ids.iter().map(|i| cpu(*i)).collect::<Vec<_>>());
+    sleep(Duration::from_secs(10)).await;
+    let spent: Vec<f64> = ids.iter().zip(&before.1).map(|(i, b)| (cpu(*i) - b) / 10.0).collect();
+    let lone_spent = (cpu(lone.id().unwrap()) - before.0) / 10.0;
+    println!(
+        "CPU s/s with {PROXIES} idle proxies: a lone planner {lone_spent:.3}, three members {spent:.3?}\n"
+    );
+    let (mut leader, mut first, mut bound, mut lines) = (waits(), waits(), waits(), waits());
+    for i in 0..count {
+        let was = seen.epoch.get();
+        let at = Instant::now();
+        fleet.kill();
+        let all = async {
+            while seen.epoch.get() == was || seen.bound.borrow().len() < PROXIES {
+                sleep(Duration::from_millis(1)).await;
+            }
+        };
+        timeout(Duration::from_secs(30), all).await.unwrap_or_else(|_| panic!("kill {i}: not all are bound"));
+        let us = |t: Instant| (t - at).as_micros() as u64;
+        leader.record(us(seen.welcomed.get().unwrap())).unwrap();
+        first.record(us(seen.ordered.get().unwrap())).unwrap();
+        bound.record(us(*seen.bound.borrow().values().max().unwrap())).unwrap();
+        lines.record(seen.lines.get() as u64).unwrap();
+        // The killed one comes back before the next.
+        fleet.start(&deployment(), &source, &key_file).unwrap();
+        sleep(Duration::from_millis(900)).await;
+    }
+    println!("| {count} kills of the leader, {PROXIES} proxies, {SERVERS} servers | p50 | p99 | worst |");
+    println!("| --- | --- | --- | --- |");
+    row("first proxy welcomed by the next, ms", &leader, 1000.0);
+    row("its first orders, ms", &first, 1000.0);
+    row("all proxies bound, ms", &bound, 1000.0);
+    row("lines in their tables", &lines, 1.0);
+}
+
+fn memories() {
+    println!("\n| servers | proxies | memory, KiB | to bytes, ms | written and synced, ms (median of 20) |");
+    println!("| --- | --- | --- | --- | --- |");
+    for times in [1, 4] {
+        let (servers, proxies) = (545 * times, 600 * times);
+        let listed = |n: usize| Listed {
+            addr: server(n).addr,
+            number: n as u32,
+            zone: "east".into(),
+            phase: Known::Ready,
+            started_ms: 1_700_000_000_000,
+        };
+        let weight = |n: usize| Weight { addr: server(n).addr, number: n as u32, weight: 1.1 };
+        let held = |n: usize| Held { proxy: format!("proxy-{n}"), seq: n as u64 };
+        let memory = Memory {
+            epoch: 1,
+            number: 1,
+            list_version: 9,
+            list_ms: 1_700_000_000_000,
+            list: (0..servers).map(listed).collect(),
+            weights: (0..servers).map(weight).collect(),
+            drains: vec![],
+            held: (0..proxies).map(held).collect(),
+        };
+        let folder = tempfile::tempdir().unwrap();
+        Store::form(folder.path(), 1, 1, Roster::default()).unwrap();
+        let (store, _) = Store::open(folder.path(), 1).unwrap();
+        let (mut made, mut written) = (vec![], vec![]);
+        let mut size = 0;
+        for number in 0..20 {
+            let began = std::time::Instant::now();
+            let bytes = memory.bytes().unwrap();
+            made.push(began.elapsed());
+            size = bytes.len();
+            let began = std::time::Instant::now();
+            store.remember((1, number), &bytes).unwrap();
+            written.push(began.elapsed());
+        }
+        made.sort();
+        written.sort();
+        let ms = |all: &[Duration]| all[all.len() / 2].as_secs_f64() * 1000.0;
+        println!(
+            "| {servers} | {proxies} | {:.0} | {:.2} | {:.1} |",
+            size as f64 / 1024.0,
+            ms(&made),
+            ms(&written)
+        );
+    }
+}
+
+fn main() {
+    let count = std::env::args().filter_map(|a| a.parse().ok()).next().unwrap_or(100);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, kills(count));
+    memories();
+}
--- a/crates/members/src/run.rs
+++ b/crates/members/src/run.rs
@@ -306,7 +306,8 @@
             let stream = TcpStream::connect(address).await?;
             let keys = self.keys.borrow_mut().keys();
             let mut sealed = Sealed::dial(stream, self.own, &keys).await?;
-            let (name, _) = sealed.meet(&self.name, self.member.borrow().kept_state().stamp).await?;
+            let stamp = self.member.borrow().kept_state().stamp;
+            let (name, _) = sealed.meet(&self.name, stamp).await?;
             Ok((sealed.peer, name))
         };
         timeout(DIALLED_WITHIN, asking).await?
--- a/crates/members/src/store.rs
+++ b/crates/members/src/store.rs
@@ -48,6 +48,11 @@
     hash.first_chunk::<8>().map_or(1, |b| u64::from_be_bytes(*b)).max(1)
 }
 
+/// The store's errors are large, and nobody tells them apart.
+fn disk<T, E: std::error::Error + Send + Sync + 'static>(done: Result<T, E>) -> io::Result<T> {
+    done.map_err(io::Error::other)
+}
+
 /// An open state folder: what a member must find again, and the memories of leaders.
 pub struct Store {
     state: Database,
@@ -125,13 +130,13 @@
     /// # Errors
     ///
     /// The disk's.
-    pub fn keep(&self, kept: &Kept) -> Result<(), redb::Error> {
+    pub fn keep(&self, kept: &Kept) -> io::Result<()> {
         let mut bytes = postcard::to_stdvec(kept).expect("memory takes all");
         let sum = blake3::hash(&bytes);
         bytes.extend_from_slice(&sum.as_bytes()[..16]);
-        let write = self.state.begin_write()?;
-        write.open_table(STATE)?.insert("kept", bytes.as_slice())?;
-        Ok(write.commit()?)
+        let write = disk(self.state.begin_write())?;
+        disk(disk(write.open_table(STATE))?.insert("kept", bytes.as_slice()))?;
+        disk(write.commit())
     }
 
     /// Writes a leader's memory, and forgets all but the newest two.
@@ -139,20 +144,20 @@
     /// # Errors
     ///
     /// The disk's.
-    pub fn remember(&self, order: (u64, u64), bytes: &[u8]) -> Result<(), redb::Error> {
-        let write = self.memories.begin_write()?;
+    pub fn remember(&self, order: (u64, u64), bytes: &[u8]) -> io::Result<()> {
+        let write = disk(self.memories.begin_write())?;
         {
-            let mut table = write.open_table(MEMORIES)?;
-            table.insert(order, bytes)?;
+            let mut table = disk(write.open_table(MEMORIES))?;
+            disk(table.insert(order, bytes))?;
             let mut all: Vec<(u64, u64)> = vec![];
-            for entry in table.iter()? {
-                all.push(entry?.0.value());
+            for entry in disk(table.iter())? {
+                all.push(disk(entry)?.0.value());
             }
             for old in all.iter().rev().skip(Self::MEMORIES_KEPT) {
-                table.remove(old)?;
+                disk(table.remove(old))?;
             }
         }
-        Ok(write.commit()?)
+        disk(write.commit())
     }
 
     /// The newest memory that can be read. Damaged ones are named to `damaged`, and set aside.
@@ -160,17 +165,15 @@
     /// # Errors
     ///
     /// The disk's.
-    pub fn memory(
-        &self,
-        mut damaged: impl FnMut((u64, u64), Damaged),
-    ) -> Result<Option<Memory>, redb::Error> {
-        let write = self.memories.begin_write()?;
+    pub fn memory(&self, mut damaged: impl FnMut((u64, u64), Damaged)) -> io::Result<Option<Memory>> {
+        let write = disk(self.memories.begin_write())?;
         let mut found = None;
         {
-            let (mut table, mut aside) = (write.open_table(MEMORIES)?, write.open_table(SET_ASIDE)?);
+            let (mut table, mut aside) =
+                (disk(write.open_table(MEMORIES))?, disk(write.open_table(SET_ASIDE))?);
             let mut all: Vec<((u64, u64), Vec<u8>)> = vec![];
-            for entry in table.iter()? {
-                let (order, bytes) = entry?;
+            for entry in disk(table.iter())? {
+                let (order, bytes) = disk(entry)?;
                 all.push((order.value(), bytes.value().to_vec()));
             }
             for (order, bytes) in all.into_iter().rev() {
@@ -181,13 +184,13 @@
                     }
                     Err(why) => {
                         damaged(order, why);
-                        aside.insert(order, bytes.as_slice())?;
-                        table.remove(order)?;
+                        disk(aside.insert(order, bytes.as_slice()))?;
+                        disk(table.remove(order))?;
                     }
                 }
             }
         }
-        write.commit()?;
+        disk(write.commit())?;
         Ok(found)
     }
 
@@ -196,12 +199,12 @@
     /// # Errors
     ///
     /// The disk's.
-    pub fn set_aside(&self) -> Result<u64, redb::Error> {
-        let read = self.memories.begin_read()?;
+    pub fn set_aside(&self) -> io::Result<u64> {
+        let read = disk(self.memories.begin_read())?;
         match read.open_table(SET_ASIDE) {
-            Ok(table) => Ok(redb::ReadableTableMetadata::len(&table)?),
+            Ok(table) => disk(redb::ReadableTableMetadata::len(&table)),
             Err(TableError::TableDoesNotExist(_)) => Ok(0),
-            Err(why) => Err(why.into()),
+            Err(why) => Err(io::Error::other(why)),
         }
     }
 
--- a/crates/model/src/agenda.rs
+++ b/crates/model/src/agenda.rs
@@ -70,6 +70,8 @@
         server: ServerId,
         result: Probed,
     },
+    /// The leader's memory goes to the other members.
+    Remember,
     Begin(usize),
     End(usize),
     Redeploy {
--- a/crates/model/src/play.rs
+++ b/crates/model/src/play.rs
@@ -8,8 +8,8 @@
 use crate::troubles::InHand;
 use grebespool_behaviour::{Held, Service, Sums, Tally, facts};
 use grebespool_engine::{Engine, Start, StreamId, Unsupported};
-use grebespool_rules::{Checker, Passed, Verdict};
-use grebespool_settings::{Day, ListMode};
+use grebespool_rules::{Checker, List, Passed, Verdict};
+use grebespool_settings::{Day, ListMode, What};
 use grebespool_wire::{Entry, Phase, ServerId};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -54,6 +54,14 @@
     Past(Box<dyn std::error::Error + Send + Sync>),
 }
 
+/// What of a leader's memory the next one begins with.
+#[derive(Clone)]
+pub(crate) struct Remembered {
+    version: u64,
+    entries: Vec<Entry>,
+    weights: BTreeMap<ServerId, f64>,
+}
+
 pub(crate) struct Model<'a> {
     pub day: &'a Day,
     pub by: PlannedBy,
@@ -62,6 +70,8 @@
     pub known: BTreeMap<String, usize>,
     pub past_version: u64,
     pub planners: BTreeSet<u64>,
+    /// What the members of a fleet remember of their leader.
+    pub memory: Option<Remembered>,
     pub agenda: Rc<RefCell<Agenda>>,
     pub engine: Option<Engine<Out>>,
     starts: u64,
@@ -204,6 +214,7 @@
             known: BTreeMap::new(),
             past_version: 0,
             planners: BTreeSet::new(),
+            memory: None,
         }
     }
 
@@ -235,6 +246,9 @@
                 self.agenda.borrow_mut().after(Duration::from_secs_f64(gap), Due::Caller(kind));
             }),
         }
+        if self.day.troubles.iter().any(|t| t.what == What::Takeover) {
+            self.agenda.borrow_mut().after(Self::REMEMBER, Due::Remember);
+        }
         for (i, trouble) in self.day.troubles.iter().enumerate() {
             self.agenda.borrow_mut().at(trouble.at.0, Due::Begin(i));
         }
@@ -270,6 +284,32 @@
         Ok(())
     }
 
+    /// How often a leader's memory goes to the other members.
+    const REMEMBER: Duration = Duration::from_secs(1);
+
+    fn remember(&mut self) {
+        let now = self.planner_now();
+        if let Some(engine) = self.engine.as_ref().filter(|e| e.list_version() > 0) {
+            let (version, _, entries) = engine.believed(now);
+            self.memory =
+                Some(Remembered { version, entries, weights: engine.learnt().into_iter().collect() });
+        }
+        self.agenda.borrow_mut().after(Self::REMEMBER, Due::Remember);
+    }
+
+    /// Another controller plans from here on, with what it remembers of the one before.
+    pub fn take_over(&mut self) {
+        self.start_planner();
+        let (Some(memory), now_ms) = (self.memory.clone(), self.now_ms()) else { return };
+        let Remembered { version, entries, weights } = memory;
+        let told = List { version, base: 0, now_ms, entries: entries.clone() };
+        self.agenda.borrow_mut().put(Passed::ListTold(told));
+        self.plan(|engine| {
+            engine.list(Duration::ZERO, version, 0, now_ms, &entries);
+            engine.recall(&weights);
+        });
+    }
+
     /// A planner of the same deployment starts anew: that it can was seen at the day's beginning.
     pub fn start_planner(&mut self) {
         let _ = self.launch();
@@ -353,6 +393,7 @@
                 let now = self.planner_now();
                 self.plan(|engine| engine.probed(now, server, result));
             }
+            Due::Remember => self.remember(),
             Due::Begin(i) => self.begin(i),
             Due::End(i) => self.end(i),
             Due::Redeploy { server, step, drain, down, other } => {
--- a/crates/model/src/troubles.rs
+++ b/crates/model/src/troubles.rs
@@ -62,7 +62,7 @@
                     self.agenda.borrow_mut().after(Duration::ZERO, due);
                 }
             }
-            What::PlannerKilled => {
+            What::PlannerKilled | What::Takeover => {
                 self.kill_planner();
             }
             What::PlannerStalled => {
@@ -173,6 +173,7 @@
                 self.taken.retain(|s| !hand.servers.contains(s));
             }
             What::PlannerKilled => self.start_planner(),
+            What::Takeover => self.take_over(),
             What::PlannerStalled => {
                 self.stalled = false;
                 self.agenda.borrow_mut().put(Passed::PlannerResumed);
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -2,7 +2,7 @@
 
 use grebespool_model::{FirstCall, Modelled, Past, PastEntry, PlannedBy, Recording, model};
 use grebespool_rules::{Passed, Record, Rule};
-use grebespool_settings::Day;
+use grebespool_settings::{Day, What};
 use grebespool_wire::{Outcome, Phase};
 use rstest::rstest;
 use std::collections::BTreeSet;
@@ -279,3 +279,26 @@
     }
     assert!(worst > freeze - gap && worst < freeze + gap + work * 2, "{worst:?}");
 }
+
+/// The deployment's servers are unlike each other, so what was learnt of them is worth something.
+#[rstest]
+fn a_takeover_keeps_the_rules_and_loses_no_more_than_a_restart() {
+    let service = |what: What| {
+        let of = |seed| {
+            let mut day = bad_day(seed);
+            day.length.0 = Duration::from_secs(40);
+            day.servers[0].speed = 0.6;
+            day.troubles = vec![grebespool_settings::Trouble {
+                at: grebespool_settings::Span(Duration::from_secs(24)),
+                lasts: grebespool_settings::Span(Duration::from_millis(1300)),
+                what: what.clone(),
+            }];
+            let played = play(&day).modelled;
+            assert!(played.kept(), "{:?}", played.verdicts);
+            played.service.whole
+        };
+        (0..6).map(of).sum::<f64>() / 6.0
+    };
+    let (taken_over, restarted) = (service(What::Takeover), service(What::PlannerKilled));
+    assert!(taken_over >= restarted - 0.001, "{taken_over:.4} {restarted:.4}");
+}
--- a/crates/replay/src/past.rs
+++ b/crates/replay/src/past.rs
@@ -143,6 +143,7 @@
             | What::ListOld
             | What::ListTwice => self.lists > 0,
             What::PlannerKilled
+            | What::Takeover
             | What::StreamsBreak { .. }
             | What::NoPlanner { .. }
             | What::JoinLoop { .. }
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -67,29 +67,76 @@
 
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub enum What {
-    Silent { servers: usize },
-    Slow { servers: usize, factor: f64 },
-    Erring { servers: usize },
-    Frozen { servers: usize },
-    Lying { servers: usize, figure: f64 },
-    Deploy { servers: usize, every: Span, drain: Span, down: Span },
+    Silent {
+        servers: usize,
+    },
+    Slow {
+        servers: usize,
+        factor: f64,
+    },
+    Erring {
+        servers: usize,
+    },
+    Frozen {
+        servers: usize,
+    },
+    Lying {
+        servers: usize,
+        figure: f64,
+    },
+    Deploy {
+        servers: usize,
+        every: Span,
+        drain: Span,
+        down: Span,
+    },
     PlannerKilled,
     PlannerStalled,
-    StreamsBreak { share: f64, mid_frame: bool },
-    NoPlanner { share: f64 },
-    SlowOrders { delay: Span, bytes_per_s: f64 },
-    ListLate { by: Span },
+    /// The leader of several controllers is lost, and after so long another plans with what it remembers.
+    Takeover,
+    StreamsBreak {
+        share: f64,
+        mid_frame: bool,
+    },
+    NoPlanner {
+        share: f64,
+    },
+    SlowOrders {
+        delay: Span,
+        bytes_per_s: f64,
+    },
+    ListLate {
+        by: Span,
+    },
     ListFails,
     ListOld,
     ListTwice,
-    ZoneCut { zone: String },
-    ZoneLoss { zone: String },
-    Burst { factor: f64 },
-    Unmarked { proxies: usize },
-    Trickle { proxies: usize, bytes_per_s: f64 },
-    JoinLoop { proxies: usize, every: Span },
-    DoubleJoin { proxies: usize },
-    Replaced { servers: usize },
+    ZoneCut {
+        zone: String,
+    },
+    ZoneLoss {
+        zone: String,
+    },
+    Burst {
+        factor: f64,
+    },
+    Unmarked {
+        proxies: usize,
+    },
+    Trickle {
+        proxies: usize,
+        bytes_per_s: f64,
+    },
+    JoinLoop {
+        proxies: usize,
+        every: Span,
+    },
+    DoubleJoin {
+        proxies: usize,
+    },
+    Replaced {
+        servers: usize,
+    },
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -110,9 +157,10 @@
             | (What::SlowOrders { .. }, What::SlowOrders { .. })
             | (What::ListLate { .. }, What::ListLate { .. })
             | (What::ListFails, What::ListFails)
-            | (What::PlannerKilled | What::PlannerStalled, What::PlannerKilled | What::PlannerStalled) => {
-                true
-            }
+            | (
+                What::PlannerKilled | What::PlannerStalled | What::Takeover,
+                What::PlannerKilled | What::PlannerStalled | What::Takeover,
+            ) => true,
             _ => false,
         };
         let within = |t: &Trouble, at: Span| t.at <= at && at.0 < t.at.0 + t.lasts.0;
@@ -241,6 +289,7 @@
                 | What::NoPlanner { .. }
                 | What::SlowOrders { .. }
                 | What::PlannerStalled
+                | What::Takeover
                 | What::ZoneLoss { .. }
                     if trouble.lasts.0.is_zero() =>
                 {
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -228,6 +228,11 @@
         told.filter(|i| self.controllers[*i].child.is_some() && self.stalled != Some(*i))
     }
 
+    /// The processes that run.
+    pub fn ids(&self) -> Vec<u32> {
+        self.controllers.iter().filter_map(|c| c.child.as_ref()).map(Child::id).collect()
+    }
+
     fn signal(&self, i: usize, name: &str) {
         if let Some(child) = &self.controllers[i].child {
             let _ = Command::new("kill").args([name, &child.id().to_string()]).status();
--- a/crates/standin/src/rehearsal.rs
+++ b/crates/standin/src/rehearsal.rs
@@ -277,7 +277,8 @@
                     self.clone().redeploy(i, Duration::ZERO, Duration::from_millis(100), true).await?;
                 }
             }
-            What::PlannerKilled => {
+            // Whether another takes over is the host's matter: one planner alone is started again.
+            What::PlannerKilled | What::Takeover => {
                 self.host.borrow_mut().kill();
                 self.world.put(Passed::PlannerKilled);
                 sleep(lasts).await;
--- a/crates/succession/src/member.rs
+++ b/crates/succession/src/member.rs
@@ -102,6 +102,7 @@
     Stranger,
 }
 
+#[derive(Debug, Clone)]
 enum Role {
     Following { leader: Option<Id> },
     Canvassing { favours: BTreeSet<Id> },
@@ -109,6 +110,7 @@
     Leading(Lead),
 }
 
+#[derive(Debug, Clone)]
 struct Lead {
     since: Duration,
     number: u64,
@@ -149,6 +151,7 @@
     pub missing: Vec<Id>,
 }
 
+#[derive(Debug, Clone)]
 pub struct Member<H> {
     host: H,
     kept: Kept,
