Put a list's entry into a recording's words in one place

Cause: rehearsals and running planners each had their own conversion, which could drift apart.

Change: one function for both.

--- a/crates/cli/src/record.rs
+++ b/crates/cli/src/record.rs
@@ -2,7 +2,8 @@
 
 use grebespool_planner::Watch;
 use grebespool_settings::{Deployment, deployment_text};
-use grebespool_trace::{Cloak, Event, Listed, Phase, Recorder, Timed};
+use grebespool_standin::listed;
+use grebespool_trace::{Cloak, Event, Recorder, Timed};
 use grebespool_wire as wire;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -87,22 +88,11 @@
 
 impl Watch for Recording {
     fn list(&mut self, now: Duration, version: u64, base: u64, now_ms: u64, entries: &[wire::Entry]) {
-        let entry = |e: &wire::Entry| Listed {
-            server: e.server.addr.to_string(),
-            number: e.server.number,
-            zone: e.zone.clone(),
-            phase: match e.phase {
-                wire::Phase::Gone => Phase::Gone,
-                wire::Phase::Ready => Phase::Ready,
-                wire::Phase::Draining => Phase::Draining,
-            },
-            started_ms: e.started_ms,
-        };
         self.put(now, |_| Event::List {
             version,
             base,
             now_ms,
-            entries: entries.iter().map(entry).collect(),
+            entries: entries.iter().map(listed).collect(),
         });
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,3 +16,4 @@
 pub use fleet::{FleetHost, free_ports};
 pub use host::{PlannerHost, ProcessHost, ThreadHost};
 pub use rehearsal::{Played, Progress, rehearse};
+pub use world::listed;
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -93,13 +93,23 @@
     }
 }
 
+/// A list's entry as recordings have it.
+pub fn listed(entry: &grebespool_wire::Entry) -> Listed {
+    Listed {
+        server: entry.server.addr.to_string(),
+        number: entry.server.number,
+        zone: entry.zone.clone(),
+        phase: match entry.phase {
+            grebespool_wire::Phase::Gone => Phase::Gone,
+            grebespool_wire::Phase::Ready => Phase::Ready,
+            grebespool_wire::Phase::Draining => Phase::Draining,
+        },
+        started_ms: entry.started_ms,
+    }
+}
+
 /// What a recording keeps of what passed.
 fn recorded(passed: &Passed, deployment: &Deployment, planner: u64) -> Option<Event> {
-    let phase = |p| match p {
-        grebespool_wire::Phase::Gone => Phase::Gone,
-        grebespool_wire::Phase::Ready => Phase::Ready,
-        grebespool_wire::Phase::Draining => Phase::Draining,
-    };
     Some(match passed {
         Passed::Asked { id, route, key, work_us, proxy, .. } => Event::Call(Call {
             route: *route,
@@ -111,14 +121,7 @@
             repeat: false,
         }),
         Passed::ListTold(list) => {
-            let entry = |e: &grebespool_wire::Entry| Listed {
-                server: e.server.addr.to_string(),
-                number: e.server.number,
-                zone: e.zone.clone(),
-                phase: phase(e.phase),
-                started_ms: e.started_ms,
-            };
-            let entries = list.entries.iter().map(entry).collect();
+            let entries = list.entries.iter().map(listed).collect();
             Event::List { version: list.version, base: list.base, now_ms: list.now_ms, entries }
         }
         Passed::Joined { proxy, .. } => {
