Make a fleet's first roster, and the meeting of a member, in one place each

Cause: on rereading, the command line and the fleet's host each made the first roster, dialling a member stood twice in its runner, and a state folder's path had two names.

Change: members::first_roster serves both; one way to meet whoever listens at an address; the second name is gone. Behaviour stays.

--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -1,9 +1,9 @@
 //! `members`: state folders, and what operators ask of the controllers of a fleet.
 
 use clap::Subcommand;
-use grebespool_members::{Answer, Keys, Question, Store, ask, fleet_id, seat_id};
+use grebespool_members::{Answer, Keys, Question, Store, ask, first_roster, fleet_id, seat_id};
 use grebespool_settings::{Members, Planned};
-use grebespool_succession::{Roster, Seat};
+use grebespool_succession::Roster;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -36,12 +36,10 @@
 }
 
 /// Who takes part from the beginning, by a member's settings.
-pub fn first_roster(m: &Members) -> Roster {
-    let fleet = fleet_id(&m.fleet);
+pub fn formed_roster(m: &Members) -> Roster {
     let own = (m.name.clone(), m.address.to_string());
     let all = m.peers.iter().map(|p| (p.name.clone(), p.address.to_string())).chain([own]);
-    let seats = all.map(|(name, address)| (seat_id(fleet, &name), Seat { name, address })).collect();
-    Roster { epoch: 0, number: 0, seats }
+    first_roster(fleet_id(&m.fleet), all)
 }
 
 pub fn members(command: MembersCommand) -> Result<ExitCode, String> {
@@ -50,7 +48,7 @@
         MembersCommand::Form { settings } => {
             let m = members_of(&settings)?;
             let fleet = fleet_id(&m.fleet);
-            Store::form(&m.folder, fleet, seat_id(fleet, &m.name), first_roster(&m)).map_err(said)?;
+            Store::form(&m.folder, fleet, seat_id(fleet, &m.name), formed_roster(&m)).map_err(said)?;
             println!(
                 "{}: {} of fleet {}, {} members",
                 m.folder.display(),
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -181,7 +181,7 @@
         Store::open(&members.folder, fleet_id(&members.fleet)).map_err(|why| why.to_string())?;
     if kept.roster.epoch == 0
         && !kept.roster.seats.is_empty()
-        && kept.roster != crate::members::first_roster(&members)
+        && kept.roster != crate::members::formed_roster(&members)
     {
         return Err(format!(
             "{}: members: these are not the members that {} was formed with",
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -12,4 +12,4 @@
 pub use keys::Keys;
 pub use operator::{Answer, Question, ask};
 pub use run::{Change, Running, Unrunnable, run};
-pub use store::{Store, Unusable, fleet_id, seat_id};
+pub use store::{Store, Unusable, first_roster, fleet_id, seat_id};
--- a/crates/members/src/run.rs
+++ b/crates/members/src/run.rs
@@ -228,20 +228,26 @@
 
     /// A stream to the member with this id, and with nobody else at its address.
     async fn dial(&self, id: Id, seat: &Seat) -> io::Result<Sealed<TcpStream>> {
-        let dialling = async {
-            let stream = TcpStream::connect(&seat.address).await?;
+        let (sealed, name) = self.meet(&seat.address).await?;
+        if sealed.peer != id {
+            let text = format!("{name} ({:016x}) is there in place of {id:016x}", sealed.peer);
+            return Err(io::Error::new(io::ErrorKind::PermissionDenied, text));
+        }
+        Ok(sealed)
+    }
+
+    /// A stream to whoever listens at an address, and the name that it tells.
+    async fn meet(&self, address: &str) -> io::Result<(Sealed<TcpStream>, String)> {
+        let meeting = async {
+            let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
             let keys = self.keys.borrow_mut().keys();
             let mut sealed = Sealed::dial(stream, self.own, &keys).await?;
             let stamp = self.member.borrow().kept_state().stamp;
             let (name, _) = sealed.meet(&self.name, stamp).await?;
-            if sealed.peer != id {
-                let text = format!("{name} ({:016x}) is there in place of {id:016x}", sealed.peer);
-                return Err(io::Error::new(io::ErrorKind::PermissionDenied, text));
-            }
-            Ok(sealed)
+            Ok((sealed, name))
         };
-        timeout(DIALLED_WITHIN, dialling).await?
+        timeout(DIALLED_WITHIN, meeting).await?
     }
 
     fn status(&self) -> Answer {
@@ -288,8 +294,8 @@
                 self.call(|m, now| m.remove(now, &name)).map(|()| format!("{name} takes no part any more"))
             }
             Question::Add { name, address } => {
-                let id = match self.who(&address).await {
-                    Ok((id, there)) if there == name => id,
+                let id = match self.meet(&address).await {
+                    Ok((sealed, there)) if there == name => sealed.peer,
                     Ok((_, there)) => return Answer::Refused(format!("{there} is at {address}, not {name}")),
                     Err(why) => return Answer::Refused(format!("{address}: {why}")),
                 };
@@ -299,19 +305,6 @@
         };
         done.map_or_else(|why| Answer::Refused(why.to_string()), Answer::Done)
     }
-
-    /// Who listens at an address.
-    async fn who(&self, address: &str) -> io::Result<(Id, String)> {
-        let asking = async {
-            let stream = TcpStream::connect(address).await?;
-            let keys = self.keys.borrow_mut().keys();
-            let mut sealed = Sealed::dial(stream, self.own, &keys).await?;
-            let stamp = self.member.borrow().kept_state().stamp;
-            let (name, _) = sealed.meet(&self.name, stamp).await?;
-            Ok((sealed.peer, name))
-        };
-        timeout(DIALLED_WITHIN, asking).await?
-    }
 }
 
 /// Says what is to be said to one other, dialling anew whenever the stream ends.
--- a/crates/members/src/store.rs
+++ b/crates/members/src/store.rs
@@ -1,6 +1,6 @@
 //! A member's state folder.
 
-use grebespool_succession::{Damaged, Id, Kept, Memory, Roster};
+use grebespool_succession::{Damaged, Id, Kept, Memory, Roster, Seat};
 use redb::{Database, ReadableTable, TableDefinition, TableError};
 use std::io;
 use std::path::{Path, PathBuf};
@@ -42,6 +42,12 @@
     number("grebespool 2026 seat", &bytes)
 }
 
+/// Who takes part in a new fleet, by name and address.
+pub fn first_roster(fleet: u64, members: impl IntoIterator<Item = (String, String)>) -> Roster {
+    let seat = |(name, address): (String, String)| (seat_id(fleet, &name), Seat { name, address });
+    Roster { epoch: 0, number: 0, seats: members.into_iter().map(seat).collect() }
+}
+
 fn number(context: &str, bytes: &[u8]) -> u64 {
     let hash = blake3::derive_key(context, bytes);
     // 0 is nobody's.
@@ -63,10 +69,6 @@
 impl Store {
     const MEMORIES_KEPT: usize = 2;
 
-    fn path(&self) -> String {
-        self.folder.display().to_string()
-    }
-
     fn files(folder: &Path) -> (PathBuf, PathBuf) {
         (folder.join("state.redb"), folder.join("memories.redb"))
     }
@@ -210,6 +212,6 @@
 
     /// For logs.
     pub fn folder(&self) -> String {
-        self.path()
+        self.folder.display().to_string()
     }
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -1,9 +1,8 @@
 //! Several controllers that follow each other, and the ways between them.
 
 use crate::host::PlannerHost;
-use grebespool_members::{Answer, Keys, Question, Store, ask, fleet_id, seat_id};
+use grebespool_members::{Answer, Keys, Question, Store, ask, first_roster, fleet_id, seat_id};
 use grebespool_settings::{Deployment, ListSource, member_text};
-use grebespool_succession::{Roster, Seat};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -208,12 +207,9 @@
                 &peers,
             );
             std::fs::write(&controller.settings, text)?;
-            let (fleet, seat) = (fleet_id("fleet"), |i: usize| Seat {
-                name: format!("m{i}"),
-                address: between[i].to_string(),
-            });
-            let seats = (0..between.len()).map(|i| (seat_id(fleet, &format!("m{i}")), seat(i))).collect();
-            let roster = Roster { epoch: 0, number: 0, seats };
+            let fleet = fleet_id("fleet");
+            let all = between.iter().enumerate().map(|(n, at)| (format!("m{n}"), at.to_string()));
+            let roster = first_roster(fleet, all);
             Store::form(&state, fleet, seat_id(fleet, &name), roster).map_err(io::Error::other)?;
         }
         let keys = Keys::read(key_file)?;
