--- /dev/null
+++ b/crates/books/src/books.rs
@@ -0,0 +1,154 @@
+//! Orders as they stand. The decisions write them through [`Host`]; whoever carries them takes what each turn changed.
+
+use grebespool::host::*;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What share of some routes' calls is let in, and when they are tried again.
+pub type Level = (RouteSet, f32, Tries);
+
+/// What one proxy is told at the end of a turn.
+pub struct Told<'a> {
+    pub table: Table,
+    /// How often the table has changed.
+    pub version: u64,
+    /// Set where the proxy is put on the table in this turn: for these routes, and the lines are all of it.
+    pub bound: Option<RouteSet>,
+    pub lines: &'a [(Server, f32)],
+    pub levels: &'a [Level],
+    pub mark: Option<u16>,
+}
+
+#[derive(Default)]
+struct Book {
+    version: u64,
+    lines: BTreeMap<Server, f32>,
+    changed: BTreeSet<Server>,
+}
+
+#[derive(Default)]
+struct Held {
+    table: Option<(Table, RouteSet)>,
+    /// Bound in this turn: a whole table is due.
+    fresh: bool,
+}
+
+#[derive(Default)]
+struct Books {
+    tables: BTreeMap<Table, Book>,
+    levels: BTreeMap<RouteSet, (f32, Tries)>,
+    levels_changed: BTreeSet<RouteSet>,
+    proxies: BTreeMap<Proxy, Held>,
+    mark: Option<u16>,
+    wakes: BTreeSet<(Duration, u32)>,
+    probes: BTreeSet<Server>,
+    ask: bool,
+}
+
+/// The books, as the decisions' host and as whoever serves them sees them. All clones are one.
+#[derive(Clone, Default)]
+pub struct Desk(Rc<RefCell<Books>>);
+
+impl Host for Desk {
+    fn wake(&mut self, at: Duration, token: u32) {
+        self.0.borrow_mut().wakes.insert((at, token));
+    }
+    fn set_line(&mut self, table: Table, server: Server, weight: f32) {
+        let mut books = self.0.borrow_mut();
+        let book = books.tables.entry(table).or_default();
+        match weight > 0.0 {
+            true => book.lines.insert(server, weight),
+            false => book.lines.remove(&server),
+        };
+        book.changed.insert(server);
+    }
+    fn bind(&mut self, proxy: Proxy, table: Table, routes: RouteSet) {
+        if let Some(held) = self.0.borrow_mut().proxies.get_mut(&proxy) {
+            (held.table, held.fresh) = (Some((table, routes)), true);
+        }
+    }
+    fn admit(&mut self, routes: RouteSet, level: f32, tries: Tries) {
+        let mut books = self.0.borrow_mut();
+        books.levels.insert(routes, (level, tries));
+        books.levels_changed.insert(routes);
+    }
+    fn mark(&mut self, number: u16) {
+        self.0.borrow_mut().mark = Some(number);
+    }
+    fn probe(&mut self, server: Server) {
+        self.0.borrow_mut().probes.insert(server);
+    }
+    fn watch_list(&mut self) {
+        self.0.borrow_mut().ask = true;
+    }
+}
+
+impl Desk {
+    pub fn joined(&self, proxy: Proxy) {
+        self.0.borrow_mut().proxies.insert(proxy, Held::default());
+    }
+
+    pub fn left(&self, proxy: Proxy) {
+        self.0.borrow_mut().proxies.remove(&proxy);
+    }
+
+    /// Whether some table has the server.
+    pub fn holds(&self, server: Server) -> bool {
+        let books = self.0.borrow();
+        books.tables.values().any(|b| b.lines.contains_key(&server) || b.changed.contains(&server))
+    }
+
+    /// When the decisions want to be woken next.
+    pub fn due(&self) -> Option<Duration> {
+        self.0.borrow().wakes.first().map(|w| w.0)
+    }
+
+    /// What is due by now: each token once, however late.
+    pub fn wakes(&self, now: Duration) -> BTreeSet<u32> {
+        let wakes = &mut self.0.borrow_mut().wakes;
+        let later = wakes.split_off(&(now + Duration::from_nanos(1), 0));
+        std::mem::replace(wakes, later).into_iter().map(|w| w.1).collect()
+    }
+
+    pub fn probes(&self) -> BTreeSet<Server> {
+        std::mem::take(&mut self.0.borrow_mut().probes)
+    }
+
+    pub fn asks(&self) -> bool {
+        std::mem::take(&mut self.0.borrow_mut().ask)
+    }
+
+    /// Ends a turn: one message for each proxy that it concerns.
+    pub fn settle(&self, mut tell: impl FnMut(Proxy, &Told)) {
+        let books = &mut *self.0.borrow_mut();
+        books.tables.values_mut().filter(|b| !b.changed.is_empty()).for_each(|b| b.version += 1);
+        let level = |l: (&RouteSet, &(f32, Tries))| (*l.0, l.1.0, l.1.1);
+        let levels: Vec<Level> = books.levels.iter().map(level).collect();
+        let changed = |l: &&Level| books.levels_changed.contains(&l.0);
+        let new_levels: Vec<Level> = levels.iter().filter(changed).copied().collect();
+        // Many proxies share a table: what they are told of it is put together once.
+        let mut parts: BTreeMap<(Table, bool), Vec<(Server, f32)>> = BTreeMap::new();
+        for (proxy, held) in &mut books.proxies {
+            let Some((table, routes)) = held.table else { continue };
+            let fresh = std::mem::take(&mut held.fresh);
+            let book = books.tables.entry(table).or_default();
+            let lines = parts.entry((table, fresh)).or_insert_with(|| match fresh {
+                true => book.lines.iter().map(|(s, w)| (*s, *w)).collect(),
+                false => {
+                    let weight = |s: &Server| book.lines.get(s).copied().unwrap_or(0.0);
+                    book.changed.iter().map(|s| (*s, weight(s))).collect()
+                }
+            });
+            let levels = if fresh { &levels } else { &new_levels };
+            if fresh || !lines.is_empty() || !levels.is_empty() {
+                let (version, bound) = (book.version, fresh.then_some(routes));
+                tell(*proxy, &Told { table, version, bound, lines, levels, mark: books.mark });
+            }
+        }
+        books.tables.values_mut().for_each(|b| b.changed.clear());
+        books.levels_changed.clear();
+        books.mark = None;
+    }
+}
--- /dev/null
+++ b/crates/outgoing/src/lib.rs
@@ -0,0 +1,88 @@
+//! What waits to be written to one connection, whatever the protocol: one slow reader delays nobody else, and holds no
+//! more than it may.
+
+mod patience;
+
+pub use patience::{Patience, Verdict};
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Why writing ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// It was closed, and all that waited was written.
+    Closed,
+    /// The connection broke.
+    Broken,
+    /// The reader did not take its bytes in time, or too many wait.
+    Slow,
+}
+
+pub struct Outgoing {
+    bytes: RefCell<VecDeque<u8>>,
+    patience: RefCell<Patience>,
+    /// Nothing more is taken; what waits is written if that goes in time.
+    closing: Cell<bool>,
+    changed: Notify,
+}
+
+impl Outgoing {
+    pub fn new(patience: Patience) -> Self {
+        Outgoing {
+            bytes: RefCell::default(),
+            patience: RefCell::new(patience),
+            closing: Cell::new(false),
+            changed: Notify::new(),
+        }
+    }
+
+    pub fn put(&self, now: Duration, bytes: &[u8]) {
+        if !self.closing.get() {
+            self.patience.borrow_mut().handed(now, bytes.len());
+            self.bytes.borrow_mut().extend(bytes);
+            self.changed.notify_one();
+        }
+    }
+
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Writes until the connection is closed, breaks, or is too slow.
+    pub async fn write(&self, mut to: OwnedWriteHalf, began: Instant) -> Ended {
+        loop {
+            // A part at a time: a whole buffer handed to the system at once would tell nothing of progress.
+            let part: Vec<u8> = self.bytes.borrow().iter().take(16 << 10).copied().collect();
+            if part.is_empty() {
+                if self.closing.get() {
+                    let _ = to.shutdown().await;
+                    return Ended::Closed;
+                }
+                // Against memory that one long message leaves held at every connection.
+                self.bytes.borrow_mut().shrink_to(4 << 10);
+                self.changed.notified().await;
+                continue;
+            }
+            let due = self.patience.borrow().due().map_or(began.elapsed(), |due| due);
+            // The stream is tried before the clock is read: after a stall of the machine it may well take all.
+            match tokio::time::timeout_at(began + due, to.write(&part)).await {
+                Ok(Ok(n)) if n > 0 => {
+                    self.bytes.borrow_mut().drain(..n);
+                    self.patience.borrow_mut().taken(n);
+                }
+                Ok(_) => return Ended::Broken,
+                Err(_) => {}
+            }
+            if self.patience.borrow().judge(began.elapsed()) != Verdict::Keep {
+                return Ended::Slow;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform-run/src/probe.rs
@@ -0,0 +1,37 @@
+//! Probing servers.
+
+use crate::Shared;
+use crate::http::get;
+use grebespool::host::Probed;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+
+/// Under way at once; the rest waits, so that probes of a large fleet take few descriptors.
+pub const AT_ONCE: usize = 8;
+/// No answer by then is none.
+const LIMIT: Duration = Duration::from_millis(900);
+
+pub async fn run(shared: Rc<Shared>) {
+    let mut under_way = JoinSet::new();
+    loop {
+        let waiting =
+            if under_way.len() < AT_ONCE { shared.probes.waiting.borrow_mut().pop_front() } else { None };
+        if let Some((server, address)) = waiting {
+            let shared = shared.clone();
+            under_way.spawn_local(async move {
+                let result = match get(&mut None, address, "/health", LIMIT).await {
+                    Ok((200, _)) => Probed::Answered,
+                    Ok((503, _)) => Probed::Rejected,
+                    Ok(_) | Err(_) => Probed::Failed,
+                };
+                shared.probed(&server, result);
+            });
+            continue;
+        }
+        tokio::select! {
+            () = shared.probes.come.notified() => {}
+            Some(_) = under_way.join_next() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform-run/src/stream.rs
@@ -0,0 +1,85 @@
+//! Connections at the planner's address.
+
+use crate::Shared;
+use grebespool_outgoing::{Ended, Outgoing, Patience};
+use grebespool_platform::Conn;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tracing::{debug, error, warn};
+
+/// A proxy that takes nothing for so long is silent: it has left by the platform's rules, and dials again.
+const LONGEST_WAIT: Duration = Duration::from_secs(20);
+/// So many bytes may wait for it: some dozens of messages.
+const MOST_WAITING: usize = 96 << 10;
+
+pub async fn accept(shared: Rc<Shared>, listener: TcpListener, mut tasks: JoinSet<()>) {
+    let mut conn: Conn = 0;
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((socket, _)) => {
+                    let _ = socket.set_nodelay(true);
+                    conn += 1;
+                    let out = Rc::new(Outgoing::new(Patience::new(LONGEST_WAIT, MOST_WAITING)));
+                    shared.streams.borrow_mut().insert(conn, out.clone());
+                    shared.call(|station, now| station.opened(now, conn));
+                    tasks.spawn_local(run(shared.clone(), socket, conn, out));
+                }
+                Err(fault) => {
+                    // Out of descriptors, say: those who have not joined make room.
+                    if !shared.call(|station, now| station.shed(now)) {
+                        warn!(%fault, "a connection could not be accepted");
+                    }
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            },
+            Some(ended) = tasks.join_next() => if let Err(fault) = ended {
+                error!(%fault, "a task of the planner ended");
+            },
+        }
+    }
+}
+
+/// Lets go of the connection whatever ends its task.
+struct Held(Rc<Shared>, Conn);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.streams.borrow_mut().remove(&self.1);
+        // Not where the station itself is what failed, in this very call.
+        if let Ok(mut station) = self.0.station.try_borrow_mut() {
+            station.closed(self.1);
+        }
+    }
+}
+
+async fn run(shared: Rc<Shared>, socket: TcpStream, conn: Conn, out: Rc<Outgoing>) {
+    let held = Held(shared.clone(), conn);
+    let (reader, writer) = socket.into_split();
+    tokio::select! {
+        () = read(&shared, conn, reader) => {}
+        ended = out.write(writer, shared.began) => if ended == Ended::Slow {
+            warn!(conn, "closed: its bytes were not taken");
+        }
+    }
+    debug!(conn, "connection ended");
+    drop(held);
+}
+
+async fn read(shared: &Rc<Shared>, conn: Conn, from: OwnedReadHalf) {
+    loop {
+        if from.readable().await.is_err() {
+            return;
+        }
+        let mut scratch = shared.scratch.borrow_mut();
+        match from.try_read(&mut scratch) {
+            Ok(0) => return,
+            Ok(n) => shared.call(|station, now| station.came(now, conn, &scratch[..n])),
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,23 @@
+//! The platform's protocol between its bytes and the decisions ([`grebespool::decide`]). Free of I/O and clocks: time
+//! comes in as spans since the planner's start, and the list's also with the machines' own time.
+//!
+//! Call one method of [`Station`] for each thing that happens; it acts by calling the [`Outlet`] that it was started
+//! with. Call [`Station::woken`] at [`Station::due`]; later is no harm beyond the delay. [`Terms`] reads the file that
+//! a planner is started with.
+
+mod frames;
+mod lives;
+mod log;
+mod message;
+mod orders;
+mod roster;
+mod station;
+mod terms;
+
+pub use frames::{Frames, MOST_BODY, NotFrames};
+pub use log::Gathered;
+pub use message::{Came, Fields, Message, Met, Spoilt, Unread, read};
+pub use orders::{Words, frame};
+pub use roster::{Judged, Roster};
+pub use station::{Conn, Outlet, Station};
+pub use terms::{BadTerms, Limits, Terms};
--- /dev/null
+++ b/crates/platform/src/roster.rs
@@ -0,0 +1,192 @@
+//! The list of servers as it is believed, entry by entry.
+
+use crate::message::Fields;
+use grebespool::host::{Listed, Phase, Zone};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+struct Known {
+    addr: Option<SocketAddr>,
+    zone: Zone,
+    phase: Phase,
+    started_ms: f64,
+    /// The same instant on the planner's clock, which may lie before its start.
+    age_at: (Duration, Option<Duration>),
+}
+
+/// The list by the servers' ids; addresses are only where to dial.
+pub struct Roster {
+    zones: Vec<String>,
+    version: u64,
+    known: BTreeMap<String, Known>,
+}
+
+/// What a list changes: for each server that it names or leaves out, what is believed of it now.
+#[derive(Default)]
+pub struct Judged {
+    pub entries: Vec<(String, Listed)>,
+    /// What could not be believed.
+    pub faults: Vec<String>,
+    /// The whole list has to be asked for.
+    pub ask_whole: bool,
+}
+
+struct Entry<'a> {
+    id: &'a str,
+    phase: Phase,
+    placed: Result<(Option<SocketAddr>, Zone, f64), String>,
+}
+
+impl Roster {
+    /// Unix time in milliseconds beyond which no start is believed: hours ahead of now.
+    const AHEAD: f64 = 3_600_000.0;
+
+    pub fn new(zones: Vec<String>) -> Self {
+        Roster { zones, version: 0, known: BTreeMap::new() }
+    }
+
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    pub fn zone(&self, name: &str) -> Option<Zone> {
+        self.zones.iter().position(|z| z == name).map(|z| z as Zone)
+    }
+
+    pub fn address(&self, id: &str) -> Option<SocketAddr> {
+        self.known.get(id)?.addr
+    }
+
+    fn entry<'a>(&self, value: &'a Value) -> Result<Entry<'a>, String> {
+        let Value::Object(of) = value else { return Err("an entry that is no object".into()) };
+        let fields = Fields { kind: "an entry of the list", of };
+        let id = fields.text("id").map_err(|s| s.to_string())?;
+        if id.is_empty() || id.len() > 128 {
+            return Err("an entry with an id that cannot be".into());
+        }
+        let phase = match fields.text("state") {
+            Ok("SERVING") => Phase::Ready,
+            Ok("DRAINING") => Phase::Draining,
+            Ok("DELETED") => Phase::Gone,
+            Ok(other) => return Err(format!("server {id:?} in state {other:?}")),
+            Err(spoilt) => return Err(format!("server {id:?}: {spoilt}")),
+        };
+        let placed = || {
+            let name = fields.text("zone").map_err(|s| s.to_string())?;
+            let zone = self.zone(name).ok_or(format!("zone {name:?} is not stated"))?;
+            let addr = fields.text("addr").ok().and_then(|a| a.parse().ok());
+            let started = match of.get("started_ms") {
+                None | Some(Value::Null) => 0.0,
+                Some(_) => fields.figure("started_ms", f64::MAX).map_err(|s| s.to_string())?,
+            };
+            Ok((addr, zone, started))
+        };
+        Ok(Entry { id, phase, placed: placed() })
+    }
+
+    /// Takes an answer of discovery, at `unix_ms` by the machines' clock. A drain or a removal holds whatever else is
+    /// wrong about it, and a list that cannot be right in part is right in the rest. `asked` is the version that its
+    /// changes were asked since.
+    ///
+    /// # Errors
+    ///
+    /// It is no list at all.
+    pub fn take(&mut self, now: Duration, unix_ms: f64, asked: u64, list: &Value) -> Result<Judged, String> {
+        let Value::Object(of) = list else { return Err("the list is no object".into()) };
+        let fields = Fields { kind: "the list", of };
+        let version = match of.get("version").and_then(Value::as_u64) {
+            Some(version) => version,
+            None => return Err("the list has no version that can be read".into()),
+        };
+        let full = fields.flag("full").map_err(|s| s.to_string())?;
+        let Some(Value::Array(items)) = of.get("servers") else {
+            return Err("the list has no servers".into());
+        };
+        let mut judged = Judged::default();
+        // Changes since something else than what is known: the service began anew, or mixed up its watchers.
+        let back = !full && version < asked;
+        judged.ask_whole = back;
+        if back {
+            judged.faults.push(format!("changes up to version {version}, asked since {asked}"));
+        }
+        let mut named = BTreeSet::new();
+        for item in items {
+            let entry = match self.entry(item) {
+                Ok(entry) => entry,
+                Err(fault) => {
+                    // Its server stays as it is known, and the next whole list tells.
+                    item.get("id").and_then(Value::as_str).map(|id| named.insert(id.to_string()));
+                    judged.faults.push(fault);
+                    judged.ask_whole = true;
+                    continue;
+                }
+            };
+            if !named.insert(entry.id.to_string()) {
+                judged.faults.push(format!("server {:?} twice", entry.id));
+                // Of two words the one that takes calls away is the one that must not be lost.
+                if entry.phase == Phase::Ready {
+                    continue;
+                }
+            }
+            if back && entry.phase == Phase::Ready {
+                continue;
+            }
+            self.enter(now, unix_ms, &entry, &mut judged);
+        }
+        if full {
+            let left_out: Vec<String> =
+                self.known.keys().filter(|id| !named.contains(*id)).cloned().collect();
+            for id in left_out {
+                self.gone(id, &mut judged);
+            }
+        }
+        self.version = if back { self.version } else { version };
+        Ok(judged)
+    }
+
+    fn gone(&mut self, id: String, judged: &mut Judged) {
+        if let Some(known) = self.known.remove(&id) {
+            judged.entries.push((id, Listed { server: 0, zone: known.zone, phase: Phase::Gone, age: None }));
+        }
+    }
+
+    fn enter(&mut self, now: Duration, unix_ms: f64, entry: &Entry, judged: &mut Judged) {
+        if entry.phase == Phase::Gone {
+            return self.gone(entry.id.into(), judged);
+        }
+        let old = self.known.get(entry.id);
+        let (addr, zone, started_ms) = match (&entry.placed, old) {
+            (Ok(placed), _) => *placed,
+            (Err(fault), old) => {
+                judged.faults.push(format!("server {:?}: {fault}", entry.id));
+                judged.ask_whole = true;
+                match old {
+                    Some(known) if entry.phase == Phase::Draining => {
+                        (known.addr, known.zone, known.started_ms)
+                    }
+                    _ => return,
+                }
+            }
+        };
+        if started_ms > unix_ms + Self::AHEAD {
+            judged.faults.push(format!("server {:?} starts at {started_ms}, far ahead", entry.id));
+        }
+        // The same start has the same age on every list: a clock that was set meanwhile must not look like a restart.
+        let same = old.filter(|k| k.started_ms == started_ms).map(|k| k.age_at);
+        let age =
+            || Duration::try_from_secs_f64((unix_ms - started_ms).max(0.0) / 1000.0).unwrap_or_default();
+        let age_at = same.unwrap_or_else(|| (now, (started_ms > 0.0).then(age)));
+        let age = age_at.1.map(|age| age + now.saturating_sub(age_at.0));
+        let listed = Listed { server: 0, zone, phase: entry.phase, age };
+        let addr = addr.or(old.and_then(|k| k.addr));
+        self.known.insert(entry.id.into(), Known { addr, zone, phase: entry.phase, started_ms, age_at });
+        judged.entries.push((entry.id.into(), listed));
+    }
+
+    /// Servers that are listed, and how many of them are ready.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.known.len(), self.known.values().filter(|k| k.phase == Phase::Ready).count())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/station.rs
@@ -0,0 +1,405 @@
+//! The station: messages in, the decisions' orders out.
+
+use crate::frames::MOST_BODY;
+use crate::lives::{Lives, Role};
+use crate::log::Gathered;
+use crate::message::{self, Message, Met, Unread};
+use crate::orders::{self, Words, put};
+use crate::roster::Roster;
+use crate::terms::Terms;
+use grebespool::decide::Planner;
+use grebespool::host::{self, Listed, Phase, Probed, Proxy, Server, Table, Zone};
+use grebespool_books::{Desk, Servers};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// One connection, from its coming to its end; numbers are not used again.
+pub type Conn = u64;
+
+/// What the station asks of what hosts it.
+pub trait Outlet {
+    fn write(&mut self, conn: Conn, bytes: &[u8]);
+    /// The connection is not to be used again, once what was written before has gone; `closed` need not be called.
+    fn close(&mut self, conn: Conn);
+    fn probe(&mut self, server: &str, address: SocketAddr);
+    /// Ask for the list's changes and go on watching it.
+    fn watch(&mut self);
+    /// The whole list is needed.
+    fn ask_whole(&mut self);
+    fn say(&mut self, text: &str);
+}
+
+struct Joined {
+    conn: Conn,
+}
+
+pub struct Station<O> {
+    outlet: O,
+    planner: Planner<Desk>,
+    desk: Desk,
+    servers: Servers<String>,
+    roster: Roster,
+    lives: Lives<Conn>,
+    joined: BTreeMap<Proxy, Joined>,
+    proxies: usize,
+    routes: Vec<String>,
+    fields: Vec<String>,
+    gathered: Gathered,
+    /// The list was asked for and has not answered.
+    asked: bool,
+    /// When connections are looked through next: often enough, whatever their number, and not at each message.
+    look_at: Duration,
+}
+
+impl<O: Outlet> Station<O> {
+    /// Messages in a row that cannot be read; with good ones between them they are only spoilt.
+    const UNREAD: u32 = 3;
+    /// What is under way from a server that is gone has come by then.
+    const FORGET: Duration = Duration::from_secs(30);
+    const LOOK: Duration = Duration::from_millis(200);
+    const SAID_EVERY: Duration = Duration::from_secs(10);
+
+    /// `kept_free`: descriptors that are held back from connections that have not joined. `unix_ms`: the machines'
+    /// time at the planner's start.
+    pub fn start(outlet: O, terms: Terms, kept_free: usize, unix_ms: f64) -> Self {
+        let desk = Desk::default();
+        let Terms { seed, routes, plane, graces, pace, sight, .. } = terms;
+        let collectors = terms.zones.len() * Lives::<Conn>::COLLECTORS;
+        let most_unjoined = terms.limits.sockets.saturating_sub(kept_free + collectors + plane.proxies);
+        let planner = Planner::start(desk.clone(), seed, routes, plane, graces, pace, sight);
+        let mut station = Station {
+            outlet,
+            planner,
+            desk,
+            servers: Servers::new(Self::FORGET),
+            roster: Roster::new(terms.zones),
+            lives: Lives::new(most_unjoined),
+            joined: BTreeMap::new(),
+            proxies: plane.proxies,
+            routes: terms.route_names,
+            fields: terms.fields,
+            gathered: Gathered::new(Self::SAID_EVERY),
+            asked: false,
+            look_at: Duration::ZERO,
+        };
+        if let Some(known) = terms.known {
+            if let Err(why) = station.take_list(Duration::ZERO, unix_ms, 0, &known) {
+                station.say(Duration::ZERO, "the list from before the start", &why);
+            }
+        }
+        station
+    }
+
+    /// When [`Station::woken`] is to be called next.
+    pub fn due(&self) -> Duration {
+        self.desk.due().map_or(self.look_at, |due| due.min(self.look_at))
+    }
+
+    pub fn list_version(&self) -> u64 {
+        self.roster.version()
+    }
+
+    /// Proxies joined, connections that have not joined, servers listed, servers ready, and indices held.
+    pub fn counts(&self) -> [usize; 5] {
+        let unjoined = self.lives.of.values().filter(|l| l.role == Role::Unjoined).count();
+        let (listed, ready) = self.roster.counts();
+        [self.joined.len(), unjoined, listed, ready, self.servers.len()]
+    }
+
+    fn say(&mut self, now: Duration, kind: &'static str, text: &str) {
+        if let Some(line) = self.gathered.say(now, kind, text) {
+            self.outlet.say(&line);
+        }
+    }
+
+    pub fn opened(&mut self, now: Duration, conn: Conn) {
+        if let Some(first) = self.lives.opened(now, conn) {
+            self.turn_away(now, first, "too many have not joined");
+        }
+    }
+
+    /// There are no descriptors left: lets go who has not joined. Whether there was anyone.
+    pub fn shed(&mut self, now: Duration) -> bool {
+        let first = self.lives.first_unjoined();
+        first.into_iter().for_each(|conn| self.turn_away(now, conn, "descriptors run out"));
+        first.is_some()
+    }
+
+    /// Someone who has not joined, or is of no further use.
+    fn turn_away(&mut self, now: Duration, conn: Conn, why: &str) {
+        let role = self.lives.of.get(&conn).map(|l| l.role);
+        if role == Some(Role::Unjoined) {
+            let mut nack = vec![];
+            put(&mut nack, &json!({"msg": "NACK", "why": why}));
+            self.outlet.write(conn, &nack);
+        }
+        let kind = match role {
+            Some(Role::Unjoined) => "unjoined, closed",
+            Some(Role::Collector(_)) => "collector closed",
+            _ => "stream closed",
+        };
+        self.say(now, kind, why);
+        self.outlet.close(conn);
+        self.closed(conn);
+    }
+
+    /// The connection ended, for whatever reason.
+    pub fn closed(&mut self, conn: Conn) {
+        let Some(life) = self.lives.of.remove(&conn) else { return };
+        if let Role::Proxy(proxy) = life.role
+            && self.joined.get(&proxy).is_some_and(|j| j.conn == conn)
+        {
+            self.joined.remove(&proxy);
+            self.desk.left(proxy);
+            self.planner.left(proxy);
+            self.settle();
+        }
+    }
+
+    pub fn came(&mut self, now: Duration, conn: Conn, bytes: &[u8]) {
+        let Some(life) = self.lives.of.get_mut(&conn) else { return };
+        life.heard_at = now;
+        life.frames.take(bytes);
+        loop {
+            // A connection may be closed by what it said.
+            let Some(life) = self.lives.of.get_mut(&conn) else { return };
+            let read = match life.frames.next() {
+                Ok(None) => {
+                    // A joined connection's half message counts from its first byte.
+                    return;
+                }
+                Ok(Some(body)) => message::read(body),
+                Err(not) => return self.turn_away(now, conn, &not.to_string()),
+            };
+            if life.role != Role::Unjoined {
+                life.since = now;
+            }
+            match read {
+                Ok(message) => {
+                    life.unread = 0;
+                    self.message(now, conn, message);
+                }
+                Err(why) => self.unread(now, conn, &why),
+            }
+        }
+    }
+
+    fn unread(&mut self, now: Duration, conn: Conn, why: &Unread) {
+        let Some(life) = self.lives.of.get_mut(&conn) else { return };
+        let readable = matches!(why, Unread::Spoilt(_));
+        life.unread = if readable { 0 } else { life.unread + 1 };
+        if life.role == Role::Unjoined || life.unread >= Self::UNREAD {
+            return self.turn_away(now, conn, &why.to_string());
+        }
+        self.spoilt(now, &why.to_string());
+    }
+
+    fn spoilt(&mut self, now: Duration, why: &str) {
+        self.say(now, "a message is not believed", why);
+    }
+
+    fn message(&mut self, now: Duration, conn: Conn, message: Message) {
+        let Some(role) = self.lives.of.get(&conn).map(|l| l.role) else { return };
+        match (message, role) {
+            (Message::Ping, _) => {
+                let mut pong = vec![];
+                put(&mut pong, &json!({"msg": "PONG"}));
+                self.outlet.write(conn, &pong);
+            }
+            (Message::Source { zone }, Role::Unjoined) => match self.roster.zone(&zone) {
+                Some(zone) => self.collector(now, conn, zone),
+                None => {
+                    self.turn_away(now, conn, &format!("a collector of zone {zone:?}, which is not stated"))
+                }
+            },
+            (Message::Join { proxy, zone, rate, bare }, Role::Unjoined) => {
+                let known = usize::try_from(proxy).is_ok_and(|p| p < self.proxies);
+                match (Proxy::try_from(proxy), self.roster.zone(&zone)) {
+                    (Ok(proxy), Some(zone)) if known => self.join(now, conn, proxy, zone, rate, bare),
+                    _ => {
+                        let why = format!("proxy {proxy} of zone {zone:?}, which does not exist");
+                        self.turn_away(now, conn, &why);
+                    }
+                }
+            }
+            (_, Role::Unjoined) => self.turn_away(now, conn, "a report without a joining"),
+            (Message::Met(met), Role::Collector(_)) => self.met(now, &met),
+            (Message::Came(came), role) => {
+                let proxy = Proxy::try_from(came.proxy).ok().filter(|p| usize::from(*p) < self.proxies);
+                let route = self.routes.iter().position(|r| *r == came.route);
+                match (proxy, route) {
+                    (Some(proxy), Some(route))
+                        if matches!(role, Role::Collector(_)) || role == Role::Proxy(proxy) =>
+                    {
+                        self.planner.came(now, route, came.calls);
+                        self.settle();
+                    }
+                    _ => {
+                        let why = format!("usage of route {:?} at proxy {}", came.route, came.proxy);
+                        self.spoilt(now, &why);
+                    }
+                }
+            }
+            (Message::Applied { proxy, mark }, Role::Proxy(own)) if proxy == u64::from(own) => {
+                self.applied(now, conn, mark);
+            }
+            (other, _) => self.spoilt(now, &format!("out of place: {other:?}")),
+        }
+    }
+
+    fn collector(&mut self, now: Duration, conn: Conn, zone: Zone) {
+        if let Some(life) = self.lives.of.get_mut(&conn) {
+            life.role = Role::Collector(zone);
+            life.frames.allow(MOST_BODY);
+        }
+        if let Some(spare) = self.lives.spare_collector(zone) {
+            self.turn_away(now, spare, "newer collectors of its zone have come");
+        }
+    }
+
+    fn join(&mut self, now: Duration, conn: Conn, proxy: Proxy, zone: Zone, rate: f64, bare: bool) {
+        if let Some(old) = self.joined.get(&proxy).map(|j| j.conn) {
+            // The newer holds; the old one's end is not missed any more.
+            self.outlet.close(old);
+            self.closed(old);
+        }
+        if let Some(life) = self.lives.of.get_mut(&conn) {
+            life.role = Role::Proxy(proxy);
+            life.frames.allow(MOST_BODY);
+        }
+        self.joined.insert(proxy, Joined { conn });
+        self.desk.joined(proxy);
+        self.planner.joined(now, proxy, zone, bare, rate);
+        self.settle();
+    }
+
+    fn met(&mut self, now: Duration, met: &Met) {
+        let (zone, server) = (self.roster.zone(&met.zone), self.servers.find(&met.server));
+        let (Some(from), Some(server)) = (zone, server) else {
+            let why = format!("sums of zone {:?} at server {:?}", met.zone, met.server);
+            return self.spoilt(now, &why);
+        };
+        let figure = |name: &String| met.report.iter().find(|f| f.0 == *name).map_or(f32::NAN, |f| f.1);
+        let report: Vec<f32> = self.fields.iter().map(figure).collect();
+        let report = if report.iter().all(|f| f.is_nan()) { vec![] } else { report };
+        let wait = met.wait_ms.map(|ms| Duration::from_secs_f64(ms / 1000.0));
+        let met = host::Met { from, tries: met.tries, dropped: met.dropped, wait, report: &report };
+        self.planner.met(now, server, &met);
+        self.settle();
+    }
+
+    fn applied(&mut self, now: Duration, conn: Conn, mark: u64) {
+        let Some(life) = self.lives.of.get_mut(&conn) else { return };
+        match life.marks.iter().position(|m| u64::from(*m) == mark) {
+            Some(i) => {
+                life.marks.drain(..=i);
+                self.planner.applied(now, mark as u16);
+                self.settle();
+            }
+            None => self.spoilt(now, &format!("an answer to mark {mark}, which is not open there")),
+        }
+    }
+
+    /// An answer to a call for the list, as the service gave it.
+    ///
+    /// # Errors
+    ///
+    /// It is no list: the call has failed.
+    pub fn list(&mut self, now: Duration, unix_ms: f64, asked: u64, body: &[u8]) -> Result<(), String> {
+        let list: Value = serde_json::from_slice(body).map_err(|e| format!("the list is not JSON: {e}"))?;
+        self.take_list(now, unix_ms, asked, &list).map(|ask_whole| {
+            if ask_whole {
+                self.outlet.ask_whole();
+            }
+        })
+    }
+
+    fn take_list(&mut self, now: Duration, unix_ms: f64, asked: u64, list: &Value) -> Result<bool, String> {
+        let judged = self.roster.take(now, unix_ms, asked, list)?;
+        for fault in &judged.faults {
+            self.say(now, "the list is not believed in part", fault);
+        }
+        let mut listed: Vec<Listed> = vec![];
+        for (id, entry) in judged.entries {
+            let desk = &self.desk;
+            let server = self.servers.enter(now, &id, |s| desk.holds(s));
+            if entry.phase == Phase::Gone {
+                self.servers.gone(now, server);
+            }
+            listed.push(Listed { server, ..entry });
+        }
+        // An answer that changes nothing is told once after the decisions asked, so that they know it was answered.
+        if std::mem::take(&mut self.asked) || !listed.is_empty() {
+            // What the list left out is among the entries as gone.
+            self.planner.list(now, false, &listed);
+            self.settle();
+        }
+        Ok(judged.ask_whole)
+    }
+
+    /// A call for the list failed, or its watch ended.
+    pub fn list_failed(&mut self, now: Duration, why: &str) {
+        self.say(now, "the list is out of reach", why);
+        self.asked = false;
+        self.planner.list_failed(now);
+        self.settle();
+    }
+
+    pub fn probed(&mut self, server: &str, result: Probed) {
+        if let Some(server) = self.servers.find(&server.to_string()) {
+            self.planner.probed(server, result);
+            self.settle();
+        }
+    }
+
+    /// Time has passed: wakes what is due and lets go who is overdue.
+    pub fn woken(&mut self, now: Duration) {
+        if now >= self.look_at {
+            self.look_at = now + Self::LOOK;
+            for conn in self.lives.overdue(now) {
+                self.turn_away(now, conn, "it did not join, or did not finish a message, in time");
+            }
+        }
+        for token in self.desk.wakes(now) {
+            self.planner.woken(now, token);
+            self.settle();
+        }
+    }
+
+    /// Ends a turn: one message for each proxy that it concerns.
+    fn settle(&mut self) {
+        let Station { desk, servers, outlet, planner, joined, lives, routes, roster, .. } = self;
+        let words = Words { routes, server: |s: Server| servers.id(s).as_str() };
+        // Many proxies are told the same.
+        let mut frames: BTreeMap<(Table, bool), Vec<u8>> = BTreeMap::new();
+        desk.settle(|proxy, told| {
+            let Some(joined) = joined.get(&proxy) else { return };
+            let frame = frames
+                .entry((told.table, told.bound.is_some()))
+                .or_insert_with(|| orders::frame(told, &words));
+            outlet.write(joined.conn, frame);
+            if let (Some(mark), Some(life)) = (told.mark, lives.of.get_mut(&joined.conn)) {
+                life.marks.push_back(mark);
+                // A proxy that answers none is not remembered for ever.
+                if life.marks.len() > 256 {
+                    life.marks.pop_front();
+                }
+            }
+        });
+        let probes: BTreeSet<Server> = desk.probes();
+        for server in probes {
+            let id = servers.id(server);
+            match roster.address(id) {
+                Some(address) => outlet.probe(id, address),
+                // Nowhere to dial is no answer.
+                None => planner.probed(server, Probed::Failed),
+            }
+        }
+        if desk.asks() {
+            self.asked = true;
+            self.outlet.watch();
+        }
+    }
+}
--- a/crates/start/src/main.rs
+++ b/crates/start/src/main.rs
@@ -1,4 +1,5 @@
-//! Builds the command line (`crates/cli`) where that is needed, and becomes it.
+//! Runs a planner on the platform's protocol itself; for all else it builds the command line (`crates/cli`) where that
+//! is needed, and becomes it.
 //!
 //! Operators build the adapter with a plain `cargo build --release`, which must not pull in the crates that
 //! the command line needs; so the binary that a plain `cargo run` finds is this one.
@@ -8,6 +9,10 @@
 use std::process::{Command, ExitCode};
 
 fn main() -> ExitCode {
+    if std::env::args_os().nth(1).is_some_and(|a| a == "platform") && std::env::args_os().len() == 2 {
+        grebespool_platform_run::log();
+        return grebespool_platform_run::run();
+    }
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../Cargo.toml");
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut program = Command::new(cargo);
--- a/crates/wirehost/src/frame.rs
+++ b/crates/wirehost/src/frame.rs
@@ -16,6 +16,12 @@
     }
 }
 
+impl From<grebespool_stated::Malformed> for Malformed {
+    fn from(stated: grebespool_stated::Malformed) -> Self {
+        Malformed(stated.0)
+    }
+}
+
 pub fn malformed<T>(what: impl Into<String>) -> Result<T, Malformed> {
     Err(Malformed(what.into()))
 }
--- a/crates/wirehost/src/hosted.rs
+++ b/crates/wirehost/src/hosted.rs
@@ -1,9 +1,9 @@
 //! Instances: events turned into calls on their planners, their orders into records.
 
 use crate::frame::{Address, Batch, ENTRY, Fields, Malformed, Reply, malformed};
-use crate::stated::Stated;
 use grebespool::decide::Planner;
 use grebespool::host::*;
+use grebespool_stated::Stated;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -152,7 +152,7 @@
     }
 
     fn born(&mut self, batch: &Batch, event: Fields, number: u32) -> Result<(), Malformed> {
-        let stated = Stated::read(batch.tail(event, 10, 1)?)?;
+        let stated = Stated::pairs(batch.tail(event, 10, 1)?)?;
         let door = Rc::new(RefCell::new(Doorway::default()));
         let born = batch.clock;
         let host = WireHost { instance: number, born, door: door.clone(), reply: self.reply.clone() };
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -2,4 +2,3 @@
 
 pub mod frame;
 pub mod hosted;
-pub mod stated;
