Take list version 0 as a version, so that the list is watched and not polled

A probe in the watch's loop printed each call: the whole list was asked for again and again. Ruled out: that discovery ended the watch (its answers came after the whole wait once asked since 0).

Change: the version is optional.

--- a/crates/platform-run/src/discovery.rs
+++ b/crates/platform-run/src/discovery.rs
@@ -36,15 +36,15 @@
     loop {
         let address = shared.watch.address.get();
         let since = shared.station.borrow().list_version();
-        let whole = shared.watch.whole.take() || since == 0;
-        let (path, limit) = match (whole, first) {
-            (true, _) => ("/v1/endpoints".to_string(), CALL_LIMIT),
+        let since = since.filter(|_| !shared.watch.whole.take());
+        let (path, limit) = match (since, first) {
+            (None, _) => ("/v1/endpoints".to_string(), CALL_LIMIT),
             // What was missed comes first, so that the decisions soon know that they were answered.
-            (false, true) => (format!("/v1/endpoints?since={since}&timeout_ms=1"), CALL_LIMIT),
-            (false, false) => (
-                format!("/v1/endpoints?since={since}&timeout_ms={}", WAIT.as_millis()),
-                WAIT + ANSWERS_WITHIN,
-            ),
+            (Some(since), true) => (format!("/v1/endpoints?since={since}&timeout_ms=1"), CALL_LIMIT),
+            (Some(since), false) => {
+                let path = format!("/v1/endpoints?since={since}&timeout_ms={}", WAIT.as_millis());
+                (path, WAIT + ANSWERS_WITHIN)
+            }
         };
         let began = Instant::now();
         let answer = tokio::select! {
@@ -62,8 +62,7 @@
         };
         match answer {
             Ok((200, body)) => {
-                let asked = if whole { 0 } else { since };
-                let taken = shared.call(|station, now| station.list(now, unix_ms(), asked, &body));
+                let taken = shared.call(|station, now| station.list(now, unix_ms(), since, &body));
                 if let Err(why) = taken {
                     return why;
                 }
--- a/crates/platform-run/src/lib.rs
+++ b/crates/platform-run/src/lib.rs
@@ -243,7 +243,7 @@
         sleep(Duration::from_secs(10)).await;
         let [joined, unjoined, listed, ready, indices] = shared.station.borrow().counts();
         let version = shared.station.borrow().list_version();
-        info!(joined, unjoined, listed, ready, indices, version, "standing");
+        info!(joined, unjoined, listed, ready, indices, ?version, "standing");
     }
 }
 
--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -19,7 +19,7 @@
 /// The list by the servers' ids; addresses are only where to dial.
 pub struct Roster {
     zones: Vec<String>,
-    version: u64,
+    version: Option<u64>,
     known: BTreeMap<String, Known>,
 }
 
@@ -44,10 +44,11 @@
     const AHEAD: f64 = 3_600_000.0;
 
     pub fn new(zones: Vec<String>) -> Self {
-        Roster { zones, version: 0, known: BTreeMap::new() }
+        Roster { zones, version: None, known: BTreeMap::new() }
     }
 
-    pub fn version(&self) -> u64 {
+    /// Unset before any list came; the first may well be number 0.
+    pub fn version(&self) -> Option<u64> {
         self.version
     }
 
@@ -93,7 +94,13 @@
     /// # Errors
     ///
     /// It is no list at all.
-    pub fn take(&mut self, now: Duration, unix_ms: f64, asked: u64, list: &Value) -> Result<Judged, String> {
+    pub fn take(
+        &mut self,
+        now: Duration,
+        unix_ms: f64,
+        asked: Option<u64>,
+        list: &Value,
+    ) -> Result<Judged, String> {
         let Value::Object(of) = list else { return Err("the list is no object".into()) };
         let fields = Fields { kind: "the list", of };
         let version = match of.get("version").and_then(Value::as_u64) {
@@ -106,10 +113,10 @@
         };
         let mut judged = Judged::default();
         // Changes since something else than what is known: the service began anew, or mixed up its watchers.
-        let back = !full && version < asked;
+        let back = !full && asked.is_none_or(|asked| version < asked);
         judged.ask_whole = back;
         if back {
-            judged.faults.push(format!("changes up to version {version}, asked since {asked}"));
+            judged.faults.push(format!("changes up to version {version}, asked since {asked:?}"));
         }
         let mut named = BTreeSet::new();
         for item in items {
@@ -142,7 +149,7 @@
                 self.gone(id, &mut judged);
             }
         }
-        self.version = if back { self.version } else { version };
+        self.version = if back { self.version } else { Some(version) };
         Ok(judged)
     }
 
--- a/crates/platform/src/station.rs
+++ b/crates/platform/src/station.rs
@@ -85,7 +85,7 @@
             look_at: Duration::ZERO,
         };
         if let Some(known) = terms.known {
-            if let Err(why) = station.take_list(Duration::ZERO, unix_ms, 0, &known) {
+            if let Err(why) = station.take_list(Duration::ZERO, unix_ms, None, &known) {
                 station.say(Duration::ZERO, "the list from before the start", &why);
             }
         }
@@ -97,7 +97,7 @@
         self.desk.due().map_or(self.look_at, |due| due.min(self.look_at))
     }
 
-    pub fn list_version(&self) -> u64 {
+    pub fn list_version(&self) -> Option<u64> {
         self.roster.version()
     }
 
@@ -307,7 +307,13 @@
     /// # Errors
     ///
     /// It is no list: the call has failed.
-    pub fn list(&mut self, now: Duration, unix_ms: f64, asked: u64, body: &[u8]) -> Result<(), String> {
+    pub fn list(
+        &mut self,
+        now: Duration,
+        unix_ms: f64,
+        asked: Option<u64>,
+        body: &[u8],
+    ) -> Result<(), String> {
         let list: Value = serde_json::from_slice(body).map_err(|e| format!("the list is not JSON: {e}"))?;
         self.take_list(now, unix_ms, asked, &list).map(|ask_whole| {
             if ask_whole {
@@ -316,7 +322,13 @@
         })
     }
 
-    fn take_list(&mut self, now: Duration, unix_ms: f64, asked: u64, list: &Value) -> Result<bool, String> {
+    fn take_list(
+        &mut self,
+        now: Duration,
+        unix_ms: f64,
+        asked: Option<u64>,
+        list: &Value,
+    ) -> Result<bool, String> {
         let judged = self.roster.take(now, unix_ms, asked, list)?;
         for fault in &judged.faults {
             self.say(now, "the list is not believed in part", fault);
