--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -50,6 +50,8 @@
         #[arg(long, value_name = "KEY_FILE", requires = "record")]
         cloak: Option<PathBuf>,
     },
+    /// Run a planner as the platform starts it: GW_CONFIG names its file (docs/operators/platform.md)
+    Platform,
     /// Play a day on loopback and check the five rules; exit 0: kept, 1: one broken, 2: bad input
     Rehearse {
         /// A day file; the built-in bad day if left out
@@ -116,6 +118,7 @@
         Command::Serve { settings, listen, record, cloak } => {
             serve::serve(&settings, listen, record.as_deref(), cloak.as_deref())
         }
+        Command::Platform => Ok(grebespool_platform_run::run()),
         Command::Rehearse { day, planner, seed, record } => {
             rehearse::rehearse(day.as_deref(), planner, seed, record.as_deref())
         }
@@ -155,7 +158,8 @@
 
 fn log_to_stderr(cli: &Cli) -> Result<(), String> {
     // A rehearsal shows its own progress; a planner's log is for its operators.
-    let usual = if matches!(cli.command, Command::Serve { .. }) { "info" } else { "error" };
+    let usual =
+        if matches!(cli.command, Command::Serve { .. } | Command::Platform) { "info" } else { "error" };
     let text = cli.log.as_deref().unwrap_or(usual);
     let filter = EnvFilter::try_new(text).map_err(|e| format!("--log {text:?}: {e}"))?;
     let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -3,16 +3,16 @@
 use crate::admission::Admission;
 use crate::channel::{Channel, Overrun};
 use crate::confirm::Confirm;
-use crate::door::{Proxies, Servers};
+use crate::door::Proxies;
 use crate::gather::Gather;
 use crate::trust::{ListSense, ReportSense, Untrusted};
 use grebespool::decide::Planner;
 use grebespool::host::*;
+use grebespool_books::{Desk, Servers};
 use grebespool_wire as wire;
 use grebespool_wire::{Cause, Entry, Level, MetLine, Order, Orders, Reason, ServerId};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
-use std::rc::Rc;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -76,70 +76,10 @@
     Zones,
 }
 
-#[derive(Default)]
-struct Book {
-    version: u64,
-    lines: BTreeMap<Server, f32>,
-    changed: BTreeSet<Server>,
-}
-
 struct Joined {
     stream: StreamId,
     zone: Zone,
     seq: u64,
-    table: Option<(Table, RouteSet)>,
-    /// Bound in this turn: a whole table is due.
-    fresh: bool,
-}
-
-/// What is ordered, as it stands. The decisions write it through [`Host`]; the engine sends what changed.
-#[derive(Default)]
-struct Books {
-    tables: BTreeMap<Table, Book>,
-    levels: BTreeMap<RouteSet, (f32, Tries)>,
-    levels_changed: BTreeSet<RouteSet>,
-    proxies: BTreeMap<Proxy, Joined>,
-    mark: Option<u16>,
-    wakes: BTreeSet<(Duration, u32)>,
-    probes: BTreeSet<Server>,
-    ask: bool,
-}
-
-#[derive(Clone, Default)]
-struct Desk(Rc<RefCell<Books>>);
-
-impl Host for Desk {
-    fn wake(&mut self, at: Duration, token: u32) {
-        self.0.borrow_mut().wakes.insert((at, token));
-    }
-    fn set_line(&mut self, table: Table, server: Server, weight: f32) {
-        let mut books = self.0.borrow_mut();
-        let book = books.tables.entry(table).or_default();
-        match weight > 0.0 {
-            true => book.lines.insert(server, weight),
-            false => book.lines.remove(&server),
-        };
-        book.changed.insert(server);
-    }
-    fn bind(&mut self, proxy: Proxy, table: Table, routes: RouteSet) {
-        if let Some(joined) = self.0.borrow_mut().proxies.get_mut(&proxy) {
-            (joined.table, joined.fresh) = (Some((table, routes)), true);
-        }
-    }
-    fn admit(&mut self, routes: RouteSet, level: f32, tries: Tries) {
-        let mut books = self.0.borrow_mut();
-        books.levels.insert(routes, (level, tries));
-        books.levels_changed.insert(routes);
-    }
-    fn mark(&mut self, number: u16) {
-        self.0.borrow_mut().mark = Some(number);
-    }
-    fn probe(&mut self, server: Server) {
-        self.0.borrow_mut().probes.insert(server);
-    }
-    fn watch_list(&mut self) {
-        self.0.borrow_mut().ask = true;
-    }
 }
 
 pub struct Engine<O> {
@@ -149,7 +89,8 @@
     routes: usize,
     fields: Vec<Field>,
     planner: Planner<Desk>,
-    books: Rc<RefCell<Books>>,
+    desk: Desk,
+    joined: BTreeMap<Proxy, Joined>,
     channel: Channel,
     list: ListSense,
     reports: ReportSense,
@@ -159,7 +100,7 @@
     admission: Admission,
     confirm: Confirm,
     woken_at: Duration,
-    servers: Servers,
+    servers: Servers<ServerId>,
     proxies: Proxies,
     streams: BTreeMap<StreamId, Proxy>,
     /// Servers that drain, since when this planner has known.
@@ -172,6 +113,7 @@
 
 impl<O: Outlet> Engine<O> {
     const STALLED: Duration = Duration::from_millis(400);
+    const FORGET: Duration = Duration::from_secs(600);
 
     /// Starts with nothing known: the list is asked for at once, and no proxy is bound before one came.
     ///
@@ -203,10 +145,9 @@
             return Err(Unsupported::Zones);
         }
         let desk = Desk::default();
-        let books = desk.0.clone();
         let (n, fields, tell_every) = (routes.len(), sight.fields.clone(), sight.cycle / 4);
         let window = if pace.window.is_zero() { Duration::from_secs(10) } else { pace.window };
-        let planner = Planner::start(desk, start.seed, routes, plane, graces, pace, sight);
+        let planner = Planner::start(desk.clone(), start.seed, routes, plane, graces, pace, sight);
         outlet.ask_list(0);
         Ok(Engine {
             outlet,
@@ -215,7 +156,8 @@
             routes: n,
             fields,
             planner,
-            books,
+            desk,
+            joined: BTreeMap::new(),
             channel: Channel::new(pace),
             list: ListSense::new(zones, bounds.servers),
             reports: ReportSense::default(),
@@ -225,7 +167,7 @@
             admission: Admission::new(bounds.joins, window),
             confirm: Confirm::new(bounds.unconfirmed),
             woken_at: Duration::ZERO,
-            servers: Servers::default(),
+            servers: Servers::new(Self::FORGET),
             proxies: Proxies::default(),
             streams: BTreeMap::new(),
             drains: BTreeMap::new(),
@@ -238,7 +180,7 @@
     /// the first list and before any join.
     pub fn recall(&mut self, weights: &BTreeMap<ServerId, f64>) {
         for (id, weight) in weights {
-            if let Some(server) = self.servers.find(*id).filter(|_| self.list.lists(*id)) {
+            if let Some(server) = self.servers.find(id).filter(|_| self.list.lists(*id)) {
                 self.planner.recall(server, *weight);
             }
         }
@@ -246,7 +188,7 @@
 
     /// What it has learnt of servers, each as a multiple of its pool's mean.
     pub fn learnt(&self) -> Vec<(ServerId, f64)> {
-        let learnt = self.planner.learnt().into_iter().map(|(s, w)| (self.servers.id(s), w));
+        let learnt = self.planner.learnt().into_iter().map(|(s, w)| (*self.servers.id(s), w));
         learnt.filter(|(id, _)| self.list.lists(*id)).collect()
     }
 
@@ -264,8 +206,7 @@
 
     /// Joined proxies by name, and the last message that each is known to have in force; 0 for none.
     pub fn in_force(&self) -> Vec<(String, u64)> {
-        let books = self.books.borrow();
-        let stream = |proxy: Proxy| books.proxies.get(&proxy).map(|j| j.stream);
+        let stream = |proxy: Proxy| self.joined.get(&proxy).map(|j| j.stream);
         let joined = self.proxies.names().filter_map(|(name, proxy)| Some((name, stream(proxy)?)));
         joined.map(|(name, s)| (name.into(), self.applied.get(&s).copied().unwrap_or(0))).collect()
     }
@@ -290,8 +231,10 @@
 
     /// When [`Engine::woken`] is to be called next.
     pub fn due(&self) -> Duration {
-        let wake = self.books.borrow().wakes.first().map(|w| w.0);
-        [wake, self.channel.due(), self.confirm.due()].into_iter().flatten().fold(self.tell_at, Duration::min)
+        [self.desk.due(), self.channel.due(), self.confirm.due()]
+            .into_iter()
+            .flatten()
+            .fold(self.tell_at, Duration::min)
     }
 
     /// A proxy that showed the key asks to join. Gives whether it may; if not, it was told why.
@@ -307,12 +250,12 @@
             let text = format!("joins too often; again in {} ms", wait.as_millis());
             return self.turn_away(stream, Reason::Busy, &text);
         }
-        let old = self.books.borrow().proxies.get(&proxy).map(|j| j.stream);
+        let old = self.joined.get(&proxy).map(|j| j.stream);
         if let Some(old) = old {
             self.cut(old, Reason::Superseded, "the same name has joined on a newer stream");
         }
-        let joined = Joined { stream, zone, seq: 0, table: None, fresh: false };
-        self.books.borrow_mut().proxies.insert(proxy, joined);
+        self.joined.insert(proxy, Joined { stream, zone, seq: 0 });
+        self.desk.joined(proxy);
         self.streams.insert(stream, proxy);
         self.outlet.welcome(stream);
         self.planner.joined(now, proxy, zone, arrival.bare, f64::from(arrival.rate.max(0.0)));
@@ -335,7 +278,8 @@
     /// The stream ended, for whatever reason.
     pub fn left(&mut self, stream: StreamId) {
         if let Some(proxy) = self.streams.remove(&stream) {
-            self.books.borrow_mut().proxies.remove(&proxy);
+            self.joined.remove(&proxy);
+            self.desk.left(proxy);
             self.channel.drop_stream(stream);
             self.confirm.ended(stream);
             self.applied.remove(&stream);
@@ -363,10 +307,10 @@
 
     pub fn sums(&mut self, stream: StreamId, met: &[MetLine], came: &[wire::CameLine]) {
         let Some(proxy) = self.streams.get(&stream) else { return };
-        let Some(zone) = self.books.borrow().proxies.get(proxy).map(|j| j.zone) else { return };
+        let Some(zone) = self.joined.get(proxy).map(|j| j.zone) else { return };
         let mut wrong = 0;
         for m in met {
-            let Some(server) = self.servers.find(m.server).filter(|_| self.list.lists(m.server)) else {
+            let Some(server) = self.servers.find(&m.server).filter(|_| self.list.lists(m.server)) else {
                 continue;
             };
             if m.dropped > m.tries || m.tries > ReportSense::MOST_TRIES {
@@ -386,10 +330,10 @@
 
     /// The list, whole (`base` 0) or its changes since `base`, sent at `now_ms` by its own clock.
     pub fn list(&mut self, now: Duration, version: u64, base: u64, now_ms: u64, entries: &[Entry]) {
-        let (servers, reports) = (&mut self.servers, &mut self.reports);
+        let (servers, reports, desk) = (&mut self.servers, &mut self.reports, &self.desk);
         let mut listed = vec![];
         let taken = self.list.take(now, (version, base, now_ms), entries, |id, entry| {
-            let server = servers.enter(now, id);
+            let server = servers.enter(now, &id, |s| desk.holds(s));
             if entry.phase == Phase::Gone {
                 servers.gone(now, server);
                 reports.forget(server);
@@ -427,7 +371,7 @@
     }
 
     pub fn probed(&mut self, now: Duration, server: ServerId, result: Probed) {
-        if let Some(server) = self.servers.find(server) {
+        if let Some(server) = self.servers.find(&server) {
             self.planner.probed(server, result);
             self.settle(now, Cause::Interval);
         }
@@ -456,13 +400,7 @@
                 |route, calls| planner.borrow_mut().came(now, route, calls),
             );
         }
-        let due: Vec<(Duration, u32)> = {
-            let wakes = &mut self.books.borrow_mut().wakes;
-            let later = wakes.split_off(&(now + Duration::from_nanos(1), 0));
-            std::mem::replace(wakes, later).into_iter().collect()
-        };
-        let tokens: BTreeSet<u32> = due.into_iter().map(|w| w.1).collect();
-        for token in tokens {
+        for token in self.desk.wakes(now) {
             self.planner.woken(now, token);
             self.settle(now, Cause::Interval);
         }
@@ -477,58 +415,41 @@
 
     /// Makes one message for each proxy concerned of what this turn changed.
     fn settle(&mut self, now: Duration, cause: Cause) {
-        let (mut messages, probes, ask) = {
-            let books = &mut *self.books.borrow_mut();
-            let changed = books.tables.values_mut().filter(|b| !b.changed.is_empty());
-            changed.for_each(|b| b.version += 1);
-            let mut messages = vec![];
-            for joined in books.proxies.values_mut() {
-                let Some((table, routes)) = joined.table else { continue };
-                let book = books.tables.entry(table).or_default();
-                let level = |(routes, l): (&RouteSet, &(f32, Tries))| Level {
-                    routes: *routes,
-                    share: l.0,
-                    tries: tries(l.1),
+        let Engine { desk, joined, servers, list, start, .. } = self;
+        let mut messages = vec![];
+        desk.settle(|proxy, told| {
+            let Some(joined) = joined.get_mut(&proxy) else { return };
+            let (table, version) = (told.table, told.version);
+            let levels = told.levels.iter().map(|l| Level { routes: l.0, share: l.1, tries: tries(l.2) });
+            let (mut parts, mut cost): (Vec<Order>, usize);
+            if let Some(routes) = told.bound {
+                let lines: Vec<_> = told.lines.iter().map(|(s, w)| (*servers.id(*s), *w)).collect();
+                cost = 1 + lines.len() + levels.len();
+                parts = vec![Order::Bind { table, version, routes, lines, levels: levels.collect() }];
+            } else {
+                let line = |(s, weight): &(Server, f32)| {
+                    let (server, weight) = (*servers.id(*s), *weight);
+                    Order::Line { table, version, server, weight }
                 };
-                let version = book.version;
-                let (mut parts, cost);
-                if std::mem::take(&mut joined.fresh) {
-                    let lines: Vec<_> = book.lines.iter().map(|(s, w)| (self.servers.id(*s), *w)).collect();
-                    let levels: Vec<Level> = books.levels.iter().map(level).collect();
-                    cost = 1 + lines.len() + levels.len();
-                    parts = vec![Order::Bind { table, version, routes, lines, levels }];
-                } else {
-                    let line = |s: &Server| {
-                        let weight = book.lines.get(s).copied().unwrap_or(0.0);
-                        Order::Line { table, version, server: self.servers.id(*s), weight }
-                    };
-                    parts = book.changed.iter().map(line).collect();
-                    let changed = books.levels.iter().filter(|l| books.levels_changed.contains(l.0));
-                    parts.extend(changed.map(level).map(Order::Level));
-                    cost = parts.len();
-                }
-                if parts.is_empty() {
-                    continue;
-                }
-                parts.extend(books.mark.map(Order::Mark));
-                joined.seq += 1;
-                let orders = Orders {
-                    epoch: self.start.epoch,
-                    start: self.start.id,
-                    stream: joined.stream,
-                    seq: joined.seq,
-                    ordered_us: now.as_micros() as u64,
-                    list: self.list.version(),
-                    cause,
-                    parts,
-                };
-                messages.push((joined.stream, orders, cost + usize::from(books.mark.is_some())));
+                parts = told.lines.iter().map(line).collect();
+                parts.extend(levels.map(Order::Level));
+                cost = parts.len();
             }
-            books.tables.values_mut().for_each(|b| b.changed.clear());
-            books.levels_changed.clear();
-            books.mark = None;
-            (messages, std::mem::take(&mut books.probes), std::mem::take(&mut books.ask))
-        };
+            parts.extend(told.mark.map(Order::Mark));
+            cost += usize::from(told.mark.is_some());
+            joined.seq += 1;
+            let orders = Orders {
+                epoch: start.epoch,
+                start: start.id,
+                stream: joined.stream,
+                seq: joined.seq,
+                ordered_us: now.as_micros() as u64,
+                list: list.version(),
+                cause,
+                parts,
+            };
+            messages.push((joined.stream, orders, cost));
+        });
         for (stream, orders, lines) in messages.drain(..) {
             if let Err(overrun) = self.channel.put(now, stream, orders, lines) {
                 let text = match overrun {
@@ -539,8 +460,8 @@
                 self.cut(stream, Reason::Busy, text);
             }
         }
-        probes.into_iter().for_each(|s| self.outlet.probe(self.servers.id(s)));
-        if ask {
+        self.desk.probes().into_iter().for_each(|s| self.outlet.probe(*self.servers.id(s)));
+        if self.desk.asks() {
             self.outlet.ask_list(self.list.version());
         }
         self.leave(now);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,12 +11,10 @@
 mod door;
 mod engine;
 mod gather;
-mod patience;
 mod trust;
 
 pub use admission::Admission;
 pub use channel::{Channel, Overrun};
 pub use confirm::Confirm;
 pub use engine::{Arrival, Bounds, Engine, Outlet, Start, StreamId, Unsupported};
-pub use patience::{Patience, Verdict};
 pub use trust::{ListSense, ReportSense, Untrusted};
--- a/crates/outgoing/src/lib.rs
+++ b/crates/outgoing/src/lib.rs
@@ -30,6 +30,7 @@
     /// Nothing more is taken; what waits is written if that goes in time.
     closing: Cell<bool>,
     changed: Notify,
+    cut: Notify,
 }
 
 impl Outgoing {
@@ -39,6 +40,7 @@
             patience: RefCell::new(patience),
             closing: Cell::new(false),
             changed: Notify::new(),
+            cut: Notify::new(),
         }
     }
 
@@ -55,8 +57,26 @@
         self.changed.notify_one();
     }
 
+    /// Ends at once, whatever waits: a reader that takes nothing would keep its connection until it is too slow.
+    pub fn cut(&self) {
+        self.closing.set(true);
+        self.cut.notify_one();
+    }
+
+    /// Bytes that wait.
+    pub fn waiting(&self) -> usize {
+        self.bytes.borrow().len()
+    }
+
     /// Writes until the connection is closed, breaks, or is too slow.
-    pub async fn write(&self, mut to: OwnedWriteHalf, began: Instant) -> Ended {
+    pub async fn write(&self, to: OwnedWriteHalf, began: Instant) -> Ended {
+        tokio::select! {
+            ended = self.write_all(to, began) => ended,
+            () = self.cut.notified() => Ended::Closed,
+        }
+    }
+
+    async fn write_all(&self, mut to: OwnedWriteHalf, began: Instant) -> Ended {
         loop {
             // A part at a time: a whole buffer handed to the system at once would tell nothing of progress.
             let part: Vec<u8> = self.bytes.borrow().iter().take(16 << 10).copied().collect();
--- a/crates/planner/src/stream.rs
+++ b/crates/planner/src/stream.rs
@@ -2,7 +2,8 @@
 
 use crate::Shared;
 use crate::outgoing::Outgoing;
-use grebespool_engine::{Arrival, Patience, StreamId};
+use grebespool_engine::{Arrival, StreamId};
+use grebespool_outgoing::Patience;
 use grebespool_wire::{Inbox, MOST_BODY, MOST_BODY_UNJOINED, Message, Reason, Role, VERSION};
 use rand::RngCore;
 use std::net::SocketAddr;
--- a/crates/platform-run/src/discovery.rs
+++ b/crates/platform-run/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::http::{Client, get};
 use crate::{Shared, unix_ms};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -20,21 +21,28 @@
 /// Watches the list whenever that is asked, until it fails: then it is for the decisions to ask again.
 pub async fn follow(shared: Rc<Shared>) {
     let mut kept: Option<Client> = None;
+    let mut place = shared.watch.address.get();
     loop {
         while !shared.watch.asked.take() {
             shared.watch.come.notified().await;
         }
-        let why = watch(&shared, &mut kept).await;
+        let why = watch(&shared, &mut kept, &mut place).await;
         kept = None;
         shared.call(|station, now| station.list_failed(now, &why));
     }
 }
 
 /// Gives why it ended.
-async fn watch(shared: &Rc<Shared>, kept: &mut Option<Client>) -> String {
+async fn watch(shared: &Rc<Shared>, kept: &mut Option<Client>, place: &mut SocketAddr) -> String {
     let mut first = true;
     loop {
         let address = shared.watch.address.get();
+        if std::mem::replace(place, address) != address {
+            info!(%address, "the list is asked at another address");
+            // The versions of another service need not go on from here.
+            shared.watch.whole.set(true);
+            first = true;
+        }
         let since = shared.station.borrow().list_version();
         let since = since.filter(|_| !shared.watch.whole.take());
         let (path, limit) = match (since, first) {
@@ -50,12 +58,6 @@
         let answer = tokio::select! {
             answer = get(kept, address, &path, limit) => answer,
             () = shared.watch.moved.notified() => {
-                if shared.watch.address.get() != address {
-                    info!(address = %shared.watch.address.get(), "the list is asked at another address");
-                    // The versions of another service need not go on from here.
-                    shared.watch.whole.set(true);
-                    first = true;
-                }
                 *kept = None;
                 continue;
             }
--- a/crates/platform-run/src/lib.rs
+++ b/crates/platform-run/src/lib.rs
@@ -70,7 +70,8 @@
     }
     fn close(&mut self, conn: Conn) {
         if let Some(out) = self.streams.borrow().get(&conn) {
-            out.close();
+            // A few words go out with it; a reader that has left much untaken takes none of them.
+            if out.waiting() > 1 << 10 { out.cut() } else { out.close() }
         }
     }
     fn probe(&mut self, server: &str, address: SocketAddr) {
--- a/crates/platform/src/frames.rs
+++ b/crates/platform/src/frames.rs
@@ -46,7 +46,7 @@
     /// # Errors
     ///
     /// What comes cannot be frames, as soon as that shows.
-    pub fn next(&mut self) -> Result<Option<&[u8]>, NotFrames> {
+    pub fn body(&mut self) -> Result<Option<&[u8]>, NotFrames> {
         let rest = &self.bytes[self.taken..];
         let Some(head) = rest.first_chunk::<4>() else {
             // A long message's first byte tells already.
--- a/crates/platform/src/station.rs
+++ b/crates/platform/src/station.rs
@@ -84,10 +84,10 @@
             asked: false,
             look_at: Duration::ZERO,
         };
-        if let Some(known) = terms.known {
-            if let Err(why) = station.take_list(Duration::ZERO, unix_ms, None, &known) {
-                station.say(Duration::ZERO, "the list from before the start", &why);
-            }
+        if let Some(known) = terms.known
+            && let Err(why) = station.take_list(Duration::ZERO, unix_ms, None, &known)
+        {
+            station.say(Duration::ZERO, "the list from before the start", &why);
         }
         station
     }
@@ -161,15 +161,16 @@
     pub fn came(&mut self, now: Duration, conn: Conn, bytes: &[u8]) {
         let Some(life) = self.lives.of.get_mut(&conn) else { return };
         life.heard_at = now;
+        if life.role != Role::Unjoined && !life.frames.half() {
+            // From a message's first byte, however long nothing came before it.
+            life.since = now;
+        }
         life.frames.take(bytes);
         loop {
             // A connection may be closed by what it said.
             let Some(life) = self.lives.of.get_mut(&conn) else { return };
-            let read = match life.frames.next() {
-                Ok(None) => {
-                    // A joined connection's half message counts from its first byte.
-                    return;
-                }
+            let read = match life.frames.body() {
+                Ok(None) => return,
                 Ok(Some(body)) => message::read(body),
                 Err(not) => return self.turn_away(now, conn, &not.to_string()),
             };
@@ -348,7 +349,8 @@
             self.planner.list(now, false, &listed);
             self.settle();
         }
-        Ok(judged.ask_whole)
+        // A whole list that is wrong in part would be wrong again.
+        Ok(judged.ask_whole && asked.is_some())
     }
 
     /// A call for the list failed, or its watch ended.
--- /dev/null
+++ b/crates/platform/tests/frames.rs
@@ -0,0 +1,142 @@
+//! Bytes to messages: any split, any truncation, and what cannot be.
+
+use grebespool_platform::{Frames, Message, NotFrames, Unread, read};
+use proptest::prelude::*;
+use rstest::rstest;
+use serde_json::json;
+
+fn framed(body: &str) -> Vec<u8> {
+    [&(body.len() as u32).to_be_bytes()[..], body.as_bytes()].concat()
+}
+
+fn taken(frames: &mut Frames) -> Result<Vec<Vec<u8>>, NotFrames> {
+    let mut bodies = vec![];
+    while let Some(body) = frames.body()? {
+        bodies.push(body.to_vec());
+    }
+    Ok(bodies)
+}
+
+#[rstest]
+fn every_split_gives_the_same_messages() {
+    let bodies = [r#"{"msg":"PING"}"#, "{}", r#"{"msg":"ACK","node":1,"nonce":2,"latency":3.5}"#];
+    let all: Vec<u8> = bodies.iter().flat_map(|b| framed(b)).collect();
+    for first in 0..all.len() {
+        for second in first..all.len() {
+            let mut frames = Frames::new(1 << 20);
+            let mut got = vec![];
+            for part in [&all[..first], &all[first..second], &all[second..]] {
+                frames.take(part);
+                got.extend(taken(&mut frames).unwrap());
+            }
+            assert_eq!(got, bodies.map(|b| b.as_bytes().to_vec()), "{first} {second}");
+            assert!(!frames.half());
+        }
+    }
+}
+
+#[rstest]
+fn a_message_cut_short_anywhere_is_none() {
+    let all = framed(r#"{"msg":"SOURCE","locality":"north"}"#);
+    for length in 0..all.len() {
+        let mut frames = Frames::new(1 << 20);
+        frames.take(&all[..length]);
+        assert_eq!((taken(&mut frames), frames.half()), (Ok(vec![]), length > 0));
+    }
+}
+
+#[rstest]
+#[case::nothing_in_it(&[0, 0, 0, 0], NotFrames::Empty)]
+#[case::too_long(&[0, 0, 16, 1], NotFrames::Long { length: 4097, most: 4096 })]
+#[case::http(b"G", NotFrames::Long { length: 0x4700_0000, most: 4096 })]
+#[case::no_object(&[0, 0, 0, 9, b'['], NotFrames::Start(b'['))]
+fn what_cannot_be_frames_is_known_by_its_first_bytes(#[case] bytes: &[u8], #[case] why: NotFrames) {
+    let mut frames = Frames::new(4096);
+    frames.take(bytes);
+    assert_eq!(taken(&mut frames), Err(why));
+}
+
+fn good(kind: &str) -> serde_json::Value {
+    match kind {
+        "LOAD" => {
+            json!({"msg": "LOAD", "locality": "a", "endpoint": "s", "total": 4, "errors": 1, "rtt": 20.5,
+                         "interval": 500.0, "metrics": {"cpu_share": 0.5}})
+        }
+        "RATE" => json!({"msg": "RATE", "node": 2, "route": "r", "total": 4, "errors": 0, "interval": 500.0}),
+        "ACK" => json!({"msg": "ACK", "node": 2, "nonce": 7, "latency": 100.25}),
+        _ => json!({"msg": "SUBSCRIBE", "node": 2, "locality": "a", "w": 1.5, "cold": false}),
+    }
+}
+
+#[rstest]
+#[case::sums_left_out("LOAD", "total", json!(null), "is no figure")]
+#[case::more_errors("LOAD", "errors", json!(5), "is above the total")]
+#[case::errors_below_nought("LOAD", "errors", json!(-1), "is out of range")]
+#[case::half_a_try("LOAD", "total", json!(4.5), "is no whole number")]
+#[case::far_too_many("LOAD", "total", json!(1e12), "is out of range")]
+#[case::time_below_nought("LOAD", "rtt", json!(-0.1), "is out of range")]
+#[case::time_without_end("LOAD", "rtt", json!(1e300), "is out of range")]
+#[case::no_interval("LOAD", "interval", json!(0), "is nought")]
+#[case::server_of_another_type("LOAD", "endpoint", json!(["s"]), "is no text")]
+#[case::report_of_another_type("LOAD", "metrics", json!(3), "is no object")]
+#[case::report_below_nought("LOAD", "metrics", json!({"cpu_share": -1}), "is out of range")]
+#[case::report_as_text("LOAD", "metrics", json!({"cpu_share": "0.5"}), "is no figure")]
+#[case::usage_as_text("RATE", "total", json!("4"), "is no figure")]
+#[case::usage_of_a_negative("RATE", "node", json!(-2), "is out of range")]
+#[case::usage_of_no_route("RATE", "route", json!(null), "is no text")]
+#[case::mark_as_text("ACK", "nonce", json!("7"), "is no figure")]
+#[case::mark_in_parts("ACK", "nonce", json!(7.5), "is no whole number")]
+#[case::late_below_nought("ACK", "latency", json!(-5), "is out of range")]
+#[case::cold_as_number("SUBSCRIBE", "cold", json!(1), "is neither true nor false")]
+#[case::rate_as_text("SUBSCRIBE", "w", json!("1"), "is no figure")]
+fn a_spoilt_field_spoils_its_message(
+    #[case] kind: &str,
+    #[case] field: &str,
+    #[case] value: serde_json::Value,
+    #[case] fault: &str,
+) {
+    let mut message = good(kind);
+    assert!(read(message.to_string().as_bytes()).is_ok());
+    message[field] = value;
+    let Err(Unread::Spoilt(spoilt)) = read(message.to_string().as_bytes()) else { panic!("{message}") };
+    assert_eq!(spoilt.fault, fault);
+    message.as_object_mut().unwrap().remove(field);
+    let optional = field == "metrics";
+    assert_eq!(read(message.to_string().as_bytes()).is_ok(), optional);
+}
+
+#[rstest]
+#[case::none_answered(json!({"total": 2, "errors": 2, "rtt": 0.0}), None)]
+#[case::none_answered_and_no_time(json!({"total": 2, "errors": 2, "rtt": null}), None)]
+#[case::answered(json!({"total": 3, "errors": 2, "rtt": 9.5}), Some(9.5))]
+fn what_good_collectors_send_is_taken(#[case] fields: serde_json::Value, #[case] wait: Option<f64>) {
+    let mut message = good("LOAD");
+    fields.as_object().unwrap().iter().for_each(|(k, v)| message[k] = v.clone());
+    let Ok(Message::Met(met)) = read(message.to_string().as_bytes()) else { panic!("{message}") };
+    assert_eq!(met.wait_ms, wait);
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_do_harm(parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..20)) {
+        let mut frames = Frames::new(4096);
+        for part in parts {
+            frames.take(&part);
+            match taken(&mut frames) {
+                Ok(bodies) => bodies.iter().for_each(|b| drop(read(b))),
+                Err(_) => break,
+            }
+        }
+    }
+
+    #[test]
+    fn no_object_does_harm(field in "[a-z]{1,9}", text in "\\PC{0,40}", number in any::<f64>()) {
+        for kind in ["LOAD", "RATE", "ACK", "SUBSCRIBE"] {
+            for value in [json!(text), json!(number), json!([number]), json!({"a": text})] {
+                let mut message = good(kind);
+                message[&field] = value;
+                let _ = read(message.to_string().as_bytes());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/station.rs
@@ -0,0 +1,285 @@
+//! The station through time: who is let in, who is let go, what is believed, and what proxies hold after it.
+
+mod helpers;
+mod same;
+
+use helpers::*;
+use rstest::rstest;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+#[rstest]
+fn a_proxy_gets_one_whole_table_and_then_only_changes() {
+    let mut rig = Rig::new(4);
+    rig.until(ms(2500));
+    rig.join(1, 5);
+    let first = rig.written(1);
+    assert_eq!(
+        (&first[0]["whole"], first.iter().filter(|m| m["more"] == true).count() + 1),
+        (&json!(true), first.len())
+    );
+    let mut holds = table(&first, BTreeMap::new());
+    assert_eq!(holds.len(), 4);
+    rig.list(Some(3), &list(4, false, vec![server(2, "DRAINING", 0)])).unwrap();
+    let second = rig.written(1);
+    assert!(second.iter().all(|m| m.get("whole").is_none()), "{second:?}");
+    holds = table(&second, holds);
+    assert!(!holds.contains_key("s2") && holds.len() == 3, "{holds:?}");
+}
+
+#[rstest]
+fn the_newer_stream_holds_and_the_older_ones_end_is_not_missed() {
+    let mut rig = Rig::new(4);
+    rig.join(1, 5);
+    rig.until(ms(3000));
+    rig.written(1);
+    rig.join(2, 5);
+    assert!(rig.closed(1));
+    assert_eq!(table(&rig.written(2), BTreeMap::new()).len(), 4);
+    rig.station.closed(1);
+    rig.list(Some(3), &list(4, false, vec![server(0, "DELETED", 0)])).unwrap();
+    assert!(!rig.written(2).is_empty());
+    assert!(rig.written(1).is_empty());
+    assert_eq!(rig.station.counts()[0], 1);
+}
+
+#[rstest]
+#[case::http(b"GET / HTTP/1.1\r\n\r\n".to_vec())]
+#[case::no_json(framed(b"{]"))]
+#[case::a_report_first(framed(
+    br#"{"msg":"RATE","node":1,"route":"store","total":1,"errors":0,"interval":1}"#
+))]
+#[case::orders(framed(br#"{"msg":"CONFIG","lines":[["s1",1]]}"#))]
+#[case::a_proxy_too_many(framed(subscribe(12, "north").to_string().as_bytes()))]
+#[case::a_zone_that_is_not(framed(subscribe(1, "west").to_string().as_bytes()))]
+#[case::a_collector_of_none(framed(br#"{"msg":"SOURCE","locality":"west"}"#))]
+#[case::a_joining_without_its_number(framed(br#"{"msg":"SUBSCRIBE","locality":"north","w":1,"cold":true}"#))]
+#[case::a_length_that_cannot_be(vec![255, 255, 255, 255])]
+fn strangers_get_a_no_and_a_close(#[case] bytes: Vec<u8>) {
+    for step in [1, 3, bytes.len()] {
+        let mut rig = Rig::new(2);
+        rig.open(1);
+        for part in bytes.chunks(step) {
+            rig.bytes(1, part);
+        }
+        assert!(rig.closed(1));
+        assert_eq!(rig.written(1).pop().unwrap()["msg"], "NACK");
+        assert_eq!(rig.station.counts()[..2], [0, 0]);
+    }
+}
+
+#[rstest]
+#[case::silent(&[])]
+#[case::half_a_message(&[0, 0, 0, 40, b'{'])]
+#[case::a_sign_of_life(b"\0\0\0\x0e{\"msg\":\"PING\"}")]
+fn who_does_not_join_is_closed_in_time(#[case] says: &[u8]) {
+    let mut rig = Rig::new(2);
+    rig.until(ms(777));
+    rig.open(1);
+    rig.bytes(1, says);
+    rig.until(ms(777 + 1000));
+    assert!(!rig.closed(1));
+    rig.until(ms(777 + 2500));
+    assert!(rig.closed(1));
+    if says.len() > 10 {
+        assert_eq!(rig.written(1)[0], json!({"msg": "PONG"}));
+    }
+}
+
+#[rstest]
+fn a_trickle_is_no_joining_and_a_slow_joining_is_one() {
+    let mut rig = Rig::new(2);
+    let joining = framed(subscribe(1, "south").to_string().as_bytes());
+    rig.open(1);
+    rig.open(2);
+    for (i, byte) in joining.iter().enumerate() {
+        rig.bytes(1, &[*byte]);
+        if i < 20 {
+            rig.bytes(2, &[*byte]);
+        }
+        rig.until(ms(15 * (i as u64 + 1)));
+    }
+    assert_eq!(rig.station.counts()[..2], [1, 1]);
+    rig.until(ms(3000));
+    assert!(!rig.closed(1) && rig.closed(2));
+}
+
+#[rstest]
+fn strangers_by_hundreds_cost_none_of_the_joined() {
+    let mut rig = Rig::new(2);
+    for p in 0..12 {
+        rig.join(p, p);
+    }
+    for conn in 100..900 {
+        rig.open(conn);
+    }
+    // 100 descriptors less 20 kept free, 12 proxies and 8 collectors.
+    assert_eq!(rig.station.counts()[..2], [12, 60]);
+    assert!((100..840).all(|c| rig.closed(c)) && (840..900).all(|c| !rig.closed(c)));
+    assert!(rig.station.shed(rig.now) && rig.closed(840));
+}
+
+#[rstest]
+fn a_good_stream_lives_through_spoilt_messages_and_long_silence() {
+    let mut rig = Rig::new(4);
+    rig.join(1, 5);
+    rig.until(ms(60_000));
+    // The first bytes after a long silence are the beginning of a message, not one that was left half said.
+    let good = framed(br#"{"msg":"RATE","node":5,"route":"store","total":1,"errors":0,"interval":500}"#);
+    rig.bytes(1, &good[..9]);
+    rig.until(ms(64_000));
+    rig.bytes(1, &good[9..]);
+    for spoilt in [
+        json!({"msg": "RATE", "node": 4, "route": "store", "total": 1, "errors": 0, "interval": 500}),
+        json!({"msg": "RATE", "node": 5, "route": "sing", "total": 1, "errors": 0, "interval": 500}),
+        json!({"msg": "ACK", "node": 5, "nonce": 61_000, "latency": 1}),
+        json!({"msg": 7}),
+        json!({}),
+        json!({"msg": "WHAT"}),
+    ] {
+        rig.say(1, &spoilt);
+    }
+    rig.bytes(1, &framed(b"{\"msg\":\"RATE\",\"node\":NaN}"));
+    rig.bytes(1, &good);
+    assert!(!rig.closed(1));
+    let said = rig.kept.borrow().said.len();
+    assert!((1..=2).contains(&said), "{:?}", rig.kept.borrow().said);
+}
+
+#[rstest]
+#[case::no_frames(vec![vec![200; 9]])]
+#[case::no_json(vec![framed(b"{x"); 3])]
+#[case::orders_of_its_own(vec![framed(br#"{"msg":"CONFIG"}"#); 3])]
+fn a_stream_that_goes_on_with_what_cannot_be_read_is_closed(#[case] parts: Vec<Vec<u8>>) {
+    let mut rig = Rig::new(4);
+    rig.join(1, 5);
+    parts.iter().for_each(|p| rig.bytes(1, p));
+    assert!(rig.closed(1));
+    assert_eq!(rig.station.counts()[0], 0);
+}
+
+#[rstest]
+fn half_a_message_on_a_joined_stream_is_not_waited_for_for_ever() {
+    let mut rig = Rig::new(4);
+    rig.join(1, 5);
+    rig.bytes(1, &[0, 0, 0, 40, b'{']);
+    rig.until(ms(10_000));
+    assert!(!rig.closed(1));
+    rig.until(ms(16_000));
+    assert!(rig.closed(1));
+}
+
+#[rstest]
+fn collectors_that_come_again_and_again_take_few_places() {
+    let mut rig = Rig::new(4);
+    for conn in 0..50 {
+        rig.open(conn);
+        rig.say(conn, &json!({"msg": "SOURCE", "locality": "north"}));
+        rig.now += ms(10);
+    }
+    assert_eq!((0..50).filter(|c| !rig.closed(*c)).collect::<Vec<_>>(), [46, 47, 48, 49]);
+    // Nothing is ever written to a collector.
+    assert!((0..50).all(|c| rig.written(c).is_empty()));
+}
+
+fn with(mut entry: Value, field: &str, value: Value) -> Value {
+    entry[field] = value;
+    entry
+}
+
+/// Of servers s0 to s3, which are listed after an answer, whether all was believed, and whether the whole is asked.
+#[rstest]
+#[case::a_change(false, 4, vec![server(0, "DELETED", 0)], "123", true, false)]
+#[case::an_empty_answer(false, 3, vec![], "0123", true, false)]
+#[case::a_whole_list_leaves_out(true, 4, vec![server(0, "SERVING", 0), server(1, "SERVING", 0)], "01", true, false)]
+#[case::a_whole_list_of_a_new_service(true, 1, vec![server(2, "SERVING", 0)], "2", true, false)]
+#[case::a_drain_in_a_zone_that_is_not(
+    false, 4, vec![with(server(0, "DRAINING", 0), "zone", json!("west"))], "123", false, true
+)]
+#[case::a_removal_without_all_else(false, 4, vec![json!({"id": "s1", "state": "DELETED"})], "023", true, false)]
+#[case::a_start_that_is_none(
+    false, 4, vec![with(server(0, "SERVING", 0), "started_ms", json!("now")), server(1, "DELETED", 0)], "023", false, true
+)]
+#[case::an_entry_that_is_none(false, 4, vec![json!(5), server(1, "DELETED", 0)], "023", false, true)]
+#[case::a_spoilt_entry_of_a_whole_list_is_not_left_out(
+    true, 4, vec![with(server(0, "SERVING", 0), "zone", json!(9)), server(1, "SERVING", 0)], "01", false, true
+)]
+#[case::versions_that_go_back(false, 2, vec![server(0, "DRAINING", 0), server(7, "SERVING", 0)], "123", false, true)]
+#[case::one_server_twice(false, 4, vec![server(0, "SERVING", 0), server(0, "DELETED", 0)], "123", false, false)]
+fn a_list_is_judged_entry_by_entry(
+    #[case] full: bool,
+    #[case] version: u64,
+    #[case] entries: Vec<Value>,
+    #[case] left: &str,
+    #[case] believed: bool,
+    #[case] whole: bool,
+) {
+    let mut rig = Rig::new(4);
+    rig.join(1, 5);
+    rig.until(ms(2000));
+    let mut holds = table(&rig.written(1), BTreeMap::new());
+    rig.list(Some(3), &list(version, full, entries)).unwrap();
+    holds = table(&rig.written(1), holds);
+    let expected: Vec<String> = left.chars().map(|k| format!("s{k}")).collect();
+    assert_eq!(holds.into_keys().collect::<Vec<_>>(), expected);
+    assert_eq!(rig.kept.borrow().said.is_empty(), believed);
+    assert_eq!(rig.kept.borrow().wholes, usize::from(whole));
+}
+
+#[rstest]
+#[case::no_json("{")]
+#[case::no_version(r#"{"full":true,"servers":[]}"#)]
+#[case::no_servers(r#"{"version":9,"full":true}"#)]
+#[case::neither_whole_nor_not(r#"{"version":9,"servers":[]}"#)]
+fn what_is_no_list_has_failed(#[case] body: &str) {
+    let mut rig = Rig::new(4);
+    assert!(rig.station.list(ms(5), UNIX, Some(3), body.as_bytes()).is_err());
+    assert_eq!(rig.station.list_version(), Some(3));
+}
+
+#[rstest]
+fn the_list_is_asked_for_until_it_answers_and_again_when_it_failed() {
+    let mut rig = Rig::new(4);
+    rig.until(ms(1500));
+    assert_eq!(rig.kept.borrow().watches, 1);
+    rig.list(Some(3), &list(3, false, vec![])).unwrap();
+    rig.until(ms(30_000));
+    assert_eq!(rig.kept.borrow().watches, 1);
+    rig.station.list_failed(rig.now, "reset");
+    rig.until(ms(31_500));
+    assert_eq!(rig.kept.borrow().watches, 2);
+}
+
+/// A clock that is set, or a list that is told again, is no restart; a new start is one.
+#[rstest]
+#[case::told_again(0.0, -90_000.0, 1.0)]
+#[case::clock_set_back(-100_000.0, -90_000.0, 1.0)]
+#[case::started_anew(0.0, 14_900.0, 0.25)]
+fn a_servers_age_goes_by_its_start(#[case] set: f64, #[case] started: f64, #[case] part: f64) {
+    let mut rig = Rig::new(2);
+    rig.list(Some(3), &list(4, false, vec![server(0, "SERVING", 90_000)])).unwrap();
+    rig.until(ms(15_000));
+    let again = list(5, false, vec![with(server(0, "SERVING", 0), "started_ms", json!(UNIX + started))]);
+    let unix = UNIX + 15_000.0 + set;
+    rig.station.list(rig.now, unix, Some(4), again.to_string().as_bytes()).unwrap();
+    rig.until(ms(15_100));
+    rig.join(1, 0);
+    let holds = table(&rig.written(1), BTreeMap::new());
+    let weight = holds.get("s0").copied().unwrap_or(0.0);
+    assert!(if part == 1.0 { weight >= 0.9 } else { weight <= part }, "{holds:?}");
+}
+
+#[rstest]
+fn servers_that_are_replaced_for_ever_take_no_more_places() {
+    let mut rig = Rig::new(4);
+    rig.join(1, 4);
+    for k in 4..600usize {
+        let changes = vec![server(k, "SERVING", 50), server(k - 4, "DELETED", 0)];
+        rig.list(Some(k as u64 - 1), &list(k as u64, false, changes)).unwrap();
+        rig.until(rig.now + ms(1000));
+        rig.written(1);
+    }
+    let [_, _, listed, _, indices] = rig.station.counts();
+    assert_eq!(listed, 4);
+    assert!(indices < 60, "{indices}");
+}
--- /dev/null
+++ b/crates/stated/tests/stated.rs
@@ -0,0 +1,59 @@
+//! The same deployment as pairs of text and as nested JSON.
+
+use grebespool_stated::Stated;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+const PAIRS: &str = "classes.count=2\nclasses.0.aimMs=900.0\nclasses.0.effect=retryable\nclasses.0.name=look_up\n\
+classes.0.points=1.0\nclasses.1.aimMs=700.0\nclasses.1.dedupScope=zone\nclasses.1.dedupWindowMs=1200.0\n\
+classes.1.effect=dedup\nclasses.1.name=store\nclasses.1.points=3.5\nfamilyInfo.connsLeast=90.0\n\
+familyInfo.cycleMs=500.0\nfamilyInfo.dataPlaneSize=12\nfamilyInfo.head=3.0\nfamilyInfo.linesPerS=8000.0\n\
+familyInfo.mostWaiting=9000.0\nfamilyInfo.pushesAllowed=10\nfamilyInfo.staysLocal=false,true\n\
+familyInfo.throttleBy=share\nfamilyInfo.tryFactor=0.7\nfamilyInfo.updateWindowMs=8000.0\n\
+familyInfo.worstTransitMs=400.0\ninvariants.askEveryMs=9000.0\ninvariants.warmUpMs=12000.0\n\
+registryMode=on_request\nreport.fields=cpu_share,pending\nreport.how=inline\nallowed.probing=true\n\
+zones=north,far_south\nnew.thing=1";
+
+fn nested() -> Value {
+    json!({
+        "classes": [
+            {"aimMs": 900.0, "effect": "retryable", "name": "look up", "points": 1.0, "dedupWindowMs": null},
+            {"aimMs": 700.0, "dedupScope": "zone", "dedupWindowMs": 1200.0, "effect": "dedup", "name": "store",
+             "points": 3.5},
+        ],
+        "familyInfo": {
+            "connsLeast": 90.0, "cycleMs": 500.0, "dataPlaneSize": 12, "head": 3.0, "linesPerS": 8000.0,
+            "mostWaiting": 9000.0, "pushesAllowed": 10, "staysLocal": [false, true], "throttleBy": "share",
+            "tryFactor": 0.7, "updateWindowMs": 8000.0, "worstTransitMs": 400.0,
+        },
+        "invariants": {"askEveryMs": 9000.0, "warmUpMs": 12000.0},
+        "registryMode": "on_request",
+        "report": {"fields": ["cpu_share", "pending"], "how": "inline"},
+        "allowed": {"probing": true},
+        "zones": ["north", "far south"],
+        "new": {"thing": 1},
+    })
+}
+
+fn all(stated: &Stated) -> String {
+    let parts = (stated.routes(), stated.plane(), stated.graces(), stated.pace(), stated.sight());
+    format!("{parts:?}")
+}
+
+#[rstest]
+fn pairs_and_nested_json_are_read_alike() {
+    let (pairs, nested) = (Stated::pairs(PAIRS.as_bytes()).unwrap(), Stated::json(&nested()));
+    assert_eq!(all(&pairs), all(&nested));
+    assert_eq!(pairs.plane().unwrap().proxies, 12);
+    assert!(!all(&pairs).contains("Err"), "{}", all(&pairs));
+}
+
+#[rstest]
+#[case::left_out("/familyInfo/linesPerS", Value::Null, "setting familyInfo.linesPerS is missing")]
+#[case::no_number("/familyInfo/linesPerS", json!("fast"), "setting familyInfo.linesPerS cannot be read: fast")]
+#[case::below_nought("/familyInfo/worstTransitMs", json!(-1), "setting familyInfo.worstTransitMs is no span: -1")]
+fn a_fault_names_its_place(#[case] at: &str, #[case] value: Value, #[case] says: &str) {
+    let mut settings = nested();
+    *settings.pointer_mut(at).unwrap() = value;
+    assert_eq!(Stated::json(&settings).pace().unwrap_err().0, says);
+}
