Take usage with more failures than calls, and have levels foresee servers that drain

And 39% of calls were late for five seconds after 14 of 30 servers drained within two, with levels still at 1.

Checked: a trace of Levels::fit showed pressure at 0.8 until the waits grew, 2 to 3 s after the list had told; a probe of the list showed that successors were listed 2 s after the drains, warm.

At fault: message.rs held errors to be a part of the total, but what fails may have come in an interval before; it is not used, so it is only read. decide.rs, Levels::fit: `able` counted servers that drain as able until they were silent.

Change: `able` is scaled by how many of the servers heard of stay, warm ones that come in counted.

--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -139,30 +139,30 @@
             Ok(Message::Applied { proxy: proxy.into(), mark: mark.into() })
         }
         "RATE" => {
-            let (calls, dropped) = totals(&fields)?;
-            let _ = dropped;
-            let (proxy, route) = (fields.whole("node", u32::MAX)?.into(), fields.text("route")?.into());
-            Ok(Message::Came(Came { proxy, route, calls }))
+            // What failed may have come in an interval before, so it is no part of the total.
+            counts(&fields)?;
+            let (proxy, calls) = (fields.whole("node", u32::MAX)?.into(), fields.whole("total", MOST_CALLS)?);
+            Ok(Message::Came(Came { proxy, route: fields.text("route")?.into(), calls }))
         }
         "LOAD" => Ok(Message::Met(met(&fields)?)),
         other => Err(Unread::Kind(other.chars().take(20).collect())),
     }
 }
 
-/// How many there were, and how many of them failed.
-fn totals(fields: &Fields) -> Result<(u32, u32), Spoilt> {
-    let (total, errors) = (fields.whole("total", MOST_CALLS)?, fields.whole("errors", MOST_CALLS)?);
-    if errors > total {
-        return fields.spoilt("errors", "is above the total");
-    }
+/// How many there were, and how many failed.
+fn counts(fields: &Fields) -> Result<(u32, u32), Spoilt> {
+    let counts = (fields.whole("total", MOST_CALLS)?, fields.whole("errors", MOST_CALLS)?);
     if fields.figure("interval", MOST_MS)? == 0.0 {
         return fields.spoilt("interval", "is nought");
     }
-    Ok((total, errors))
+    Ok(counts)
 }
 
 fn met(fields: &Fields) -> Result<Met, Spoilt> {
-    let (tries, dropped) = totals(fields)?;
+    let (tries, dropped) = counts(fields)?;
+    if dropped > tries {
+        return fields.spoilt("errors", "is above the total");
+    }
     let wait = match fields.of.get("rtt") {
         // Where none was answered there is no time to tell.
         None | Some(Value::Null) if tries == dropped => 0.0,
--- a/crates/platform/tests/frames.rs
+++ b/crates/platform/tests/frames.rs
@@ -116,6 +116,15 @@
     assert_eq!(met.wait_ms, wait);
 }
 
+/// Of calls that came in one interval, some fail in the next: good proxies say so, most of all in trouble.
+#[rstest]
+fn usage_may_have_more_failures_than_calls() {
+    let mut message = good("RATE");
+    message["errors"] = json!(9);
+    let Ok(Message::Came(came)) = read(message.to_string().as_bytes()) else { panic!("{message}") };
+    assert_eq!(came.calls, 4);
+}
+
 proptest! {
     #[test]
     fn no_bytes_do_harm(parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..20)) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -194,11 +194,14 @@
     /// by the same late reports, so their ratio holds while those are late.
     fn fit(&mut self, now: Duration, cycle: Duration, peers: &[Peer], routes: &[Route], slo: f64) {
         let from = now.saturating_sub(Self::WINDOW.max(cycle * 2));
-        let (mut sent, mut able, mut all, mut good) = (0.0, 0.0, 0.0, 0.0);
-        for load in peers.iter().map(|p| &p.load) {
+        let (mut sent, mut able, mut all, mut good, mut heard, mut stay) = (0.0, 0.0, 0.0, 0.0, 0.0, 0.0);
+        for (peer, load) in peers.iter().map(|p| (p, &p.load)) {
             let busy = load.mean(from, |x| x.cpu);
             let (tries, answered) = (load.sum(from, |x| x.tries), load.sum(from, Sample::answered));
             (all, good) = (all + tries, good + answered);
+            let unasked = tries == 0.0 && peer.open() && !peer.ramp.cold;
+            heard += if answered > 0.0 { 1.0 } else { 0.0 };
+            stay += if unasked || (peer.ready() && answered > 0.0) { 1.0 } else { 0.0 };
             if answered > 0.0 {
                 // Tries that fail at a server with time to spare point to a cut or a fault.
                 sent += if busy.is_some_and(|b| b < Self::FULL) { answered } else { tries };
@@ -217,6 +220,10 @@
         // Queues that have once grown stay at a load that just fits, and every answer comes late.
         let wait = median(peers.iter().filter_map(|p| p.load.mean(from, |x| x.wait)));
         let late = wait.is_some_and(|w| w > Self::LATE * slo);
+        // Against servers that drain together: what they did falls to the others at once, and to wait until
+        // these are full and late is seconds too late. Warm ones that are still unheard of make up for them.
+        let able = if stay < heard { able * stay / heard } else { able };
+        let pressure = sent / able.max(1.0);
         // Late reports alone, which come in lumps, are no reason to turn calls away.
         if pressure < 1.1 && !late && !self.throttled() {
             return;
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -309,6 +309,28 @@
     assert_eq!(rig.kept.borrow().levels.values().all(|l| l.0 == 1.0), all_let_in);
 }
 
+/// Found on sockets: half of the servers drained at once, and levels fell only when the others were full and late.
+#[rstest]
+#[case::half_drains(4, None, true)]
+#[case::one_of_eight_drains(1, None, false)]
+#[case::half_drains_and_warm_ones_come(4, Some(Duration::from_secs(60)), false)]
+#[case::half_drains_and_cold_ones_come(4, Some(ms(100)), true)]
+fn levels_foresee_what_drains(#[case] leave: usize, #[case] come: Option<Duration>, #[case] throttles: bool) {
+    let mut rig = Rig::with_servers(8, 1);
+    let report = |s: Server| (s < 8).then_some((20, 0, [0.75, 0.0]));
+    for _ in 0..24 {
+        rig.run(ms(500), report);
+        (0..2).for_each(|r| rig.planner.came(rig.now, r, 60));
+    }
+    assert!(rig.kept.borrow().levels.values().all(|l| l.0 == 1.0));
+    let mut entries: Vec<Listed> = (0..leave).map(|s| listed(s, 0, Phase::Draining, None)).collect();
+    entries.extend((8..12).filter_map(|s| Some(listed(s, 0, Phase::Ready, Some(come?)))));
+    rig.list(false, &entries);
+    rig.run(ms(1000), |s| report(s).filter(|_| s >= leave));
+    assert_eq!(rig.kept.borrow().levels[&1].0 < 0.9, throttles);
+    assert_eq!(rig.kept.borrow().levels[&2].0, 1.0);
+}
+
 #[rstest]
 fn late_reports_alone_throttle_nothing() {
     // Found on a freshly drawn day: arrivals and answers came in lumps.
