Levels allow for a zone whose sums are cut off while usage still comes

Ruled out: the release of servers (it begins 4 s later), load (busy share), the list (its watch fell silent too and was found 0.7 s after its wait; no change was missed), late reports (the other zones' sums came as ever).

At fault: decide.rs, Levels::fit compared calls from all proxies with what servers did for those zones whose sums came.

Change: `able` is scaled by the part of the proxies' calls whose zone was heard of within the window.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -189,10 +189,12 @@
     const GAIN: f64 = 1.1;
     const STEP: f64 = 0.05;
     const EASY: f64 = 0.8;
+    /// The part of the calls that is taken to be told of at the least.
+    const TOLD: f64 = 0.3;
 
     /// Lets in what fits, the most important routes first. What servers are able to and what came are known
     /// by the same late reports, so their ratio holds while those are late.
-    fn fit(&mut self, now: Duration, cycle: Duration, peers: &[Peer], routes: &[Route], slo: f64) {
+    fn fit(&mut self, now: Duration, cycle: Duration, peers: &[Peer], routes: &[Route], slo: f64, told: f64) {
         let from = now.saturating_sub(Self::WINDOW.max(cycle * 2));
         let (mut sent, mut able, mut all, mut good, mut heard, mut stay) = (0.0, 0.0, 0.0, 0.0, 0.0, 0.0);
         for (peer, load) in peers.iter().map(|p| (p, &p.load)) {
@@ -231,6 +233,7 @@
         let came = |a: &VecDeque<(Duration, f64)>| a.iter().filter(|a| a.0 > from).map(|a| a.1).sum();
         let calls: Vec<f64> = self.arrived.iter().map(came).collect();
         let let_in: f64 = calls.iter().zip(&self.wanted).map(|(c, w)| c * f64::from(*w)).sum();
+        let able = able / told;
         let least = Self::STEP * calls.iter().sum::<f64>();
         // A route that was shut out would never come back by growth alone.
         let most = Self::GAIN * let_in + if pressure < Self::EASY { least } else { 0.0 };
@@ -700,13 +703,31 @@
         }
     }
 
+    /// What part of the proxies' calls the sums tell of. Against a zone whose sums are cut off while usage
+    /// still comes: its calls would count and what servers do for them would not. Harm: where a zone's
+    /// proxies get no calls for so long, as much too many are let in at the others.
+    fn told(&self) -> f64 {
+        let newest = |z: Zone| {
+            let of_zone = self.peers.iter().flat_map(|p| &p.load.0).filter(|x| x.from == z);
+            of_zone.map(|x| x.at).max().unwrap_or_default()
+        };
+        let newest: Vec<Duration> = (0..self.zones.busy.len() as Zone).map(newest).collect();
+        let last = newest.iter().max().copied().unwrap_or_default();
+        let window = Levels::WINDOW.max(self.sight.cycle * 2);
+        let heard = |p: &&Joined| newest.get(usize::from(p.zone)).is_none_or(|at| *at + window >= last);
+        let bound = || self.proxies.values().filter(|p| p.bound);
+        let [heard, all] =
+            [bound().filter(heard).map(|p| p.rate).sum(), bound().map(|p| p.rate).sum::<f64>()];
+        if all > 0.0 { (heard / all).max(Levels::TOLD) } else { 1.0 }
+    }
+
     fn look(&mut self, now: Duration) {
         if let Some(within) = self.sight.ask_within.filter(|_| self.ask_at.is_some_and(|t| now >= t)) {
             self.ask_at = Some(now + within / 2);
             self.host.watch_list();
         }
         let slo = mean(self.routes.iter().map(|r| r.slo.as_secs_f64())).unwrap_or(1.0);
-        self.levels.fit(now, self.sight.cycle, &self.peers, &self.routes, slo);
+        self.levels.fit(now, self.sight.cycle, &self.peers, &self.routes, slo, self.told());
         for p in &mut self.peers {
             let by_age = Ramp::allowed(now, p.warm_at, self.graces.warm_up);
             if p.ramp.step > 0 && p.ramp.step < by_age.min(p.health.allowed) {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -331,6 +331,35 @@
     assert_eq!(rig.kept.borrow().levels[&2].0, 1.0);
 }
 
+/// Found on a recorded day: the connection that a zone's sums came over fell silent, its proxies' usage went on, and
+/// half of all calls were turned away though servers had time to spare.
+#[rstest]
+#[case::sums_go_on(false, false)]
+#[case::sums_of_a_zone_stop(true, false)]
+#[case::sums_of_a_zone_stop_in_a_crowd(true, true)]
+fn levels_allow_for_sums_that_are_cut_off(#[case] stop: bool, #[case] crowd: bool) {
+    let mut rig = Rig::with_servers(8, 2);
+    rig.wait = ms(600);
+    let busy = if crowd { 1.0 } else { 0.75 };
+    for step in 0..40 {
+        rig.run(ms(500), |s| (s < 8).then_some((20, if crowd { 8 } else { 0 }, [busy, 0.0])));
+        for s in (0..8).filter(|_| step < 20 || !stop) {
+            let report = [busy - 0.001 * (step % 7) as f32, 0.0];
+            let met = Met {
+                from: 1,
+                tries: 20,
+                dropped: if crowd { 8 } else { 0 },
+                wait: Some(ms(600)),
+                report: &report,
+            };
+            rig.planner.met(rig.now, s, &met);
+        }
+        (0..2).for_each(|r| rig.planner.came(rig.now, r, 160));
+    }
+    assert_eq!(rig.kept.borrow().levels[&1].0 < 0.8, crowd);
+    assert!(rig.kept.borrow().levels[&2].0 > 0.9);
+}
+
 #[rstest]
 fn late_reports_alone_throttle_nothing() {
     // Found on a freshly drawn day: arrivals and answers came in lumps.
