Know by usage which zones' sums are missing, and no more by joined proxies' rough rates

At fault: Planner::told went by who is bound and by rates told at joining, which go on when nothing is heard.

Change: usage keeps its proxy's zone; the part told of is that of the calls that came. `came` takes the proxy, as both wires and our own front know it.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -321,7 +321,7 @@
             self.gather.met((zone, server), m.tries, m.dropped, m.wait_us, figures.unwrap_or_default());
         }
         for c in came.iter().filter(|c| usize::from(c.route) < self.routes) {
-            self.gather.came(usize::from(c.route), c.calls.min(ReportSense::MOST_TRIES));
+            self.gather.came((*proxy, usize::from(c.route)), c.calls.min(ReportSense::MOST_TRIES));
         }
         if wrong > 0 {
             self.outlet.refused(&format!("stream {stream}: {wrong} lines of sums that cannot be"));
@@ -397,7 +397,7 @@
             let planner = RefCell::new(&mut self.planner);
             self.gather.tell(
                 |server, met| planner.borrow_mut().met(now, server, met),
-                |route, calls| planner.borrow_mut().came(now, route, calls),
+                |proxy, route, calls| planner.borrow_mut().came(now, proxy, route, calls),
             );
         }
         for token in self.desk.wakes(now) {
--- a/crates/engine/src/gather.rs
+++ b/crates/engine/src/gather.rs
@@ -1,6 +1,6 @@
 //! Sums of many proxies, put together by zone and server until the planner is told.
 
-use grebespool::host::{Met, Server, Zone};
+use grebespool::host::{Met, Proxy, Server, Zone};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -13,11 +13,11 @@
     report: Vec<f32>,
 }
 
-/// As many sums as there are zones and listed servers at the most, however many proxies tell.
+/// As many sums as there are zones and listed servers, and proxies and routes, at the most.
 #[derive(Default)]
 pub struct Gather {
     met: BTreeMap<(Zone, Server), Sum>,
-    came: BTreeMap<usize, u32>,
+    came: BTreeMap<(Proxy, usize), u32>,
 }
 
 impl Gather {
@@ -35,19 +35,19 @@
         }
     }
 
-    pub fn came(&mut self, route: usize, calls: u32) {
-        let sum = self.came.entry(route).or_default();
+    pub fn came(&mut self, at: (Proxy, usize), calls: u32) {
+        let sum = self.came.entry(at).or_default();
         *sum = sum.saturating_add(calls);
     }
 
-    pub fn tell(&mut self, mut met: impl FnMut(Server, &Met), mut came: impl FnMut(usize, u32)) {
+    pub fn tell(&mut self, mut met: impl FnMut(Server, &Met), mut came: impl FnMut(Proxy, usize, u32)) {
         for ((from, server), sum) in std::mem::take(&mut self.met) {
             let wait = (sum.answered > 0.0).then(|| Duration::from_secs_f64(sum.waited / sum.answered));
             let (tries, dropped) = (sum.tries, sum.dropped);
             met(server, &Met { from, tries, dropped, wait, report: &sum.report });
         }
-        for (route, calls) in std::mem::take(&mut self.came) {
-            came(route, calls);
+        for ((proxy, route), calls) in std::mem::take(&mut self.came) {
+            came(proxy, route, calls);
         }
     }
 }
--- a/crates/platform/src/station.rs
+++ b/crates/platform/src/station.rs
@@ -234,7 +234,7 @@
                     (Some(proxy), Some(route))
                         if matches!(role, Role::Collector(_)) || role == Role::Proxy(proxy) =>
                     {
-                        self.planner.came(now, route, came.calls);
+                        self.planner.came(now, proxy, route, came.calls);
                         self.settle();
                     }
                     _ => {
--- a/crates/wirehost/src/hosted.rs
+++ b/crates/wirehost/src/hosted.rs
@@ -220,7 +220,7 @@
                 }
             }
             1100 => {
-                self.planner.came(now, usize::from(event.u8(12)), event.u32(13));
+                self.planner.came(now, event.u16(10), usize::from(event.u8(12)), event.u32(13));
             }
             // Peers, slices and their stores: nothing is decided on them yet (docs/design.md).
             1040 | 1110 | 1120 | 1130 => {}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -230,7 +230,8 @@
         if pressure < 1.1 && !late && !self.throttled() {
             return;
         }
-        let came = |a: &VecDeque<(Duration, f64)>| a.iter().filter(|a| a.0 > from).map(|a| a.1).sum();
+        let came =
+            |a: &VecDeque<(Duration, f64, Option<Zone>)>| a.iter().filter(|a| a.0 > from).map(|a| a.1).sum();
         let calls: Vec<f64> = self.arrived.iter().map(came).collect();
         let let_in: f64 = calls.iter().zip(&self.wanted).map(|(c, w)| c * f64::from(*w)).sum();
         let able = able / told;
@@ -696,17 +697,18 @@
         }
     }
 
-    pub fn came(&mut self, now: Duration, route: usize, calls: u32) {
+    pub fn came(&mut self, now: Duration, proxy: Proxy, route: usize, calls: u32) {
+        let zone = self.proxies.get(&proxy).map(|p| p.zone);
         if let Some(list) = self.levels.arrived.get_mut(route) {
-            list.push_back((now, f64::from(calls)));
+            list.push_back((now, f64::from(calls), zone));
             drop_old(list, now, Peer::KEPT, |a| a.0);
         }
     }
 
-    /// What part of the proxies' calls the sums tell of. Against a zone whose sums are cut off while usage
-    /// still comes: its calls would count and what servers do for them would not. Harm: where a zone's
-    /// proxies get no calls for so long, as much too many are let in at the others.
-    fn told(&self) -> f64 {
+    /// What part of the calls that came the sums tell of. Against a zone whose sums are cut off while usage
+    /// still comes: its calls would count and what servers do for them would not. Harm: where nothing that a
+    /// zone lets in finds a server, as much too many are let in at the others.
+    fn told(&self, now: Duration) -> f64 {
         let newest = |z: Zone| {
             let of_zone = self.peers.iter().flat_map(|p| &p.load.0).filter(|x| x.from == z);
             of_zone.map(|x| x.at).max().unwrap_or_default()
@@ -714,11 +716,13 @@
         let newest: Vec<Duration> = (0..self.zones.busy.len() as Zone).map(newest).collect();
         let last = newest.iter().max().copied().unwrap_or_default();
         let window = Levels::WINDOW.max(self.sight.cycle * 2);
-        let heard = |p: &&Joined| newest.get(usize::from(p.zone)).is_none_or(|at| *at + window >= last);
-        let bound = || self.proxies.values().filter(|p| p.bound);
-        let [heard, all] =
-            [bound().filter(heard).map(|p| p.rate).sum(), bound().map(|p| p.rate).sum::<f64>()];
-        if all > 0.0 { (heard / all).max(Levels::TOLD) } else { 1.0 }
+        let heard = |z: Zone| newest.get(usize::from(z)).is_none_or(|at| *at + window >= last);
+        let came = self.levels.arrived.iter().flatten().filter(|a| a.0 > now.saturating_sub(window));
+        let add = |[told, all]: [f64; 2], a: &(Duration, f64, Option<Zone>)| {
+            [told + if a.2.is_none_or(heard) { a.1 } else { 0.0 }, all + a.1]
+        };
+        let [told, all] = came.fold([0.0; 2], add);
+        if all > 0.0 { (told / all).max(Levels::TOLD) } else { 1.0 }
     }
 
     fn look(&mut self, now: Duration) {
@@ -727,7 +731,7 @@
             self.host.watch_list();
         }
         let slo = mean(self.routes.iter().map(|r| r.slo.as_secs_f64())).unwrap_or(1.0);
-        self.levels.fit(now, self.sight.cycle, &self.peers, &self.routes, slo, self.told());
+        self.levels.fit(now, self.sight.cycle, &self.peers, &self.routes, slo, self.told(now));
         for p in &mut self.peers {
             let by_age = Ramp::allowed(now, p.warm_at, self.graces.warm_up);
             if p.ramp.step > 0 && p.ramp.step < by_age.min(p.health.allowed) {
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -137,7 +137,8 @@
 pub struct Levels {
     /// What servers are sent as a part of what they could answer.
     pub pressure: f64,
-    pub arrived: Vec<VecDeque<(Duration, f64)>>,
+    /// When calls came, how many, and the zone of their proxy.
+    pub arrived: Vec<VecDeque<(Duration, f64, Option<Zone>)>>,
     pub wanted: Vec<f32>,
     pub crowded: bool,
     pub written: Vec<(f32, Tries)>,
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -279,16 +279,16 @@
 fn a_full_pool_throttles_the_least_important_first_and_lets_in_again() {
     let mut rig = Rig::with_servers(4, 1);
     for _ in 0..8 {
-        rig.planner.came(rig.now, 0, 60);
-        rig.planner.came(rig.now, 1, 20);
+        rig.planner.came(rig.now, 0, 0, 60);
+        rig.planner.came(rig.now, 0, 1, 20);
         rig.run(Duration::from_secs(1), |s| (s < 4).then_some((10, 4, [1.0, 6.0])));
     }
     let level = |rig: &Rig, r: RouteSet| rig.kept.borrow().levels[&r];
     assert!(level(&rig, 1).0 < 0.7 && level(&rig, 2).0 == 1.0);
     assert_eq!(level(&rig, 1).1, Tries::One);
     for _ in 0..15 {
-        rig.planner.came(rig.now, 0, 30);
-        rig.planner.came(rig.now, 1, 20);
+        rig.planner.came(rig.now, 0, 0, 30);
+        rig.planner.came(rig.now, 0, 1, 20);
         rig.run(Duration::from_secs(1), |s| (s < 4).then_some((7, 0, [0.4, 0.0])));
     }
     assert_eq!((level(&rig, 1).0, level(&rig, 2).0), (1.0, 1.0));
@@ -302,8 +302,8 @@
     let mut rig = Rig::with_servers(4, 1);
     rig.wait = ms(wait);
     for _ in 0..8 {
-        rig.planner.came(rig.now, 0, 60);
-        rig.planner.came(rig.now, 1, 20);
+        rig.planner.came(rig.now, 0, 0, 60);
+        rig.planner.came(rig.now, 0, 1, 20);
         rig.run(Duration::from_secs(1), |s| (s < 4).then_some((10, 0, [0.95, 2.0])));
     }
     assert_eq!(rig.kept.borrow().levels.values().all(|l| l.0 == 1.0), all_let_in);
@@ -320,7 +320,7 @@
     let report = |s: Server| (s < 8).then_some((20, 0, [0.75, 0.0]));
     for _ in 0..24 {
         rig.run(ms(500), report);
-        (0..2).for_each(|r| rig.planner.came(rig.now, r, 60));
+        (0..2).for_each(|r| rig.planner.came(rig.now, 0, r, 60));
     }
     assert!(rig.kept.borrow().levels.values().all(|l| l.0 == 1.0));
     let mut entries: Vec<Listed> = (0..leave).map(|s| listed(s, 0, Phase::Draining, None)).collect();
@@ -354,7 +354,7 @@
             };
             rig.planner.met(rig.now, s, &met);
         }
-        (0..2).for_each(|r| rig.planner.came(rig.now, r, 160));
+        (0..2).for_each(|r| rig.planner.came(rig.now, r as Proxy, r, 160));
     }
     assert_eq!(rig.kept.borrow().levels[&1].0 < 0.8, crowd);
     assert!(rig.kept.borrow().levels[&2].0 > 0.9);
@@ -365,7 +365,7 @@
     // Found on a freshly drawn day: arrivals and answers came in lumps.
     let mut rig = Rig::with_servers(4, 1);
     for lump in 0..10 {
-        rig.planner.came(rig.now, 0, 400 * (lump % 3));
+        rig.planner.came(rig.now, 0, 0, 400 * (lump % 3));
         rig.run(Duration::from_secs(1), |s| (s < 4).then_some((5, 0, [0.6, 0.0])));
     }
     assert!(rig.kept.borrow().levels.values().all(|l| l.0 == 1.0));
@@ -488,8 +488,8 @@
     let mut rig = Rig::with_servers(4, 1);
     let rounds = |rig: &mut Rig, n, told: (u32, u32, [f32; 2])| {
         for _ in 0..n {
-            rig.planner.came(rig.now, 0, 400);
-            rig.planner.came(rig.now, 1, 40);
+            rig.planner.came(rig.now, 0, 0, 400);
+            rig.planner.came(rig.now, 0, 1, 40);
             rig.run(Duration::from_secs(1), |s| (s < 4).then_some(told));
         }
     };
@@ -507,7 +507,7 @@
     rig.planner.left(99);
     rig.planner.applied(rig.now, 12);
     rig.planner.probed(77, Probed::Failed);
-    rig.planner.came(rig.now, 9, 4);
+    rig.planner.came(rig.now, 0, 9, 4);
     rig.planner.met(
         rig.now,
         50,
