Say which proxies exist, a frame of one object and the levels' window in one place each

The check of a proxy's number stood twice in the station, the frame of one object was put together in three places, usage's total was read twice, the levels' window was worked out in fit and in told, and two packages' tests each had the same made-up deployment.

The comment on starts far ahead said that they are not believed; they are only logged. Behaviour and assertions are as they were.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,10 +14,8 @@
 mod station;
 mod terms;
 
-pub use frames::{Frames, MOST_BODY, NotFrames};
-pub use log::Gathered;
-pub use message::{Came, Fields, Message, Met, Spoilt, Unread, read};
-pub use orders::{Words, frame};
-pub use roster::{Judged, Roster};
-pub use station::{Conn, Outlet, Station};
+pub use frames::{Frames, NotFrames};
+pub use lives::Conn;
+pub use message::{Came, Message, Met, Spoilt, Unread, read};
+pub use station::{Outlet, Station};
 pub use terms::{BadTerms, Limits, Terms};
--- a/crates/platform/src/lives.rs
+++ b/crates/platform/src/lives.rs
@@ -1,10 +1,12 @@
 //! Lives of connections: unjoined, a collector, a proxy's stream; when each is let go, and who goes first.
 
+use crate::frames::Frames;
 use grebespool::host::{Proxy, Zone};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use crate::frames::Frames;
+/// One connection, from its coming to its end; numbers are not used again.
+pub type Conn = u64;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -26,12 +28,12 @@
 }
 
 /// All connections. Ids rise, so their order is that of their coming.
-pub struct Lives<C> {
-    pub of: BTreeMap<C, Life>,
+pub struct Lives {
+    pub of: BTreeMap<Conn, Life>,
     most_unjoined: usize,
 }
 
-impl<C: Ord + Copy> Lives<C> {
+impl Lives {
     /// The longest message before a joining: a joining has a few short fields.
     pub const MOST_UNJOINED_BODY: usize = 4 << 10;
     /// A joining that comes in pieces over a slow way is still let in; who is not done by then is owed a close.
@@ -46,7 +48,7 @@
     }
 
     /// Gives who has to go for it: of those that have not joined, the first that came.
-    pub fn opened(&mut self, now: Duration, conn: C) -> Option<C> {
+    pub fn opened(&mut self, now: Duration, conn: Conn) -> Option<Conn> {
         let frames = Frames::new(Self::MOST_UNJOINED_BODY);
         let life = Life {
             role: Role::Unjoined,
@@ -61,12 +63,12 @@
         if unjoined > self.most_unjoined { self.first_unjoined() } else { None }
     }
 
-    pub fn first_unjoined(&self) -> Option<C> {
+    pub fn first_unjoined(&self) -> Option<Conn> {
         self.of.iter().find(|(_, l)| l.role == Role::Unjoined).map(|(c, _)| *c)
     }
 
     /// Collectors of a zone beyond as many as may be: the one that was silent for the longest.
-    pub fn spare_collector(&self, zone: Zone) -> Option<C> {
+    pub fn spare_collector(&self, zone: Zone) -> Option<Conn> {
         let of_zone = || self.of.iter().filter(|(_, l)| l.role == Role::Collector(zone));
         let spare = of_zone().count() > Self::COLLECTORS;
         of_zone().min_by_key(|(_, l)| l.heard_at).map(|(c, _)| *c).filter(|_| spare)
@@ -79,7 +81,7 @@
         }
     }
 
-    pub fn overdue(&self, now: Duration) -> Vec<C> {
+    pub fn overdue(&self, now: Duration) -> Vec<Conn> {
         let over = |l: &Life| Self::ends_at(l).is_some_and(|at| at <= now);
         self.of.iter().filter(|(_, l)| over(l)).map(|(c, _)| *c).collect()
     }
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -40,7 +40,7 @@
 /// Calls that came to a proxy.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Came {
-    pub proxy: u64,
+    pub proxy: u32,
     pub route: String,
     pub calls: u32,
 }
@@ -49,9 +49,9 @@
 pub enum Message {
     Ping,
     Source { zone: String },
-    Join { proxy: u64, zone: String, rate: f64, bare: bool },
+    Join { proxy: u32, zone: String, rate: f64, bare: bool },
     Met(Met),
-    Applied { proxy: u64, mark: u64 },
+    Applied { proxy: u32, mark: u32 },
     Came(Came),
 }
 
@@ -128,7 +128,7 @@
         "PING" => Ok(Message::Ping),
         "SOURCE" => Ok(Message::Source { zone: fields.text("locality")?.into() }),
         "SUBSCRIBE" => Ok(Message::Join {
-            proxy: fields.whole("node", u32::MAX)?.into(),
+            proxy: fields.whole("node", u32::MAX)?,
             zone: fields.text("locality")?.into(),
             rate: fields.figure("w", MOST_FIGURE)?,
             bare: fields.flag("cold")?,
@@ -136,13 +136,13 @@
         "ACK" => {
             fields.figure("latency", MOST_MS)?;
             let (proxy, mark) = (fields.whole("node", u32::MAX)?, fields.whole("nonce", u32::MAX)?);
-            Ok(Message::Applied { proxy: proxy.into(), mark: mark.into() })
+            Ok(Message::Applied { proxy, mark })
         }
         "RATE" => {
             // What failed may have come in an interval before, so it is no part of the total.
-            counts(&fields)?;
-            let (proxy, calls) = (fields.whole("node", u32::MAX)?.into(), fields.whole("total", MOST_CALLS)?);
-            Ok(Message::Came(Came { proxy, route: fields.text("route")?.into(), calls }))
+            let (calls, _) = counts(&fields)?;
+            let (proxy, route) = (fields.whole("node", u32::MAX)?, fields.text("route")?.into());
+            Ok(Message::Came(Came { proxy, route, calls }))
         }
         "LOAD" => Ok(Message::Met(met(&fields)?)),
         other => Err(Unread::Kind(other.chars().take(20).collect())),
--- a/crates/platform/src/orders.rs
+++ b/crates/platform/src/orders.rs
@@ -83,14 +83,13 @@
         if i < last {
             part.insert("more".into(), json!(true));
         }
-        put(&mut bytes, &Value::Object(part));
+        bytes.extend(framed(&Value::Object(part)));
     }
     bytes
 }
 
-/// Appends a frame of one object.
-pub fn put(bytes: &mut Vec<u8>, object: &Value) {
+/// One object as a frame.
+pub fn framed(object: &Value) -> Vec<u8> {
     let body = object.to_string();
-    bytes.extend((body.len() as u32).to_be_bytes());
-    bytes.extend(body.as_bytes());
+    [&(body.len() as u32).to_be_bytes()[..], body.as_bytes()].concat()
 }
--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -40,7 +40,7 @@
 }
 
 impl Roster {
-    /// Unix time in milliseconds beyond which no start is believed: hours ahead of now.
+    /// Milliseconds ahead of now from which on a start is worth a line: a clock is wrong somewhere.
     const AHEAD: f64 = 3_600_000.0;
 
     pub fn new(zones: Vec<String>) -> Self {
--- a/crates/platform/src/station.rs
+++ b/crates/platform/src/station.rs
@@ -1,23 +1,20 @@
 //! The station: messages in, the decisions' orders out.
 
 use crate::frames::MOST_BODY;
-use crate::lives::{Lives, Role};
+use crate::lives::{Conn, Lives, Role};
 use crate::log::Gathered;
 use crate::message::{self, Message, Met, Unread};
-use crate::orders::{self, Words, put};
+use crate::orders::{self, Words, framed};
 use crate::roster::Roster;
 use crate::terms::Terms;
 use grebespool::decide::Planner;
 use grebespool::host::{self, Listed, Phase, Probed, Proxy, Server, Table, Zone};
 use grebespool_books::{Desk, Servers};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// One connection, from its coming to its end; numbers are not used again.
-pub type Conn = u64;
-
 /// What the station asks of what hosts it.
 pub trait Outlet {
     fn write(&mut self, conn: Conn, bytes: &[u8]);
@@ -31,18 +28,15 @@
     fn say(&mut self, text: &str);
 }
 
-struct Joined {
-    conn: Conn,
-}
-
 pub struct Station<O> {
     outlet: O,
     planner: Planner<Desk>,
     desk: Desk,
     servers: Servers<String>,
     roster: Roster,
-    lives: Lives<Conn>,
-    joined: BTreeMap<Proxy, Joined>,
+    lives: Lives,
+    /// The stream that holds of each joined proxy.
+    joined: BTreeMap<Proxy, Conn>,
     proxies: usize,
     routes: Vec<String>,
     fields: Vec<String>,
@@ -66,7 +60,7 @@
     pub fn start(outlet: O, terms: Terms, kept_free: usize, unix_ms: f64) -> Self {
         let desk = Desk::default();
         let Terms { seed, routes, plane, graces, pace, sight, .. } = terms;
-        let collectors = terms.zones.len() * Lives::<Conn>::COLLECTORS;
+        let collectors = terms.zones.len() * Lives::COLLECTORS;
         let most_unjoined = terms.limits.sockets.saturating_sub(kept_free + collectors + plane.proxies);
         let planner = Planner::start(desk.clone(), seed, routes, plane, graces, pace, sight);
         let mut station = Station {
@@ -131,9 +125,7 @@
     fn turn_away(&mut self, now: Duration, conn: Conn, why: &str) {
         let role = self.lives.of.get(&conn).map(|l| l.role);
         if role == Some(Role::Unjoined) {
-            let mut nack = vec![];
-            put(&mut nack, &json!({"msg": "NACK", "why": why}));
-            self.outlet.write(conn, &nack);
+            self.outlet.write(conn, &framed(&json!({"msg": "NACK", "why": why})));
         }
         let kind = match role {
             Some(Role::Unjoined) => "unjoined, closed",
@@ -149,7 +141,7 @@
     pub fn closed(&mut self, conn: Conn) {
         let Some(life) = self.lives.of.remove(&conn) else { return };
         if let Role::Proxy(proxy) = life.role
-            && self.joined.get(&proxy).is_some_and(|j| j.conn == conn)
+            && self.joined.get(&proxy) == Some(&conn)
         {
             self.joined.remove(&proxy);
             self.desk.left(proxy);
@@ -204,11 +196,7 @@
     fn message(&mut self, now: Duration, conn: Conn, message: Message) {
         let Some(role) = self.lives.of.get(&conn).map(|l| l.role) else { return };
         match (message, role) {
-            (Message::Ping, _) => {
-                let mut pong = vec![];
-                put(&mut pong, &json!({"msg": "PONG"}));
-                self.outlet.write(conn, &pong);
-            }
+            (Message::Ping, _) => self.outlet.write(conn, &framed(&json!({"msg": "PONG"}))),
             (Message::Source { zone }, Role::Unjoined) => match self.roster.zone(&zone) {
                 Some(zone) => self.collector(now, conn, zone),
                 None => {
@@ -216,9 +204,8 @@
                 }
             },
             (Message::Join { proxy, zone, rate, bare }, Role::Unjoined) => {
-                let known = usize::try_from(proxy).is_ok_and(|p| p < self.proxies);
-                match (Proxy::try_from(proxy), self.roster.zone(&zone)) {
-                    (Ok(proxy), Some(zone)) if known => self.join(now, conn, proxy, zone, rate, bare),
+                match (self.proxy(proxy), self.roster.zone(&zone)) {
+                    (Some(proxy), Some(zone)) => self.join(now, conn, proxy, zone, rate, bare),
                     _ => {
                         let why = format!("proxy {proxy} of zone {zone:?}, which does not exist");
                         self.turn_away(now, conn, &why);
@@ -228,9 +215,8 @@
             (_, Role::Unjoined) => self.turn_away(now, conn, "a report without a joining"),
             (Message::Met(met), Role::Collector(_)) => self.met(now, &met),
             (Message::Came(came), role) => {
-                let proxy = Proxy::try_from(came.proxy).ok().filter(|p| usize::from(*p) < self.proxies);
                 let route = self.routes.iter().position(|r| *r == came.route);
-                match (proxy, route) {
+                match (self.proxy(came.proxy), route) {
                     (Some(proxy), Some(route))
                         if matches!(role, Role::Collector(_)) || role == Role::Proxy(proxy) =>
                     {
@@ -243,13 +229,18 @@
                     }
                 }
             }
-            (Message::Applied { proxy, mark }, Role::Proxy(own)) if proxy == u64::from(own) => {
+            (Message::Applied { proxy, mark }, Role::Proxy(own)) if proxy == u32::from(own) => {
                 self.applied(now, conn, mark);
             }
             (other, _) => self.spoilt(now, &format!("out of place: {other:?}")),
         }
     }
 
+    /// The proxy of a number, if the settings have so many.
+    fn proxy(&self, number: u32) -> Option<Proxy> {
+        Proxy::try_from(number).ok().filter(|p| usize::from(*p) < self.proxies)
+    }
+
     fn collector(&mut self, now: Duration, conn: Conn, zone: Zone) {
         if let Some(life) = self.lives.of.get_mut(&conn) {
             life.role = Role::Collector(zone);
@@ -261,7 +252,7 @@
     }
 
     fn join(&mut self, now: Duration, conn: Conn, proxy: Proxy, zone: Zone, rate: f64, bare: bool) {
-        if let Some(old) = self.joined.get(&proxy).map(|j| j.conn) {
+        if let Some(old) = self.joined.get(&proxy).copied() {
             // The newer holds; the old one's end is not missed any more.
             self.outlet.close(old);
             self.closed(old);
@@ -270,7 +261,7 @@
             life.role = Role::Proxy(proxy);
             life.frames.allow(MOST_BODY);
         }
-        self.joined.insert(proxy, Joined { conn });
+        self.joined.insert(proxy, conn);
         self.desk.joined(proxy);
         self.planner.joined(now, proxy, zone, bare, rate);
         self.settle();
@@ -291,9 +282,9 @@
         self.settle();
     }
 
-    fn applied(&mut self, now: Duration, conn: Conn, mark: u64) {
+    fn applied(&mut self, now: Duration, conn: Conn, mark: u32) {
         let Some(life) = self.lives.of.get_mut(&conn) else { return };
-        match life.marks.iter().position(|m| u64::from(*m) == mark) {
+        match life.marks.iter().position(|m| u32::from(*m) == mark) {
             Some(i) => {
                 life.marks.drain(..=i);
                 self.planner.applied(now, mark as u16);
@@ -316,11 +307,7 @@
         body: &[u8],
     ) -> Result<(), String> {
         let list: Value = serde_json::from_slice(body).map_err(|e| format!("the list is not JSON: {e}"))?;
-        self.take_list(now, unix_ms, asked, &list).map(|ask_whole| {
-            if ask_whole {
-                self.outlet.ask_whole();
-            }
-        })
+        self.take_list(now, unix_ms, asked, &list)
     }
 
     fn take_list(
@@ -329,7 +316,7 @@
         unix_ms: f64,
         asked: Option<u64>,
         list: &Value,
-    ) -> Result<bool, String> {
+    ) -> Result<(), String> {
         let judged = self.roster.take(now, unix_ms, asked, list)?;
         for fault in &judged.faults {
             self.say(now, "the list is not believed in part", fault);
@@ -350,7 +337,10 @@
             self.settle();
         }
         // A whole list that is wrong in part would be wrong again.
-        Ok(judged.ask_whole && asked.is_some())
+        if judged.ask_whole && asked.is_some() {
+            self.outlet.ask_whole();
+        }
+        Ok(())
     }
 
     /// A call for the list failed, or its watch ended.
@@ -389,12 +379,12 @@
         // Many proxies are told the same.
         let mut frames: BTreeMap<(Table, bool), Vec<u8>> = BTreeMap::new();
         desk.settle(|proxy, told| {
-            let Some(joined) = joined.get(&proxy) else { return };
+            let Some(&conn) = joined.get(&proxy) else { return };
             let frame = frames
                 .entry((told.table, told.bound.is_some()))
                 .or_insert_with(|| orders::frame(told, &words));
-            outlet.write(joined.conn, frame);
-            if let (Some(mark), Some(life)) = (told.mark, lives.of.get_mut(&joined.conn)) {
+            outlet.write(conn, frame);
+            if let (Some(mark), Some(life)) = (told.mark, lives.of.get_mut(&conn)) {
                 life.marks.push_back(mark);
                 // A proxy that answers none is not remembered for ever.
                 if life.marks.len() > 256 {
@@ -402,8 +392,7 @@
                 }
             }
         });
-        let probes: BTreeSet<Server> = desk.probes();
-        for server in probes {
+        for server in desk.probes() {
             let id = servers.id(server);
             match roster.address(id) {
                 Some(address) => outlet.probe(id, address),
--- a/crates/platform/tests/helpers/mod.rs
+++ b/crates/platform/tests/helpers/mod.rs
@@ -15,21 +15,7 @@
 pub const UNIX: f64 = 1_700_000_000_000.0;
 
 pub fn settings() -> Value {
-    json!({
-        "classes": [
-            {"aimMs": 900.0, "effect": "retryable", "name": "look up", "points": 1.0},
-            {"aimMs": 700.0, "effect": "fragile", "name": "store", "points": 3.0},
-        ],
-        "familyInfo": {
-            "cycleMs": 500.0, "dataPlaneSize": 12, "head": 3.0, "linesPerS": 8000.0, "mostWaiting": 9000.0,
-            "throttleBy": "share", "tryFactor": 0.7, "worstTransitMs": 400.0,
-        },
-        "invariants": {"askEveryMs": 9000.0, "warmUpMs": 12000.0},
-        "registryMode": "on_request",
-        "report": {"fields": ["cpu_share", "pending"], "how": "inline"},
-        "allowed": {"probing": true},
-        "zones": ["north", "south"],
-    })
+    serde_json::from_str(include_str!("../settings.json")).unwrap()
 }
 
 pub fn server(k: usize, state: &str, age_ms: u64) -> Value {
--- a/crates/start/src/main.rs
+++ b/crates/start/src/main.rs
@@ -9,7 +9,7 @@
 use std::process::{Command, ExitCode};
 
 fn main() -> ExitCode {
-    if std::env::args_os().nth(1).is_some_and(|a| a == "platform") && std::env::args_os().len() == 2 {
+    if std::env::args_os().skip(1).eq(["platform"]) {
         grebespool_platform_run::log();
         return grebespool_platform_run::run();
     }
--- a/crates/start/tests/helpers/mod.rs
+++ b/crates/start/tests/helpers/mod.rs
@@ -200,19 +200,10 @@
 }
 
 pub fn config(listen: SocketAddr, discovery: SocketAddr, sockets: usize) -> String {
-    let settings = json!({
-        "classes": [
-            {"aimMs": 900.0, "effect": "retryable", "name": "look up", "points": 1.0},
-            {"aimMs": 700.0, "effect": "fragile", "name": "store", "points": 3.0},
-        ],
-        "familyInfo": {
-            "cycleMs": 500.0, "dataPlaneSize": 12, "head": 3.0, "linesPerS": 8000.0, "mostWaiting": 9000.0,
-            "throttleBy": "share", "tryFactor": 0.7, "worstTransitMs": 400.0,
-        },
-        "invariants": {"askEveryMs": 9000.0, "warmUpMs": 12000.0},
-        "registryMode": "on_request", "report": {"fields": ["cpu_share"], "how": "inline"},
-        "allowed": {"probing": false}, "zones": ["north", "south"],
-    });
+    // The deployment that the station's own tests play; its servers answer no probes here.
+    let mut settings: Value =
+        serde_json::from_str(include_str!("../../../platform/tests/settings.json")).unwrap();
+    settings["allowed"]["probing"] = json!(false);
     json!({
         "name": "p0", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "8c1f",
         "limits": {"cores": 0.5, "memory_mb": 32, "sockets": sockets}, "settings": settings,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -192,10 +192,14 @@
     /// The part of the calls that is taken to be told of at the least.
     const TOLD: f64 = 0.3;
 
+    fn window(cycle: Duration) -> Duration {
+        Self::WINDOW.max(cycle * 2)
+    }
+
     /// Lets in what fits, the most important routes first. What servers are able to and what came are known
     /// by the same late reports, so their ratio holds while those are late.
     fn fit(&mut self, now: Duration, cycle: Duration, peers: &[Peer], routes: &[Route], slo: f64, told: f64) {
-        let from = now.saturating_sub(Self::WINDOW.max(cycle * 2));
+        let from = now.saturating_sub(Self::window(cycle));
         let (mut sent, mut able, mut all, mut good, mut heard, mut stay) = (0.0, 0.0, 0.0, 0.0, 0.0, 0.0);
         for (peer, load) in peers.iter().map(|p| (p, &p.load)) {
             let busy = load.mean(from, |x| x.cpu);
@@ -715,7 +719,7 @@
         };
         let newest: Vec<Duration> = (0..self.zones.busy.len() as Zone).map(newest).collect();
         let last = newest.iter().max().copied().unwrap_or_default();
-        let window = Levels::WINDOW.max(self.sight.cycle * 2);
+        let window = Levels::window(self.sight.cycle);
         let heard = |z: Zone| newest.get(usize::from(z)).is_none_or(|at| *at + window >= last);
         let came = self.levels.arrived.iter().flatten().filter(|a| a.0 > now.saturating_sub(window));
         let add = |[told, all]: [f64; 2], a: &(Duration, f64, Option<Zone>)| {
