--- a/crates/start/tests/platform.rs
+++ b/crates/start/tests/platform.rs
@@ -1,8 +1,6 @@
 //! The program as the platform starts it, against scripted proxies, collectors, strangers and a discovery.
 
-mod helpers;
-
-use helpers::*;
+use grebespool_scripted::*;
 use rstest::rstest;
 use serde_json::json;
 use std::io::Write;
@@ -10,6 +8,12 @@
 use std::process::Command;
 use std::thread;
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_grebespool");
+
+fn start(discovery: &Discovery, sockets: usize) -> Program {
+    Program::start(PROGRAM, discovery, sockets, &settings())
+}
+
 #[rstest]
 #[case::hangs(Mood::Hangs)]
 #[case::trickles(Mood::Trickles)]
@@ -17,7 +21,7 @@
 #[case::resets(Mood::Resets)]
 fn a_drain_reaches_every_proxy_and_the_list_is_found_again_after_discovery(#[case] mood: Mood) {
     let discovery = Discovery::new(6);
-    let program = Program::start(&discovery, 128);
+    let program = start(&discovery, 128);
     let proxies = join_all(&program, 6, true);
     discovery.change(&[server(2, "DRAINING")]);
     discovery.mood(mood);
@@ -34,7 +38,7 @@
 #[rstest]
 fn the_list_is_watched_and_not_polled() {
     let discovery = Discovery::new(6);
-    let program = Program::start(&discovery, 128);
+    let program = start(&discovery, 128);
     let proxies = join_all(&program, 6, true);
     thread::sleep(ms(1000));
     assert!(discovery.world.lock().unwrap().calls < 5);
@@ -44,7 +48,7 @@
 #[rstest]
 fn a_newer_stream_holds_and_a_silent_older_one_is_let_go() {
     let discovery = Discovery::new(6);
-    let program = Program::start(&discovery, 128);
+    let program = start(&discovery, 128);
     let older = Proxy::join(program.listen, 3, true);
     until("a table", ms(5000), || older.servers() == 6);
     let newer = Proxy::join(program.listen, 3, false);
@@ -57,7 +61,7 @@
 #[rstest]
 fn after_a_kill_proxies_with_old_tables_get_whole_ones() {
     let discovery = Discovery::new(6);
-    let mut program = Program::start(&discovery, 128);
+    let mut program = start(&discovery, 128);
     let before = join_all(&program, 6, true);
     discovery.change(&[server(1, "DELETED"), server(9, "SERVING")]);
     program.restart();
@@ -69,7 +73,7 @@
 #[rstest]
 fn a_new_discovery_is_used_at_once_and_no_stream_breaks() {
     let (discovery, other) = (Discovery::new(6), Discovery::new(6));
-    let program = Program::start(&discovery, 128);
+    let program = start(&discovery, 128);
     let proxies = join_all(&program, 6, true);
     other.change(&[server(5, "DRAINING")]);
     discovery.mood(Mood::Hangs);
@@ -90,7 +94,7 @@
 #[case::interrupted("INT")]
 fn it_ends_cleanly_and_soon(#[case] signal: &str) {
     let discovery = Discovery::new(6);
-    let mut program = Program::start(&discovery, 128);
+    let mut program = start(&discovery, 128);
     let proxies = join_all(&program, 6, true);
     program.signal(signal);
     let mut status = None;
@@ -108,15 +112,9 @@
 #[rstest]
 fn strangers_by_hundreds_do_not_keep_the_joined_from_being_served() {
     let discovery = Discovery::new(6);
-    let mut program = Program::start(&discovery, 80);
+    let mut program = start(&discovery, 80);
     let proxies = join_all(&program, 6, true);
-    let strangers: Vec<Conn> = (0..400)
-        .filter_map(|k| {
-            let mut socket = TcpStream::connect(program.listen).ok()?;
-            let _ = socket.write_all(if k % 2 == 0 { b"" } else { &[0, 0, 0, 50, b'{', b'"'] });
-            Some(Conn(socket))
-        })
-        .collect();
+    let strangers: Vec<Conn> = strangers(program.listen, 400).into_iter().map(Conn).collect();
     assert!(strangers.len() > 300);
     discovery.change(&[server(0, "DRAINING")]);
     until("a change amid them", ms(1500), || proxies.iter().all(|p| p.servers() == 5));
@@ -133,7 +131,7 @@
 #[rstest]
 fn a_garbled_stream_ends_alone() {
     let discovery = Discovery::new(6);
-    let mut program = Program::start(&discovery, 128);
+    let mut program = start(&discovery, 128);
     let mut proxies = join_all(&program, 6, true);
     proxies[2].conn.say(&json!({"msg": "ACK", "node": 2, "nonce": 60_000, "latency": -4}));
     proxies[2].conn.say(&json!({"msg": "RATE", "node": 3}));
@@ -149,7 +147,7 @@
 #[rstest]
 fn a_proxy_that_reads_nothing_delays_nobody() {
     let discovery = Discovery::new(6);
-    let program = Program::start(&discovery, 128);
+    let program = start(&discovery, 128);
     let proxies = join_all(&program, 6, true);
     let mut mute = Conn(TcpStream::connect(program.listen).unwrap());
     mute.say(&json!({"msg": "SUBSCRIBE", "node": 11, "locality": "south", "w": 2.5, "cold": true}));
@@ -173,7 +171,7 @@
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("config.json");
     std::fs::write(&file, text).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_grebespool"));
+    let mut command = Command::new(PROGRAM);
     let out = command.arg("platform").env("GW_CONFIG", &file).output().unwrap();
     let said = String::from_utf8(out.stderr).unwrap();
     assert_eq!((out.status.code(), said.lines().count()), (Some(2), 1), "{said}");
@@ -186,8 +184,8 @@
     let nowhere: SocketAddr = "127.0.0.1:9".parse().unwrap();
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("config.json");
-    std::fs::write(&file, config(held.local_addr().unwrap(), nowhere, 64)).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_grebespool"));
+    std::fs::write(&file, config(held.local_addr().unwrap(), nowhere, 64, &settings())).unwrap();
+    let mut command = Command::new(PROGRAM);
     let out = command.arg("platform").env("GW_CONFIG", &file).output().unwrap();
     assert_eq!(out.status.code(), Some(2));
     assert!(String::from_utf8(out.stderr).unwrap().contains("cannot listen at 127.0.0.1"));
