--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod rehearse;
 mod replay;
 mod serve;
+mod sites;
 mod trace;
 
 use clap::{Parser, Subcommand, ValueEnum};
@@ -82,6 +83,11 @@
         #[command(subcommand)]
         command: members::MembersCommand,
     },
+    /// What the loss of a whole site would mean
+    Sites {
+        #[command(subcommand)]
+        command: sites::SitesCommand,
+    },
     /// Check or show settings and day files
     Settings {
         #[command(subcommand)]
@@ -127,6 +133,7 @@
         Command::Compare(arguments) => compare::compare(&arguments),
         Command::Trace { command } => trace::trace(command),
         Command::Members { command } => members::members(command),
+        Command::Sites { command } => sites::sites(command),
         Command::Settings { command: SettingsCommand::Check { file, kind } } => check(&file, kind),
         Command::Settings { command: SettingsCommand::Show { file } } => {
             grebespool_settings::Planned::read(&file)
--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -4,7 +4,7 @@
 use grebespool_rules::Verdict;
 use grebespool_settings::{Day, What};
 use grebespool_standin::{
-    FleetHost, PlannerHost, Played, ProcessHost, Progress, ThreadHost, rehearse as play,
+    FleetHost, PlannerHost, Played, ProcessHost, Progress, SeveralHost, ThreadHost, rehearse as play,
 };
 use grebespool_trace::Recorder;
 use indicatif::{ProgressBar, ProgressStyle};
@@ -21,6 +21,8 @@
     Thread,
     /// Three controllers, a process each; what befalls the planner befalls the one that leads
     Fleet,
+    /// Three planners that share nothing, a process each, in the zones in turn
+    Several,
 }
 
 /// What runs the day's planner.
@@ -29,9 +31,12 @@
     let stall = day.rules.grace.0.mul_f64(0.75).max(Duration::from_millis(500));
     Ok(match runs {
         Runs::Thread => Box::new(ThreadHost::new(day.seed, stall)),
-        Runs::Process | Runs::Fleet => {
+        Runs::Process | Runs::Fleet | Runs::Several => {
             let program = std::env::current_exe().map_err(|e| e.to_string())?;
             let host: io::Result<Box<dyn PlannerHost>> = match runs {
+                Runs::Several => {
+                    SeveralHost::new(&program, stall, 3).map(|h| Box::new(h) as Box<dyn PlannerHost>)
+                }
                 Runs::Fleet => FleetHost::new(program, stall, 3).map(|h| Box::new(h) as Box<dyn PlannerHost>),
                 _ => ProcessHost::new(program, stall).map(|h| Box::new(h) as Box<dyn PlannerHost>),
             };
--- a/crates/cli/src/replay.rs
+++ b/crates/cli/src/replay.rs
@@ -3,7 +3,7 @@
 use crate::rehearse::BAD_DAY;
 use clap::Args;
 use grebespool_replay::{
-    Experiment, Kept, Recorded, SweptDay, Unswept, Variant, replay as run, write_report,
+    Experiment, Kept, Recorded, Replays, SweptDay, Unswept, Variant, replay as run, write_report,
 };
 use grebespool_settings::{Day, Deployment, Sweep};
 use indicatif::{ProgressBar, ProgressStyle};
@@ -137,7 +137,7 @@
     let first = &variants[0].day;
     let about = about(first, a.seeds, recorded.as_ref());
     let seeds: Vec<u64> = (0..a.seeds).map(|i| first.seed + i).collect();
-    let bar = bar((variants.len() + 2) * seeds.len());
+    let bar = bar((variants.len() + Replays::BASELINES) * seeds.len());
     let done = |over: usize| bar.set_position(over as u64);
     let replays =
         run(&variants, &seeds, recorded.as_ref(), cores(a.threads), &done).map_err(|why| why.to_string())?;
@@ -171,7 +171,7 @@
         days.push(SweptDay { name: d.name.clone(), about, variants, recorded });
     }
     let seeds: Vec<u64> = (0..sweep.seeds).map(|i| sweep.first_seed + i).collect();
-    let runs = sweep.days.len() * (sweep.variants.len() + 2) * seeds.len();
+    let runs = sweep.days.len() * (sweep.variants.len() + Replays::BASELINES) * seeds.len();
     let experiment = Experiment { name: sweep.name, days, seeds };
     // Runs of another build are done again: what it decides may differ.
     let program = std::env::current_exe().and_then(std::fs::read).map_err(|e| e.to_string())?;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -6,9 +6,11 @@
 use crate::door::Proxies;
 use crate::gather::Gather;
 use crate::trust::{ListSense, ReportSense, Untrusted};
+use crate::watch::Watch;
 use grebespool::decide::Planner;
 use grebespool::host::*;
 use grebespool_books::{Desk, Servers};
+use grebespool_sites::{Order as SiteOrder, Plan, Refused, Status, Timing};
 use grebespool_wire as wire;
 use grebespool_wire::{Cause, Entry, Level, MetLine, Order, Orders, Reason, ServerId};
 use std::cell::RefCell;
@@ -31,6 +33,8 @@
     fn ask_list(&mut self, have: u64);
     /// Something was not believed or not done.
     fn refused(&mut self, text: &str);
+    /// Something that operators want to know of: a verdict on a whole site, a step of its return.
+    fn told(&mut self, _: &str) {}
 }
 
 /// This run of the planner: an id that no other run has, and the seed of its chance.
@@ -109,6 +113,10 @@
     list_at: (u64, Duration),
     /// The last message that each stream is known to have in force.
     applied: BTreeMap<StreamId, u64>,
+    /// Whole sites, where these are watched.
+    watch: Option<(Watch, Duration)>,
+    stated_routes: Vec<Route>,
+    zones: Vec<String>,
 }
 
 impl<O: Outlet> Engine<O> {
@@ -147,6 +155,7 @@
         let desk = Desk::default();
         let (n, fields, tell_every) = (routes.len(), sight.fields.clone(), sight.cycle / 4);
         let window = if pace.window.is_zero() { Duration::from_secs(10) } else { pace.window };
+        let stated_routes = routes.clone();
         let planner = Planner::start(desk.clone(), start.seed, routes, plane, graces, pace, sight);
         outlet.ask_list(0);
         Ok(Engine {
@@ -159,7 +168,7 @@
             desk,
             joined: BTreeMap::new(),
             channel: Channel::new(pace),
-            list: ListSense::new(zones, bounds.servers),
+            list: ListSense::new(zones.clone(), bounds.servers),
             reports: ReportSense::default(),
             gather: Gather::default(),
             tell_every,
@@ -173,9 +182,43 @@
             drains: BTreeMap::new(),
             list_at: (0, Duration::ZERO),
             applied: BTreeMap::new(),
+            watch: None,
+            stated_routes,
+            zones,
         })
     }
 
+    /// Watches for the loss of whole sites from here on (docs/design/site-loss.md). Without it nothing of that is done.
+    pub fn watch_sites(&mut self, timing: Timing) {
+        let watch = Watch::new(self.zones.len(), &self.stated_routes, timing);
+        self.watch = Some((watch, timing.window));
+    }
+
+    /// What stands of each site, by its name; empty where sites are not watched.
+    pub fn sites(&self, now: Duration) -> Vec<(String, Status)> {
+        let status = self.watch.iter().flat_map(|(w, _)| w.status(now));
+        self.zones.iter().cloned().zip(status).collect()
+    }
+
+    /// An operator's order on a site. Gives the plan that is in force with it.
+    ///
+    /// # Errors
+    ///
+    /// Why it is not carried out; unset where sites are not watched.
+    pub fn order_site(
+        &mut self,
+        now: Duration,
+        zone: Zone,
+        order: SiteOrder,
+        forced: bool,
+    ) -> Result<Option<Plan>, Option<Refused>> {
+        let Engine { watch, planner, outlet, zones, .. } = self;
+        let Some((watch, _)) = watch else { return Err(None) };
+        let done = watch.order(now, (zone, order, forced), planner, outlet, zones);
+        self.settle(now, Cause::Interval);
+        done.map_err(Some)
+    }
+
     /// Begins with what a former leader had learnt of servers, each as a multiple of its pool's mean: called after
     /// the first list and before any join.
     pub fn recall(&mut self, weights: &BTreeMap<ServerId, f64>) {
@@ -258,6 +301,7 @@
         self.desk.joined(proxy);
         self.streams.insert(stream, proxy);
         self.outlet.welcome(stream);
+        self.watch.iter_mut().for_each(|(w, _)| w.joined(now, zone));
         self.planner.joined(now, proxy, zone, arrival.bare, f64::from(arrival.rate.max(0.0)));
         self.settle(now, Cause::Join);
         // What it was told may have been too much for the channel.
@@ -278,7 +322,10 @@
     /// The stream ended, for whatever reason.
     pub fn left(&mut self, stream: StreamId) {
         if let Some(proxy) = self.streams.remove(&stream) {
-            self.joined.remove(&proxy);
+            let zone = self.joined.remove(&proxy).map(|j| j.zone);
+            // The last time that anything was due is near enough: an end is one sign of several.
+            let at = self.woken_at;
+            self.watch.iter_mut().zip(zone).for_each(|((w, _), zone)| w.left(at, zone));
             self.desk.left(proxy);
             self.channel.drop_stream(stream);
             self.confirm.ended(stream);
@@ -350,6 +397,9 @@
                     }
                 }
                 self.drains.retain(|id, _| self.list.lists(*id));
+                if let Some((watch, _)) = &mut self.watch {
+                    watch.listed(now, self.list.standing());
+                }
                 // What the list left out was put as gone, so all that is whole about it is in the entries.
                 self.planner.list(now, false, &listed);
                 self.settle(now, Cause::List);
@@ -371,6 +421,10 @@
     }
 
     pub fn probed(&mut self, now: Duration, server: ServerId, result: Probed) {
+        if let (Some((watch, _)), Some(zone)) = (&mut self.watch, self.list.zone_of(server)) {
+            // One that says no is there.
+            watch.probed(now, zone, result != Probed::Failed);
+        }
         if let Some(server) = self.servers.find(&server) {
             self.planner.probed(server, result);
             self.settle(now, Cause::Interval);
@@ -394,11 +448,28 @@
         if now >= self.tell_at {
             // From now on, so that a stall of the machine makes no burst of intervals after it.
             self.tell_at = now + self.tell_every;
-            let planner = RefCell::new(&mut self.planner);
+            let Engine { planner, watch, servers, list, joined, .. } = self;
+            let both = RefCell::new((planner, watch));
             self.gather.tell(
-                |server, met| planner.borrow_mut().met(now, server, met),
-                |proxy, route, calls| planner.borrow_mut().came(now, proxy, route, calls),
+                |server, met| {
+                    let (planner, watch) = &mut *both.borrow_mut();
+                    let at = list.zone_of(*servers.id(server));
+                    watch.iter_mut().zip(at).for_each(|((w, _), at)| w.met(now, at, met));
+                    planner.met(now, server, met);
+                },
+                |proxy, route, calls| {
+                    let (planner, watch) = &mut *both.borrow_mut();
+                    let of = joined.get(&proxy).map(|j| j.zone);
+                    watch.iter_mut().zip(of).for_each(|((w, _), of)| w.heard(now, of));
+                    planner.came(now, proxy, route, calls);
+                },
             );
+            let Engine { planner, watch, outlet, zones, .. } = self;
+            let looked =
+                watch.as_mut().is_some_and(|(w, window)| w.look(now, *window, planner, outlet, zones));
+            if looked {
+                self.settle(now, Cause::Interval);
+            }
         }
         for token in self.desk.wakes(now) {
             self.planner.woken(now, token);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,9 +12,11 @@
 mod engine;
 mod gather;
 mod trust;
+mod watch;
 
 pub use admission::Admission;
 pub use channel::{Channel, Overrun};
 pub use confirm::Confirm;
 pub use engine::{Arrival, Bounds, Engine, Outlet, Start, StreamId, Unsupported};
+pub use grebespool_sites::{Order as SiteOrder, Pacing, Plan, Refused, Standing, Status, Timing};
 pub use trust::{ListSense, ReportSense, Untrusted};
--- a/crates/engine/src/trust.rs
+++ b/crates/engine/src/trust.rs
@@ -65,6 +65,18 @@
         self.zones.iter().position(|z| z == name).map(|z| z as Zone)
     }
 
+    pub fn zone_of(&self, server: ServerId) -> Option<Zone> {
+        self.known.get(&server).map(|k| k.zone)
+    }
+
+    /// Each server's zone and phase, and its start on the planner's clock where that is known and lies after its own.
+    pub fn standing(&self) -> impl Iterator<Item = (Zone, grebespool::host::Phase, Option<Duration>)> {
+        self.known.values().map(|k| {
+            let started = k.age_at.1.and_then(|age| k.age_at.0.checked_sub(age));
+            (k.zone, phase(k.phase), started)
+        })
+    }
+
     /// Whether the list has the server, be it ready or draining.
     pub fn lists(&self, server: ServerId) -> bool {
         self.known.get(&server).is_some_and(|k| k.phase != Phase::Gone)
--- /dev/null
+++ b/crates/engine/src/watch.rs
@@ -0,0 +1,121 @@
+//! What the engine hears, told to the sites, and what these order, told to the decisions.
+
+use crate::engine::Outlet;
+use grebespool::decide::Planner;
+use grebespool::host::{Host, Met, Phase, Route, Zone};
+use grebespool_sites::{Demand, Ground, Order, Plan, Refused, Sites, Status, Timing};
+use std::time::Duration;
+
+/// The sites as the engine watches them.
+pub struct Watch {
+    sites: Sites,
+    looked_at: Duration,
+    /// Servers ready and latest starts by zone, as last told.
+    listed: Vec<(usize, Option<Duration>)>,
+}
+
+/// What a verdict acts on: the decisions, and the log.
+struct Act<'a, H, O> {
+    now: Duration,
+    planner: &'a mut Planner<H>,
+    outlet: &'a mut O,
+    names: &'a [String],
+}
+
+impl<H: Host, O: Outlet> Ground for Act<'_, H, O> {
+    fn part(&mut self, site: usize, part: f64) {
+        self.planner.hold(self.now, site as Zone, part);
+    }
+    fn levels(&mut self, most: &[f64]) {
+        self.planner.bound(self.now, most);
+    }
+    fn say(&mut self, text: String) {
+        // Sites are known by their places there, and by their names to operators.
+        let named = self
+            .names
+            .iter()
+            .enumerate()
+            .fold(text, |text, (i, name)| text.replace(&format!("site {i}:"), &format!("site {name}:")));
+        self.outlet.told(&named);
+    }
+}
+
+impl Watch {
+    /// Verdicts are looked at this often within their window.
+    const LOOKS: u32 = 8;
+
+    pub fn new(zones: usize, routes: &[Route], timing: Timing) -> Watch {
+        let demand = |r: &Route| Demand { importance: r.importance, stays: r.stays_local };
+        let sites = Sites::new(zones, routes.iter().map(demand).collect(), timing);
+        Watch { sites, looked_at: Duration::ZERO, listed: vec![(0, None); zones] }
+    }
+
+    pub fn met(&mut self, now: Duration, at: Zone, met: &Met) {
+        let (tries, answered) = (f64::from(met.tries), f64::from(met.tries.saturating_sub(met.dropped)));
+        let waited = met.wait.map_or(0.0, |w| w.as_secs_f64() * answered);
+        self.sites.met(now, usize::from(met.from), usize::from(at), tries, answered, waited);
+    }
+
+    pub fn heard(&mut self, now: Duration, zone: Zone) {
+        self.sites.heard(now, usize::from(zone));
+    }
+
+    pub fn probed(&mut self, now: Duration, zone: Zone, answered: bool) {
+        self.sites.probed(now, usize::from(zone), answered);
+    }
+
+    pub fn joined(&mut self, now: Duration, zone: Zone) {
+        self.sites.joined(now, usize::from(zone));
+    }
+
+    pub fn left(&mut self, now: Duration, zone: Zone) {
+        self.sites.left(now, usize::from(zone));
+    }
+
+    /// The list as it stands now: each server's zone, phase, and start on the planner's clock if that is known.
+    pub fn listed(&mut self, now: Duration, all: impl Iterator<Item = (Zone, Phase, Option<Duration>)>) {
+        self.listed.iter_mut().for_each(|l| *l = (0, None));
+        for (zone, _, started) in all.filter(|(_, phase, _)| *phase == Phase::Ready) {
+            let (ready, latest) = &mut self.listed[usize::from(zone)];
+            (*ready, *latest) = (*ready + 1, (*latest).max(started));
+        }
+        for (zone, (ready, latest)) in self.listed.iter().enumerate() {
+            self.sites.listed(now, zone, *ready, *latest);
+        }
+    }
+
+    /// Whether anything was looked at.
+    pub fn look<H: Host>(
+        &mut self,
+        now: Duration,
+        window: Duration,
+        planner: &mut Planner<H>,
+        outlet: &mut impl Outlet,
+        names: &[String],
+    ) -> bool {
+        if now.saturating_sub(self.looked_at) < window / Self::LOOKS {
+            return false;
+        }
+        self.looked_at = now;
+        for (zone, (able, asked)) in planner.rooms(now).into_iter().enumerate() {
+            self.sites.room(zone, able, asked);
+        }
+        self.sites.look(now, &mut Act { now, planner, outlet, names });
+        true
+    }
+
+    pub fn order<H: Host>(
+        &mut self,
+        now: Duration,
+        (zone, order, forced): (Zone, Order, bool),
+        planner: &mut Planner<H>,
+        outlet: &mut impl Outlet,
+        names: &[String],
+    ) -> Result<Option<Plan>, Refused> {
+        self.sites.order(now, usize::from(zone), order, forced, &mut Act { now, planner, outlet, names })
+    }
+
+    pub fn status(&self, now: Duration) -> Vec<Status> {
+        self.sites.status(now)
+    }
+}
--- a/crates/model/src/calls.rs
+++ b/crates/model/src/calls.rs
@@ -99,6 +99,7 @@
         let (proxy, call) = (a.proxy, a.call);
         let picked = match self.by {
             PlannedBy::Nobody => self.best(proxy, &call, &self.active[&id].tried),
+            PlannedBy::Rationed => self.rationed(proxy, &call, &self.active[&id].tried),
             PlannedBy::Planner | PlannedBy::Evenly => {
                 let p = &mut self.proxies[proxy];
                 let conns = &p.conns;
--- a/crates/model/src/play.rs
+++ b/crates/model/src/play.rs
@@ -42,6 +42,8 @@
     Evenly,
     /// Each call goes where it is done first, by perfect knowledge of all servers: what no planner can do.
     Nobody,
+    /// The same, and a call is let in only if it would be answered soon enough: the less important its route, the sooner.
+    Rationed,
 }
 
 /// Why a day cannot be played.
@@ -280,6 +282,9 @@
             d.pace(),
             d.sight(asked),
         )?);
+        if let (Some(engine), Some(timing)) = (&mut self.engine, d.watch()) {
+            engine.watch_sites(timing);
+        }
         self.plan(|_| ());
         Ok(())
     }
--- a/crates/model/src/troubles.rs
+++ b/crates/model/src/troubles.rs
@@ -1,7 +1,7 @@
 //! The troubles of a day, as they come and go.
 
 use crate::agenda::{Due, HOP};
-use crate::play::Model;
+use crate::play::{Model, PlannedBy};
 use grebespool_rules::Passed;
 use grebespool_settings::What;
 use grebespool_wire::Phase;
@@ -107,8 +107,12 @@
                 hand.proxies = (0..self.proxies.len()).filter(apart).collect();
                 hand.proxies.iter().for_each(|p| self.agenda.borrow_mut().hold(*p, true));
             }
-            What::ZoneLoss { zone } => {
+            What::ZoneLoss { zone } | What::SiteLoss { zone } => {
                 let zone = self.zone(zone);
+                // The planner is in the first zone.
+                if zone == 0 && matches!(trouble.what, What::SiteLoss { .. }) {
+                    self.kill_planner();
+                }
                 let lost = |i: &usize| self.servers[*i].zone == zone && !self.taken.contains(i);
                 hand.servers = (0..self.servers.len()).filter(lost).collect();
                 self.taken.extend(hand.servers.iter());
@@ -199,7 +203,10 @@
                 self.cut.remove(&zone);
                 hand.proxies.iter().for_each(|p| self.agenda.borrow_mut().hold(*p, false));
             }
-            What::ZoneLoss { .. } => {
+            What::ZoneLoss { .. } | What::SiteLoss { .. } => {
+                if self.engine.is_none() && self.by == PlannedBy::Planner {
+                    self.start_planner();
+                }
                 for s in &hand.servers {
                     self.start(*s, self.servers[*s].id.number, Duration::ZERO);
                 }
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -165,6 +165,10 @@
     fn refused(&mut self, text: &str) {
         warn!(start = self.start.id, "{text}");
     }
+
+    fn told(&mut self, text: &str) {
+        warn!(start = self.start.id, "{text}");
+    }
 }
 
 fn log_orders(stream: StreamId, orders: &Orders) {
@@ -249,6 +253,9 @@
         deployment.pace(),
         deployment.sight(source.ask_within()),
     )?;
+    if let Some(timing) = deployment.watch() {
+        engine.watch_sites(timing);
+    }
     if let Some(memory) = watch.recall() {
         memory::recall(&mut engine, &memory);
     }
--- a/crates/replay/src/chart.rs
+++ b/crates/replay/src/chart.rs
@@ -30,8 +30,9 @@
 
 /// Service through the day, a line a variant, mean over seeds; the baselines thin.
 pub(crate) fn course(replays: &Replays) -> io::Result<String> {
-    let all: Vec<(&Replayed, u32)> =
-        (replays.variants.iter().map(|r| (r, 2))).chain([(&replays.evenly, 1), (&replays.best, 1)]).collect();
+    let all: Vec<(&Replayed, u32)> = (replays.variants.iter().map(|r| (r, 2)))
+        .chain([(&replays.evenly, 1), (&replays.best, 1), (&replays.rationed, 1)])
+        .collect();
     let outcomes = all.iter().flat_map(|r| &r.0.outcomes);
     let steps = outcomes.map(|o| o.service.course.len()).max().unwrap_or(1);
     let step = Service::STEP as f64;
--- a/crates/replay/src/experiment.rs
+++ b/crates/replay/src/experiment.rs
@@ -154,7 +154,7 @@
         let mut days = vec![];
         for day in &self.days {
             let names: Vec<&str> = day.variants.iter().map(|v| v.name.as_str()).collect();
-            let runs = (names.len() + 2) * self.seeds.len();
+            let runs = (names.len() + Replays::BASELINES) * self.seeds.len();
             days.push((day.name.clone(), Replays::of(&names, outcomes.by_ref().take(runs).collect())));
         }
         Ok(Swept { days, kept: jobs.len() - count, done: count })
--- a/crates/replay/src/past.rs
+++ b/crates/replay/src/past.rs
@@ -138,6 +138,7 @@
             What::Deploy { .. }
             | What::Replaced { .. }
             | What::ZoneLoss { .. }
+            | What::SiteLoss { .. }
             | What::ListLate { .. }
             | What::ListFails
             | What::ListOld
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -136,7 +136,7 @@
             rules(r),
         ]);
     }
-    for r in [&replays.evenly, &replays.best] {
+    for r in [&replays.evenly, &replays.best, &replays.rationed] {
         let worst = format!("{:.4}", of(r, |o| o.service.worst));
         let against = told(&gain(&replays.variants[0], r));
         table.rows.push(vec![
@@ -152,7 +152,7 @@
 }
 
 fn all(replays: &Replays) -> impl Iterator<Item = &Replayed> {
-    replays.variants.iter().chain([&replays.evenly, &replays.best])
+    replays.variants.iter().chain([&replays.evenly, &replays.best, &replays.rationed])
 }
 
 fn costs(replays: &Replays) -> Table {
--- a/crates/replay/src/run.rs
+++ b/crates/replay/src/run.rs
@@ -106,29 +106,36 @@
     pub evenly: Replayed,
     /// Each call to where it is done first, by perfect knowledge, on the first variant's day.
     pub best: Replayed,
+    /// The same, where what does not fit is turned away by importance.
+    pub rationed: Replayed,
 }
 
 impl Replays {
+    /// What each day is compared with.
+    pub const BASELINES: usize = 3;
     pub const EVENLY: &str = "even weights, no planner";
     pub const BEST: &str = "least loaded, knowing all";
+    pub const RATIONED: &str = "least loaded and rationed, knowing all";
 
-    /// The runs that a comparison needs: each variant with each seed, then the two baselines.
+    /// The runs that a comparison needs: each variant with each seed, then the baselines.
     pub fn jobs<'a>(variants: &'a [Variant], seeds: &[u64], recorded: Option<&'a Recorded>) -> Vec<Job<'a>> {
         let of = |day: &'a Day, by| seeds.iter().map(move |seed| Job { day, seed: *seed, by, recorded });
         let planned = variants.iter().flat_map(|v| of(&v.day, PlannedBy::Planner));
         let first = variants.iter().take(1);
-        let compared = first.flat_map(|v| of(&v.day, PlannedBy::Evenly).chain(of(&v.day, PlannedBy::Nobody)));
+        let by = [PlannedBy::Evenly, PlannedBy::Nobody, PlannedBy::Rationed];
+        let compared = first.flat_map(|v| by.into_iter().flat_map(move |by| of(&v.day, by)));
         planned.chain(compared).collect()
     }
 
     /// Puts the outcomes of [`Replays::jobs`] together.
     pub fn of(names: &[&str], outcomes: Vec<Outcome>) -> Replays {
-        let seeds = outcomes.len() / (names.len() + 2);
+        let seeds = outcomes.len() / (names.len() + Self::BASELINES);
         let mut outcomes = outcomes.into_iter();
         let mut next =
             |name: &str| Replayed { name: name.into(), outcomes: outcomes.by_ref().take(seeds).collect() };
         let variants = names.iter().map(|n| next(n)).collect();
-        Replays { variants, evenly: next(Self::EVENLY), best: next(Self::BEST) }
+        let (evenly, best) = (next(Self::EVENLY), next(Self::BEST));
+        Replays { variants, evenly, best, rationed: next(Self::RATIONED) }
     }
 
     pub fn kept(&self) -> bool {
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -117,6 +117,10 @@
     ZoneLoss {
         zone: String,
     },
+    /// A zone's servers go at once and come back cold, and the planners that are there go with them.
+    SiteLoss {
+        zone: String,
+    },
     Burst {
         factor: f64,
     },
@@ -152,7 +156,10 @@
     fn contradicts(&self, other: &Trouble) -> bool {
         let one = match (&self.what, &other.what) {
             (What::ZoneCut { zone: a }, What::ZoneCut { zone: b })
-            | (What::ZoneLoss { zone: a }, What::ZoneLoss { zone: b }) => a == b,
+            | (
+                What::ZoneLoss { zone: a } | What::SiteLoss { zone: a },
+                What::ZoneLoss { zone: b } | What::SiteLoss { zone: b },
+            ) => a == b,
             (What::Burst { .. }, What::Burst { .. })
             | (What::SlowOrders { .. }, What::SlowOrders { .. })
             | (What::ListLate { .. }, What::ListLate { .. })
@@ -278,7 +285,9 @@
                 ));
             }
             match &trouble.what {
-                What::ZoneCut { zone } | What::ZoneLoss { zone } if !zones.contains(zone) => {
+                What::ZoneCut { zone } | What::ZoneLoss { zone } | What::SiteLoss { zone }
+                    if !zones.contains(zone) =>
+                {
                     return bad(format!("{zone:?} is not among the deployment's zones {zones:?}"));
                 }
                 What::Silent { .. }
@@ -291,6 +300,7 @@
                 | What::PlannerStalled
                 | What::Takeover
                 | What::ZoneLoss { .. }
+                | What::SiteLoss { .. }
                     if trouble.lasts.0.is_zero() =>
                 {
                     return bad("it needs to last".into());
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -101,6 +101,15 @@
     pub probing: bool,
 }
 
+/// How the loss of a whole site is watched for.
+#[derive(Debug, Clone, Deserialize)]
+pub struct SiteWatch {
+    pub watched: bool,
+    pub window: Span,
+    pub confirm: Span,
+    pub calm: Span,
+}
+
 /// What a deployment is like, whoever plans for it.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Deployment {
@@ -111,6 +120,7 @@
     pub servers: Servers,
     pub channel: Channel,
     pub reports: Reports,
+    pub sites: SiteWatch,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
@@ -374,6 +384,10 @@
             let why = "more proxies are expected than may be known (proxies.most)".to_string();
             return bad("proxies.expected", why);
         }
+        if self.sites.watched && self.sites.window.0 < self.reports.cycle.0 * 2 {
+            let (window, cycle) = (self.sites.window.0, self.reports.cycle.0);
+            return bad("sites.window", format!("{window:?} is shorter than two report cycles of {cycle:?}"));
+        }
         let needed = self.channel.head + 3.0;
         if self.channel.most_waiting < needed {
             return bad("channel.most_waiting", format!("no message fits; {needed} lines at the least"));
@@ -446,6 +460,21 @@
         }
     }
 
+    /// How the loss of a whole zone is watched for; unset where it is not.
+    pub fn watch(&self) -> Option<grebespool_engine::Timing> {
+        let slo = self.routes.iter().map(|r| r.slo.0).min().unwrap_or(Duration::from_secs(1));
+        let pacing = grebespool_engine::Pacing {
+            warm_up: self.servers.warm_up.0,
+            settling: self.channel.worst_transit.0 + self.reports.cycle.0,
+            late: 0.4 * slo.as_secs_f64(),
+        };
+        let sites = &self.sites;
+        let (window, confirm, calm) = (sites.window.0, sites.confirm.0, sites.calm.0);
+        // Where nothing may be probed, only calls can show that a site is back.
+        let trickle = if self.reports.probing { 0.0 } else { 0.02 };
+        sites.watched.then_some(grebespool_engine::Timing { window, confirm, calm, trickle, pacing })
+    }
+
     /// `unconfirmed`: how long a proxy may leave orders unconfirmed.
     pub fn bounds(&self, unconfirmed: Duration) -> Bounds {
         let (servers, proxies, joins) = (self.servers.most, self.proxies.most, self.proxies.joins);
--- a/crates/settings/src/text.rs
+++ b/crates/settings/src/text.rs
@@ -24,7 +24,7 @@
     };
     let routes: Vec<Value> = d.routes.iter().map(route).collect();
     let fields: Vec<String> = d.reports.fields.iter().map(|f| format!("{f:?}")).collect();
-    let (p, s, c, r) = (&d.proxies, &d.servers, &d.channel, &d.reports);
+    let (p, s, c, r, w) = (&d.proxies, &d.servers, &d.channel, &d.reports, &d.sites);
     json!({
         "zones": d.zones, "routes": routes, "slices": d.slices,
         "proxies": {
@@ -41,6 +41,9 @@
             "worst_transit": c.worst_transit.text(),
         },
         "reports": { "fields": fields, "cycle": r.cycle.text(), "probing": r.probing },
+        "sites": {
+            "watched": w.watched, "window": w.window.text(), "confirm": w.confirm.text(), "calm": w.calm.text(),
+        },
     })
 }
 
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -31,6 +31,14 @@
     /// It stands still from now until it is resumed, at the latest after `most`.
     fn stall(&mut self, most: Duration);
     fn resume(&mut self);
+    /// What stood in a zone is lost with it, until it is started again. Whether anything stood there.
+    fn lose_site(&mut self, _zone: u16) -> bool {
+        false
+    }
+    /// Whether each planner has proxies of its own.
+    fn spreads(&self) -> bool {
+        false
+    }
 }
 
 enum Told {
@@ -235,3 +243,89 @@
         self.kill();
     }
 }
+
+/// Planners that share nothing, a process each, in the zones in turn. What befalls the planner befalls the next in turn.
+pub struct SeveralHost {
+    planners: Vec<ProcessHost>,
+    addresses: Vec<SocketAddr>,
+    runs: Vec<bool>,
+    zones: usize,
+    turn: usize,
+}
+
+impl SeveralHost {
+    /// `program`: the command line. `stall`: as for one planner.
+    ///
+    /// # Errors
+    ///
+    /// No folder can be made for their settings.
+    pub fn new(program: &Path, stall: Duration, planners: usize) -> io::Result<SeveralHost> {
+        let each = (0..planners).map(|_| ProcessHost::new(program.to_path_buf(), stall));
+        let planners: Vec<ProcessHost> = each.collect::<io::Result<_>>()?;
+        let runs = vec![false; planners.len()];
+        Ok(SeveralHost { planners, addresses: vec![], runs, zones: 1, turn: 0 })
+    }
+
+    /// Those that run, as processes.
+    pub fn ids(&self) -> Vec<u32> {
+        self.planners.iter().filter_map(ProcessHost::id).collect()
+    }
+
+    fn end(&mut self, i: usize) {
+        self.planners[i].kill();
+        self.runs[i] = false;
+    }
+}
+
+impl PlannerHost for SeveralHost {
+    /// Starts those that do not run.
+    fn start(
+        &mut self,
+        deployment: &Deployment,
+        list: &ListSource,
+        key_file: &Path,
+    ) -> io::Result<Vec<SocketAddr>> {
+        self.zones = deployment.zones.len().max(1);
+        for i in 0..self.planners.len() {
+            if !self.runs[i] {
+                let address = self.planners[i].start(deployment, list, key_file)?;
+                self.addresses.truncate(self.planners.len());
+                if self.addresses.len() <= i {
+                    self.addresses.extend(address);
+                } else {
+                    self.addresses[i] = address[0];
+                }
+                self.runs[i] = true;
+            }
+        }
+        Ok(self.addresses.clone())
+    }
+
+    fn kill(&mut self) {
+        let next = self.turn % self.planners.len();
+        self.turn += 1;
+        self.end(next);
+    }
+
+    fn stall(&mut self, most: Duration) {
+        let next = self.turn % self.planners.len();
+        self.planners[next].stall(most);
+    }
+
+    fn resume(&mut self) {
+        let next = self.turn % self.planners.len();
+        self.planners[next].resume();
+        self.turn += 1;
+    }
+
+    fn lose_site(&mut self, zone: u16) -> bool {
+        let there: Vec<usize> =
+            (0..self.planners.len()).filter(|i| i % self.zones == usize::from(zone)).collect();
+        there.iter().for_each(|i| self.end(*i));
+        !there.is_empty()
+    }
+
+    fn spreads(&self) -> bool {
+        true
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,6 +14,6 @@
 mod world;
 
 pub use fleet::{FleetHost, free_ports};
-pub use host::{PlannerHost, ProcessHost, ThreadHost};
+pub use host::{PlannerHost, ProcessHost, SeveralHost, ThreadHost};
 pub use rehearsal::{Played, Progress, rehearse};
 pub use world::listed;
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -95,6 +95,11 @@
         let _ = self.breaks.send(Some(how));
     }
 
+    /// Dials this one of the planners first.
+    pub fn begin_at(&self, turn: usize) {
+        self.turn.set(turn);
+    }
+
     /// The planner that it is at does not answer: the next dial goes to another.
     pub fn look_elsewhere(&self) {
         self.turn.set(self.turn.get() + 1);
--- a/crates/standin/src/rehearsal.rs
+++ b/crates/standin/src/rehearsal.rs
@@ -121,6 +121,10 @@
         for _ in 0..kind.count {
             let (number, zone) = (proxies.len() as u16, world.zone(&kind.zone));
             let link = Link::new(world.clone(), number, zone, planners.clone()).await?;
+            // Where planners share nothing each has its own proxies.
+            if host.spreads() {
+                link.begin_at(usize::from(number));
+            }
             let mut near: Vec<ServerId> = servers.iter().filter(|s| s.zone == zone).map(|s| s.id()).collect();
             near.shuffle(&mut rng);
             near.truncate(kind.standing);
@@ -331,6 +335,14 @@
             What::ListTwice => self.list.repeat(self.list.version()),
             What::ZoneCut { zone } => self.cut(self.world.zone(&zone), lasts).await,
             What::ZoneLoss { zone } => self.lose(self.world.zone(&zone), lasts).await?,
+            What::SiteLoss { zone } => {
+                let zone = self.world.zone(&zone);
+                if self.host.borrow_mut().lose_site(zone) {
+                    self.world.put(Passed::PlannerKilled);
+                }
+                self.lose(zone, lasts).await?;
+                self.start_planner()?;
+            }
             What::Burst { factor } => {
                 self.world.burst.set(factor);
                 sleep(lasts).await;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -22,7 +22,8 @@
     const STILL: Duration = Duration::from_secs(3);
 
     fn unlisted() -> Peer {
-        let (load, health, ramp) = (Samples::default(), Health::NEW, Ramp { step: Ramp::STEPS, cold: false });
+        let ramp = Ramp { step: Ramp::STEPS, cold: false, since: Duration::ZERO };
+        let (load, health) = (Samples::default(), Health::NEW);
         let (zone, phase, warm_at, doubted) = (0, Phase::Draining, Duration::ZERO, false);
         Peer { zone, phase, warm_at, doubted, load, health, ramp }
     }
@@ -200,18 +201,23 @@
     /// by the same late reports, so their ratio holds while those are late.
     fn fit(&mut self, now: Duration, cycle: Duration, peers: &[Peer], routes: &[Route], slo: f64, told: f64) {
         let from = now.saturating_sub(Self::window(cycle));
-        let (mut sent, mut able, mut all, mut good, mut heard, mut stay) = (0.0, 0.0, 0.0, 0.0, 0.0, 0.0);
+        let (mut sent, mut able, mut all, mut good) = (0.0, 0.0, 0.0, 0.0);
+        // Of those that stay: what they are able to, how many were heard of, and how many there are.
+        let (mut lasting, mut heard, mut stay, mut known) = (0.0, 0.0, 0.0, 0.0);
         for (peer, load) in peers.iter().map(|p| (p, &p.load)) {
             let busy = load.mean(from, |x| x.cpu);
             let (tries, answered) = (load.sum(from, |x| x.tries), load.sum(from, Sample::answered));
             (all, good) = (all + tries, good + answered);
             let unasked = tries == 0.0 && peer.open() && !peer.ramp.cold;
             heard += if answered > 0.0 { 1.0 } else { 0.0 };
+            known += if peer.ready() && answered > 0.0 { 1.0 } else { 0.0 };
             stay += if unasked || (peer.ready() && answered > 0.0) { 1.0 } else { 0.0 };
             if answered > 0.0 {
                 // Tries that fail at a server with time to spare point to a cut or a fault.
                 sent += if busy.is_some_and(|b| b < Self::FULL) { answered } else { tries };
-                able += answered / busy.unwrap_or(0.7).clamp(0.05, 1.0);
+                let own = answered / busy.unwrap_or(0.7).clamp(0.05, 1.0);
+                able += own;
+                lasting += if peer.ready() { own } else { 0.0 };
             }
         }
         if able == 0.0 {
@@ -228,8 +234,8 @@
         let late = wait.is_some_and(|w| w > Self::LATE * slo);
         // Against servers that drain together: what they did falls to the others at once, and to wait until
         // these are full and late is seconds too late. Warm ones that are still unheard of make up for them.
-        let able = if stay < heard { able * stay / heard } else { able };
-        let pressure = sent / able.max(1.0);
+        let foreseen = if stay < heard { able * stay / heard } else { able };
+        let pressure = sent / foreseen.max(1.0);
         // Late reports alone, which come in lumps, are no reason to turn calls away.
         if pressure < 1.1 && !late && !self.throttled() {
             return;
@@ -238,6 +244,8 @@
             |a: &VecDeque<(Duration, f64, Option<Zone>)>| a.iter().filter(|a| a.0 > from).map(|a| a.1).sum();
         let calls: Vec<f64> = self.arrived.iter().map(came).collect();
         let let_in: f64 = calls.iter().zip(&self.wanted).map(|(c, w)| c * f64::from(*w)).sum();
+        // Those that left have done less than their part of the window already: what stays counts by itself.
+        let able = if stay < heard && known > 0.0 { able.min(lasting * stay / known) } else { able };
         let able = able / told;
         let least = Self::STEP * calls.iter().sum::<f64>();
         // A route that was shut out would never come back by growth alone.
@@ -333,7 +341,8 @@
         let n = routes.len();
         let (pressure, arrived, written) =
             (Levels::UNHEARD, vec![VecDeque::new(); n], vec![(-1.0, Tries::One); n]);
-        let levels = Levels { pressure, arrived, wanted: vec![1.0; n], crowded: false, written };
+        let (wanted, most) = (vec![1.0; n], vec![1.0; n]);
+        let levels = Levels { pressure, arrived, wanted, most, crowded: false, written };
         let mut planner = Planner {
             host,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -383,7 +392,7 @@
         };
         let fresh = warm_at > now && warm_at > peer.warm_at + Duration::from_millis(1);
         if entry.phase == Phase::Ready && (fresh || peer.phase == Phase::Gone) {
-            peer.ramp = Ramp { step: 1, cold: true };
+            peer.ramp = Ramp { step: 1, cold: true, since: now };
             peer.load.0.clear();
             peer.health.clear(now, Ramp::STEPS);
         }
@@ -406,6 +415,40 @@
         lines.for_each(|l| l.learnt = weight.clamp(Pool::FLOOR * Pool::CEILING, Pool::CEILING));
     }
 
+    /// What part of a zone's servers' weight may be used, by what is known of the zone as one thing.
+    pub fn hold(&mut self, now: Duration, zone: Zone, part: f64) {
+        self.zones.parts[usize::from(zone)] = part;
+        self.push(now);
+    }
+
+    /// At most these parts of the routes' calls are let in, by what is planned for those that are left. What only
+    /// the former bound kept down rises with it at once.
+    pub fn bound(&mut self, now: Duration, most: &[f64]) {
+        let levels = &mut self.levels;
+        for (r, most) in most.iter().map(|m| *m as f32).enumerate().take(levels.wanted.len()) {
+            let bounded = levels.wanted[r] >= levels.most[r];
+            levels.wanted[r] = if bounded { most } else { levels.wanted[r].min(most) };
+            levels.most[r] = most;
+        }
+        self.push(now);
+    }
+
+    /// What each zone's servers are able to, in calls a second, and what came for each route in the zone.
+    pub fn rooms(&self, now: Duration) -> Vec<(f64, Vec<f64>)> {
+        let (from, span) = (now.saturating_sub(Peer::KEPT), Peer::KEPT.min(now).as_secs_f64().max(1.0));
+        let room = |z: Zone| {
+            let able = self.peers.iter().filter(|p| p.ready() && p.zone == z).map(|p| {
+                let busy = p.load.mean(from, |x| x.cpu).unwrap_or(0.7).clamp(0.05, 1.0);
+                p.load.sum(from, Sample::answered) / busy / span
+            });
+            let came = |a: &VecDeque<(Duration, f64, Option<Zone>)>| {
+                a.iter().filter(|a| a.0 > from && a.2 == Some(z)).map(|a| a.1).sum::<f64>() / span
+            };
+            (able.sum(), self.levels.arrived.iter().map(came).collect())
+        };
+        (0..self.zones.busy.len() as Zone).map(room).collect()
+    }
+
     /// Asked at the next look, lest a list that turns calls away be flooded.
     pub fn list_failed(&mut self, now: Duration) {
         self.ask_at = Some(now);
@@ -552,7 +595,9 @@
     /// The one place where written weights are made: what was learnt times the exceptions.
     fn compose(&self, pool: &Pool) -> Vec<f32> {
         let peer = |l: &Line| &self.peers[l.server];
-        let part = |l: &Line| if peer(l).ready() { peer(l).ramp.part(self.levels.pressure) } else { 0.0 };
+        let may = |l: &Line| self.zones.parts[usize::from(peer(l).zone)];
+        let own = |l: &Line| peer(l).ramp.part(self.levels.pressure).min(may(l));
+        let part = |l: &Line| if peer(l).ready() { own(l) } else { 0.0 };
         let near: Vec<&Line> = pool.lines.iter().filter(|l| peer(l).zone == pool.zone).collect();
         let sum = |of: &dyn Fn(&Line) -> f64| near.iter().map(|l| of(l)).sum::<f64>();
         let (full, left) = (sum(&|l| l.learnt), sum(&|l| l.learnt * part(l)));
@@ -736,10 +781,13 @@
         }
         let slo = mean(self.routes.iter().map(|r| r.slo.as_secs_f64())).unwrap_or(1.0);
         self.levels.fit(now, self.sight.cycle, &self.peers, &self.routes, slo, self.told(now));
+        self.levels.wanted.iter_mut().zip(&self.levels.most).for_each(|(w, most)| *w = w.min(*most));
         for p in &mut self.peers {
             let by_age = Ramp::allowed(now, p.warm_at, self.graces.warm_up);
-            if p.ramp.step > 0 && p.ramp.step < by_age.min(p.health.allowed) {
-                p.ramp.step += 1;
+            // Against a planner that hears little, by reports that are few or late: it would raise what is full already.
+            let shown = by_age == Ramp::STEPS || p.load.0.back().is_some_and(|x| x.at > p.ramp.since);
+            if p.ramp.step > 0 && p.ramp.step < by_age.min(p.health.allowed) && shown {
+                (p.ramp.step, p.ramp.since) = (p.ramp.step + 1, now + self.channel.pace.worst_transit);
             }
             p.ramp.cold &= by_age < Ramp::STEPS || p.ramp.step < p.health.allowed;
         }
@@ -778,7 +826,10 @@
         let since = now.saturating_sub(Health::EVIDENCE);
         let of = |z: usize| self.peers.iter().filter(move |p| usize::from(p.zone) == z).map(|p| &p.load);
         for z in 0..self.zones.busy.len() {
-            self.zones.busy[z] = mean(of(z).filter_map(|l| l.mean(since, |x| x.cpu)));
+            // Cold servers look idle because they are held back, and would draw the other zones' calls all at once.
+            let whole = self.peers.iter().filter(|p| usize::from(p.zone) == z && !p.ramp.cold);
+            let heard = whole.filter_map(|p| p.load.mean(since, |x| x.cpu));
+            self.zones.busy[z] = if self.zones.parts[z] < 1.0 { None } else { mean(heard) };
         }
         let met = |from: usize, to: usize| {
             let samples = of(to).flat_map(|l| l.since(since)).filter(|x| usize::from(x.from) == from);
@@ -818,7 +869,7 @@
                     unsure.push(s);
                 } else if now.saturating_sub(p.health.fresh_from) >= p.health.hold {
                     // It may have been restarted before the list tells, so it counts as cold.
-                    p.ramp = Ramp { step: 1, cold: true };
+                    p.ramp = Ramp { step: 1, cold: true, since: now };
                     p.health.clear(now + self.channel.pace.worst_transit, Ramp::STEPS);
                     p.health.hold = (p.health.hold * 2).min(Health::LONGEST_HOLD);
                 }
@@ -830,6 +881,10 @@
             } else if silent {
                 steps = 0;
             }
+            // A cold one that answers slowly or in part may be slow as well, and is able to a part of a part.
+            if p.ramp.cold && steps < Ramp::STEPS {
+                steps = steps.min(1);
+            }
             p.health.allowed = if may_out == 0 { steps.max(1) } else { steps };
             p.ramp.step = p.ramp.step.min(p.health.allowed);
             if p.ramp.step == 0 {
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -108,11 +108,14 @@
     pub busy: Vec<Option<f64>>,
     /// How far each zone leans on the others, beyond what they ordinarily take.
     pub reach: Vec<f64>,
+    /// What part of each zone's weight may be used at the most.
+    pub parts: Vec<f64>,
 }
 
 impl Zones {
     pub fn new(zones: usize) -> Zones {
-        Zones { bad: BTreeMap::new(), busy: vec![None; zones], reach: vec![0.0; zones] }
+        let (busy, reach, parts) = (vec![None; zones], vec![0.0; zones], vec![1.0; zones]);
+        Zones { bad: BTreeMap::new(), busy, reach, parts }
     }
 }
 
@@ -131,6 +134,8 @@
     pub step: u32,
     /// Still under way to its full weight since a start or a return.
     pub cold: bool,
+    /// What was heard after this moment tells of the present step.
+    pub since: Duration,
 }
 
 /// How full the pool is, how much of each route is let in, and when proxies try again.
@@ -140,6 +145,8 @@
     /// When calls came, how many, and the zone of their proxy.
     pub arrived: Vec<VecDeque<(Duration, f64, Option<Zone>)>>,
     pub wanted: Vec<f32>,
+    /// What no route is let in beyond, whatever is measured.
+    pub most: Vec<f32>,
     pub crowded: bool,
     pub written: Vec<(f32, Tries)>,
 }
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -326,7 +326,11 @@
     let mut entries: Vec<Listed> = (0..leave).map(|s| listed(s, 0, Phase::Draining, None)).collect();
     entries.extend((8..12).filter_map(|s| Some(listed(s, 0, Phase::Ready, Some(come?)))));
     rig.list(false, &entries);
-    rig.run(ms(1000), |s| report(s).filter(|_| s >= leave));
+    for _ in 0..2 {
+        rig.run(ms(500), |s| report(s).filter(|_| s >= leave));
+        // As many calls come as before.
+        (0..2).for_each(|r| rig.planner.came(rig.now, 0, r, 60));
+    }
     assert_eq!(rig.kept.borrow().levels[&1].0 < 0.9, throttles);
     assert_eq!(rig.kept.borrow().levels[&2].0, 1.0);
 }
@@ -499,6 +503,91 @@
     assert!(rig.kept.borrow().levels[&1].0 > 0.2);
 }
 
+/// Found on the fleet trial: a planner that had all proxies heard of each server every few seconds, and raised by age alone
+/// a cold one of which it had heard nothing, or that answered slowly.
+#[rstest]
+#[case::heard_and_well(Some((6, 0, [0.4, 0.0])), 200, 0.45, 0.55)]
+#[case::unheard(None, 200, 0.2, 0.3)]
+#[case::slow(Some((6, 0, [0.9, 0.0])), 1000, 0.2, 0.3)]
+#[case::answers_in_part(Some((6, 3, [0.9, 0.0])), 200, 0.0, 0.3)]
+fn a_cold_server_steps_up_by_what_is_heard_of_it(
+    #[case] told: Told,
+    #[case] wait: u64,
+    #[case] least: f32,
+    #[case] most: f32,
+) {
+    let mut rig = Rig::with_servers(4, 1);
+    rig.run(Duration::from_secs(11), |s| QUIET.filter(|_| s < 4));
+    rig.list(false, &[listed(4, 0, Phase::Ready, Some(ms(100)))]);
+    // At half of its warm-up by age it may be at its second step.
+    for _ in 0..9 {
+        rig.wait = ms(200);
+        rig.run(ms(500), |s| QUIET.filter(|_| s < 4));
+        rig.wait = ms(wait);
+        rig.run(ms(1), |s| told.filter(|_| s == 4));
+    }
+    let part = rig.weight(0, 4) / rig.weight(0, 0);
+    assert!((least..=most).contains(&part), "{part}");
+}
+
+/// Found in the model: a zone that had come back cold looked idle, and all others leaned on it at once.
+#[rstest]
+fn a_zone_that_returns_cold_is_not_leaned_on_for_looking_idle() {
+    let mut rig = Rig::with_servers(6, 2);
+    let busy =
+        |cold: f32| move |s: Server| (s < 6).then_some((10, 0, [if s % 2 == 0 { 0.97 } else { cold }, 0.0]));
+    rig.run(Duration::from_secs(3), busy(0.95));
+    let zone = |phase, age| [1, 3, 5].map(|s| listed(s, 1, phase, age));
+    rig.list(false, &zone(Phase::Gone, None));
+    rig.run(ms(1000), |s| busy(0.0)(s).filter(|_| s % 2 == 0));
+    rig.list(false, &zone(Phase::Ready, Some(ms(100))));
+    rig.run(Duration::from_secs(4), busy(0.05));
+    let weight = rig.weight(0, 1) / rig.weight(0, 0);
+    assert!(weight < 0.07, "{weight}");
+}
+
+/// Found in the model: what servers that had gone did before counted in what all are able to, and then all was scaled by
+/// the part that stays.
+#[rstest]
+fn a_loss_is_counted_once() {
+    let mut rig = Rig::with_servers(8, 1);
+    let report = |s: Server| (s < 8).then_some((20, 0, [0.75, 0.0]));
+    for _ in 0..24 {
+        rig.run(ms(500), report);
+        (0..2).for_each(|r| rig.planner.came(rig.now, 0, r, 60));
+    }
+    rig.list(false, &[0, 1, 2, 3].map(|s| listed(s, 0, Phase::Gone, None)));
+    for _ in 0..3 {
+        rig.run(ms(500), |s| report(s).filter(|_| s >= 4));
+        (0..2).for_each(|r| rig.planner.came(rig.now, 0, r, 60));
+    }
+    // Four are able to 213 calls a second, of which 192 are to be filled and 120 are the more important route's.
+    let level = rig.kept.borrow().levels[&1].0;
+    assert!((0.5..0.75).contains(&level), "{level}");
+}
+
+/// What is known of a zone as one thing bounds its weight and the levels, and no more.
+#[rstest]
+fn a_zones_part_and_a_bound_on_levels_hold() {
+    let mut rig = Rig::with_servers(6, 2);
+    let report = |s: Server| (s < 6).then_some((10, 0, [0.6, 0.0]));
+    rig.run(Duration::from_secs(3), report);
+    rig.planner.hold(rig.now, 1, 0.0);
+    rig.planner.bound(rig.now, &[0.4, 1.0]);
+    rig.run(Duration::from_secs(2), report);
+    assert_eq!((rig.weight(0, 1), rig.weight(0, 0) > 0.5), (0.0, true));
+    assert_eq!(rig.kept.borrow().levels[&1].0, 0.4);
+    rig.planner.hold(rig.now, 1, 0.1);
+    rig.run(Duration::from_secs(2), report);
+    // Of its own zone's table.
+    assert!((0.05..=0.15).contains(&rig.weight(1, 1)), "{}", rig.weight(1, 1));
+    rig.planner.hold(rig.now, 1, 1.0);
+    rig.planner.bound(rig.now, &[1.0, 1.0]);
+    rig.run(Duration::from_secs(2), report);
+    assert!(rig.weight(1, 1) > 0.5);
+    assert_eq!(rig.kept.borrow().levels[&1].0, 1.0);
+}
+
 // Odd but legal.
 #[rstest]
 fn odd_events_do_no_harm() {
