--- a/crates/members/src/run.rs
+++ b/crates/members/src/run.rs
@@ -298,7 +298,7 @@
     async fn of_sites(&self, question: Question) -> Answer {
         let (answer, told) = oneshot::channel();
         let asked = SiteAsked { question, answer };
-        if !self.sites.borrow().as_ref().is_some_and(|to| to.send(asked).is_ok()) {
+        if self.sites.borrow().as_ref().is_none_or(|to| to.send(asked).is_err()) {
             return Answer::Refused("this member does not lead".into());
         }
         match timeout(DIALLED_WITHIN, told).await {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -534,8 +534,9 @@
 #[rstest]
 fn a_zone_that_returns_cold_is_not_leaned_on_for_looking_idle() {
     let mut rig = Rig::with_servers(6, 2);
-    let busy =
-        |cold: f32| move |s: Server| (s < 6).then_some((10, 0, [if s % 2 == 0 { 0.97 } else { cold }, 0.0]));
+    let busy = |cold: f32| {
+        move |s: Server| (s < 6).then_some((10, 0, [if s.is_multiple_of(2) { 0.97 } else { cold }, 0.0]))
+    };
     rig.run(Duration::from_secs(3), busy(0.95));
     let zone = |phase, age| [1, 3, 5].map(|s| listed(s, 1, phase, age));
     rig.list(false, &zone(Phase::Gone, None));
