Keep zones, routes and running planners in one place; drop what nobody calls

Read over once more: the engine kept its zones' names and routes a second time for the watch of sites, which now has its own names and window; whether a planner of several runs was noted beside the process that tells it; four small methods and a count had no caller. No behaviour changes.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -114,9 +114,7 @@
     /// The last message that each stream is known to have in force.
     applied: BTreeMap<StreamId, u64>,
     /// Whole sites, where these are watched.
-    watch: Option<(Watch, Duration)>,
-    stated_routes: Vec<Route>,
-    zones: Vec<String>,
+    watch: Option<Watch>,
 }
 
 impl<O: Outlet> Engine<O> {
@@ -155,7 +153,6 @@
         let desk = Desk::default();
         let (n, fields, tell_every) = (routes.len(), sight.fields.clone(), sight.cycle / 4);
         let window = if pace.window.is_zero() { Duration::from_secs(10) } else { pace.window };
-        let stated_routes = routes.clone();
         let planner = Planner::start(desk.clone(), start.seed, routes, plane, graces, pace, sight);
         outlet.ask_list(0);
         Ok(Engine {
@@ -168,7 +165,7 @@
             desk,
             joined: BTreeMap::new(),
             channel: Channel::new(pace),
-            list: ListSense::new(zones.clone(), bounds.servers),
+            list: ListSense::new(zones, bounds.servers),
             reports: ReportSense::default(),
             gather: Gather::default(),
             tell_every,
@@ -183,21 +180,18 @@
             list_at: (0, Duration::ZERO),
             applied: BTreeMap::new(),
             watch: None,
-            stated_routes,
-            zones,
         })
     }
 
     /// Watches for the loss of whole sites from here on (docs/design/site-loss.md). Without it nothing of that is done.
-    pub fn watch_sites(&mut self, timing: Timing) {
-        let watch = Watch::new(self.zones.len(), &self.stated_routes, timing);
-        self.watch = Some((watch, timing.window));
+    pub fn watch_sites(&mut self, routes: &[Route], timing: Timing) {
+        self.watch = Some(Watch::new(self.list.zones().to_vec(), routes, timing));
     }
 
     /// What stands of each site, by its name; empty where sites are not watched.
     pub fn sites(&self, now: Duration) -> Vec<(String, Status)> {
-        let status = self.watch.iter().flat_map(|(w, _)| w.status(now));
-        self.zones.iter().cloned().zip(status).collect()
+        let status = self.watch.iter().flat_map(|w| w.status(now));
+        self.list.zones().iter().cloned().zip(status).collect()
     }
 
     /// What would be done with a site out beside those that are out already.
@@ -206,7 +200,7 @@
     ///
     /// Nothing tells what some site is able to, or none would be left.
     pub fn site_plan(&self, zone: Zone) -> Result<Plan, Impossible> {
-        let plan = self.watch.as_ref().map(|(w, _)| w.plan_without(zone));
+        let plan = self.watch.as_ref().map(|w| w.plan_without(zone));
         plan.unwrap_or(Err(Impossible::Nothing))
     }
 
@@ -222,9 +216,9 @@
         order: SiteOrder,
         forced: bool,
     ) -> Result<Option<Plan>, Option<Refused>> {
-        let Engine { watch, planner, outlet, zones, .. } = self;
-        let Some((watch, _)) = watch else { return Err(None) };
-        let done = watch.order(now, (zone, order, forced), planner, outlet, zones);
+        let Engine { watch, planner, outlet, .. } = self;
+        let Some(watch) = watch else { return Err(None) };
+        let done = watch.order(now, (zone, order, forced), planner, outlet);
         self.settle(now, Cause::Interval);
         done.map_err(Some)
     }
@@ -311,7 +305,7 @@
         self.desk.joined(proxy);
         self.streams.insert(stream, proxy);
         self.outlet.welcome(stream);
-        self.watch.iter_mut().for_each(|(w, _)| w.joined(now, zone));
+        self.watch.iter_mut().for_each(|w| w.joined(now, zone));
         self.planner.joined(now, proxy, zone, arrival.bare, f64::from(arrival.rate.max(0.0)));
         self.settle(now, Cause::Join);
         // What it was told may have been too much for the channel.
@@ -335,7 +329,7 @@
             let zone = self.joined.remove(&proxy).map(|j| j.zone);
             // The last time that anything was due is near enough: an end is one sign of several.
             let at = self.woken_at;
-            self.watch.iter_mut().zip(zone).for_each(|((w, _), zone)| w.left(at, zone));
+            self.watch.iter_mut().zip(zone).for_each(|(w, zone)| w.left(at, zone));
             self.desk.left(proxy);
             self.channel.drop_stream(stream);
             self.confirm.ended(stream);
@@ -407,7 +401,7 @@
                     }
                 }
                 self.drains.retain(|id, _| self.list.lists(*id));
-                if let Some((watch, _)) = &mut self.watch {
+                if let Some(watch) = &mut self.watch {
                     watch.listed(now, self.list.standing());
                 }
                 // What the list left out was put as gone, so all that is whole about it is in the entries.
@@ -431,7 +425,7 @@
     }
 
     pub fn probed(&mut self, now: Duration, server: ServerId, result: Probed) {
-        if let (Some((watch, _)), Some(zone)) = (&mut self.watch, self.list.zone_of(server)) {
+        if let (Some(watch), Some(zone)) = (&mut self.watch, self.list.zone_of(server)) {
             // One that says no is there.
             watch.probed(now, zone, result != Probed::Failed);
         }
@@ -464,19 +458,18 @@
                 |server, met| {
                     let (planner, watch) = &mut *both.borrow_mut();
                     let at = list.zone_of(*servers.id(server));
-                    watch.iter_mut().zip(at).for_each(|((w, _), at)| w.met(now, at, met));
+                    watch.iter_mut().zip(at).for_each(|(w, at)| w.met(now, at, met));
                     planner.met(now, server, met);
                 },
                 |proxy, route, calls| {
                     let (planner, watch) = &mut *both.borrow_mut();
                     let of = joined.get(&proxy).map(|j| j.zone);
-                    watch.iter_mut().zip(of).for_each(|((w, _), of)| w.heard(now, of));
+                    watch.iter_mut().zip(of).for_each(|(w, of)| w.heard(now, of));
                     planner.came(now, proxy, route, calls);
                 },
             );
-            let Engine { planner, watch, outlet, zones, .. } = self;
-            let looked =
-                watch.as_mut().is_some_and(|(w, window)| w.look(now, *window, planner, outlet, zones));
+            let Engine { planner, watch, outlet, .. } = self;
+            let looked = watch.as_mut().is_some_and(|w| w.look(now, planner, outlet));
             if looked {
                 self.settle(now, Cause::Interval);
             }
--- a/crates/engine/src/trust.rs
+++ b/crates/engine/src/trust.rs
@@ -65,6 +65,10 @@
         self.zones.iter().position(|z| z == name).map(|z| z as Zone)
     }
 
+    pub fn zones(&self) -> &[String] {
+        &self.zones
+    }
+
     pub fn zone_of(&self, server: ServerId) -> Option<Zone> {
         self.known.get(&server).map(|k| k.zone)
     }
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -9,6 +9,8 @@
 /// The sites as the engine watches them.
 pub struct Watch {
     sites: Sites,
+    names: Vec<String>,
+    window: Duration,
     looked_at: Duration,
     /// Servers ready and latest starts by zone, as last told.
     listed: Vec<(usize, Option<Duration>)>,
@@ -44,10 +46,12 @@
     /// Verdicts are looked at this often within their window.
     const LOOKS: u32 = 8;
 
-    pub fn new(zones: usize, routes: &[Route], timing: Timing) -> Watch {
+    pub fn new(names: Vec<String>, routes: &[Route], timing: Timing) -> Watch {
         let demand = |r: &Route| Demand { importance: r.importance, stays: r.stays_local };
+        let zones = names.len();
         let sites = Sites::new(zones, routes.iter().map(demand).collect(), timing);
-        Watch { sites, looked_at: Duration::ZERO, listed: vec![(0, None); zones] }
+        let (window, looked_at, listed) = (timing.window, Duration::ZERO, vec![(0, None); zones]);
+        Watch { sites, names, window, looked_at, listed }
     }
 
     pub fn met(&mut self, now: Duration, at: Zone, met: &Met) {
@@ -88,19 +92,17 @@
     pub fn look<H: Host>(
         &mut self,
         now: Duration,
-        window: Duration,
         planner: &mut Planner<H>,
         outlet: &mut impl Outlet,
-        names: &[String],
     ) -> bool {
-        if now.saturating_sub(self.looked_at) < window / Self::LOOKS {
+        if now.saturating_sub(self.looked_at) < self.window / Self::LOOKS {
             return false;
         }
         self.looked_at = now;
         for (zone, (able, asked)) in planner.rooms(now).into_iter().enumerate() {
             self.sites.room(zone, able, asked);
         }
-        self.sites.look(now, &mut Act { now, planner, outlet, names });
+        self.sites.look(now, &mut Act { now, planner, outlet, names: &self.names });
         true
     }
 
@@ -110,9 +112,14 @@
         (zone, order, forced): (Zone, Order, bool),
         planner: &mut Planner<H>,
         outlet: &mut impl Outlet,
-        names: &[String],
     ) -> Result<Option<Plan>, Refused> {
-        self.sites.order(now, usize::from(zone), order, forced, &mut Act { now, planner, outlet, names })
+        self.sites.order(
+            now,
+            usize::from(zone),
+            order,
+            forced,
+            &mut Act { now, planner, outlet, names: &self.names },
+        )
     }
 
     pub fn plan_without(&self, zone: Zone) -> Result<Plan, Impossible> {
--- a/crates/model/src/play.rs
+++ b/crates/model/src/play.rs
@@ -283,7 +283,7 @@
             d.sight(asked),
         )?);
         if let (Some(engine), Some(timing)) = (&mut self.engine, d.watch()) {
-            engine.watch_sites(timing);
+            engine.watch_sites(&d.routes(), timing);
         }
         self.plan(|_| ());
         Ok(())
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -260,7 +260,7 @@
         deployment.sight(source.ask_within()),
     )?;
     if let Some(timing) = deployment.watch() {
-        engine.watch_sites(timing);
+        engine.watch_sites(&deployment.routes(), timing);
     }
     if let Some(memory) = watch.recall() {
         memory::recall(&mut engine, &memory);
--- a/crates/scripted/src/fleet.rs
+++ b/crates/scripted/src/fleet.rs
@@ -61,9 +61,8 @@
     pub table: BTreeMap<usize, f64>,
     pub level: f64,
     unusable: Option<Duration>,
-    /// Whole tables, and lines, that came to it.
+    /// Whole tables that came to it.
     pub wholes: usize,
-    pub lines: usize,
     came: f64,
 }
 
@@ -135,7 +134,6 @@
             level: 1.0,
             unusable: None,
             wholes: 0,
-            lines: 0,
             came: 0.0,
         };
         let ways = (0..planners).flat_map(|planner| (0..ZONES.len()).map(move |zone| (planner, zone)));
@@ -310,7 +308,6 @@
             for line in message["lines"].as_array().into_iter().flatten() {
                 let server = line[0].as_str().and_then(|id| id[1..].parse().ok()).expect("a server's id");
                 let weight = line[1].as_f64().expect("a weight");
-                proxy.lines += 1;
                 if weight > 0.0 {
                     proxy.table.insert(server, weight)
                 } else {
@@ -465,10 +462,6 @@
         self.stream = None;
         self.dial_at = now + ms(100 + (37 * self.node as u64) % 300);
     }
-
-    pub fn planner(&self) -> Option<usize> {
-        self.stream.as_ref().map(|s| s.planner)
-    }
 }
 
 impl Stream {
--- a/crates/sites/src/evidence.rs
+++ b/crates/sites/src/evidence.rs
@@ -141,10 +141,6 @@
         Evidence { seen: (0..sites).map(|_| Seen::default()).collect(), window }
     }
 
-    pub fn sites(&self) -> usize {
-        self.seen.len()
-    }
-
     /// What `from`'s callers met at `site`'s servers. `waited`: the sum of the waits of the answered, in seconds.
     pub fn met(&mut self, now: Duration, from: Site, site: Site, tries: f64, answered: f64, waited: f64) {
         if let Some(seen) = self.seen.get_mut(site) {
--- a/crates/sites/src/pace.rs
+++ b/crates/sites/src/pace.rs
@@ -53,10 +53,6 @@
         self.since
     }
 
-    pub fn flaps(&self) -> u32 {
-        self.flaps
-    }
-
     pub fn step(&self) -> usize {
         self.step
     }
@@ -68,11 +64,6 @@
         (part * (1 << self.flaps)).min(pacing.warm_up.max(part)).max(pacing.settling)
     }
 
-    /// The longest that a return takes which nothing holds.
-    pub fn longest(pacing: &Pacing, flaps: u32) -> Duration {
-        Pace::begin(Duration::ZERO, flaps).least(pacing) * Self::PARTS.len() as u32
-    }
-
     /// Looks at what the step has shown: tries, answers and the mean wait there since orders of this step are in force,
     /// beside the usual wait elsewhere. Only answers prove a step, never mere time: a site that looks well because nobody
     /// calls it would be given everything.
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -248,7 +248,6 @@
 pub struct SeveralHost {
     planners: Vec<ProcessHost>,
     addresses: Vec<SocketAddr>,
-    runs: Vec<bool>,
     zones: usize,
     turn: usize,
 }
@@ -262,19 +261,13 @@
     pub fn new(program: &Path, stall: Duration, planners: usize) -> io::Result<SeveralHost> {
         let each = (0..planners).map(|_| ProcessHost::new(program.to_path_buf(), stall));
         let planners: Vec<ProcessHost> = each.collect::<io::Result<_>>()?;
-        let runs = vec![false; planners.len()];
-        Ok(SeveralHost { planners, addresses: vec![], runs, zones: 1, turn: 0 })
+        Ok(SeveralHost { planners, addresses: vec![], zones: 1, turn: 0 })
     }
 
     /// Those that run, as processes.
     pub fn ids(&self) -> Vec<u32> {
         self.planners.iter().filter_map(ProcessHost::id).collect()
     }
-
-    fn end(&mut self, i: usize) {
-        self.planners[i].kill();
-        self.runs[i] = false;
-    }
 }
 
 impl PlannerHost for SeveralHost {
@@ -286,16 +279,11 @@
         key_file: &Path,
     ) -> io::Result<Vec<SocketAddr>> {
         self.zones = deployment.zones.len().max(1);
-        for i in 0..self.planners.len() {
-            if !self.runs[i] {
-                let address = self.planners[i].start(deployment, list, key_file)?;
-                self.addresses.truncate(self.planners.len());
-                if self.addresses.len() <= i {
-                    self.addresses.extend(address);
-                } else {
-                    self.addresses[i] = address[0];
-                }
-                self.runs[i] = true;
+        for (i, planner) in self.planners.iter_mut().enumerate().filter(|(_, p)| p.id().is_none()) {
+            let address = planner.start(deployment, list, key_file)?[0];
+            match self.addresses.get_mut(i) {
+                Some(old) => *old = address,
+                None => self.addresses.push(address),
             }
         }
         Ok(self.addresses.clone())
@@ -304,7 +292,7 @@
     fn kill(&mut self) {
         let next = self.turn % self.planners.len();
         self.turn += 1;
-        self.end(next);
+        self.planners[next].kill();
     }
 
     fn stall(&mut self, most: Duration) {
@@ -321,7 +309,7 @@
     fn lose_site(&mut self, zone: u16) -> bool {
         let there: Vec<usize> =
             (0..self.planners.len()).filter(|i| i % self.zones == usize::from(zone)).collect();
-        there.iter().for_each(|i| self.end(*i));
+        there.iter().for_each(|i| self.planners[*i].kill());
         !there.is_empty()
     }
 
