Have members share out duties on their sealed streams, and write accounts of periods once

Cause: the accounts of a period (calls by route and zone, tries) are work that one process at a time has to do; nobody did it.

--- a/crates/cli/benches/takeover.rs
+++ b/crates/cli/benches/takeover.rs
@@ -176,7 +176,8 @@
     let stall = Duration::from_secs(20);
     let mut lone = ProcessHost::new(program.clone(), stall).unwrap();
     let alone = lone.start(&deployment(), &source, &key_file).unwrap();
-    let mut fleet = FleetHost::new(program, stall, 3).unwrap();
+    let accounts = tempfile::tempdir().unwrap();
+    let mut fleet = FleetHost::new(program, stall, 3, accounts.path().into()).unwrap();
     let at = fleet.start(&deployment(), &source, &key_file).unwrap();
     let (seen, lone_seen) = (Rc::new(Seen::default()), Rc::new(Seen::default()));
     for number in 0..PROXIES {
--- a/crates/cli/src/compare.rs
+++ b/crates/cli/src/compare.rs
@@ -55,7 +55,8 @@
     let (mut sockets, mut modelled, mut kept) = (vec![], vec![], true);
     for seed in (0..a.seeds).map(|i| day.seed + i).collect::<Vec<_>>() {
         day.seed = seed;
-        let played = rehearse(&day, host(a.planner, &day)?, None, None)
+        let accounts = tempfile::tempdir().map_err(|e| e.to_string())?;
+        let played = rehearse(&day, host(a.planner, &day, accounts.path())?, None, None)
             .map_err(|e| format!("the day broke off: {e}"))?;
         kept &= played.kept();
         sockets.push(played.service);
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod compare;
+mod duties;
 mod members;
 mod record;
 mod rehearse;
@@ -83,6 +84,11 @@
         #[command(subcommand)]
         command: members::MembersCommand,
     },
+    /// Work that one of several controllers at a time does on behalf of all
+    Duties {
+        #[command(subcommand)]
+        command: duties::DutiesCommand,
+    },
     /// What the loss of a whole site would mean
     Sites {
         #[command(subcommand)]
@@ -133,6 +139,7 @@
         Command::Compare(arguments) => compare::compare(&arguments),
         Command::Trace { command } => trace::trace(command),
         Command::Members { command } => members::members(command),
+        Command::Duties { command } => duties::duties(command),
         Command::Sites { command } => sites::sites(command),
         Command::Settings { command: SettingsCommand::Check { file, kind } } => check(&file, kind),
         Command::Settings { command: SettingsCommand::Show { file } } => {
--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -1,6 +1,7 @@
 //! `rehearse`: a day on loopback.
 
 use clap::ValueEnum;
+use grebespool_members::audit;
 use grebespool_rules::Verdict;
 use grebespool_settings::{Day, What};
 use grebespool_standin::{
@@ -25,8 +26,8 @@
     Several,
 }
 
-/// What runs the day's planner.
-pub fn host(runs: Runs, day: &Day) -> Result<Box<dyn PlannerHost>, String> {
+/// What runs the day's planner. `accounts`: where the members of a fleet write theirs.
+pub fn host(runs: Runs, day: &Day, accounts: &Path) -> Result<Box<dyn PlannerHost>, String> {
     // Orders have to be known in force within the grace; none at all could not be kept by anybody.
     let stall = day.rules.grace.0.mul_f64(0.75).max(Duration::from_millis(500));
     Ok(match runs {
@@ -37,7 +38,8 @@
                 Runs::Several => {
                     SeveralHost::new(&program, stall, 3).map(|h| Box::new(h) as Box<dyn PlannerHost>)
                 }
-                Runs::Fleet => FleetHost::new(program, stall, 3).map(|h| Box::new(h) as Box<dyn PlannerHost>),
+                Runs::Fleet => FleetHost::new(program, stall, 3, accounts.into())
+                    .map(|h| Box::new(h) as Box<dyn PlannerHost>),
                 _ => ProcessHost::new(program, stall).map(|h| Box::new(h) as Box<dyn PlannerHost>),
             };
             host.map_err(|e| e.to_string())?
@@ -56,7 +58,8 @@
         None => Day::parse(BAD_DAY, "the built-in bad day").map_err(|bad| bad.to_string())?,
     };
     day.seed = seed.unwrap_or(day.seed);
-    let host = host(runs, &day)?;
+    let accounts = tempfile::tempdir().map_err(|e| e.to_string())?;
+    let host = host(runs, &day, accounts.path())?;
     println!(
         "{}: {} servers, {} proxies, {} zones, {} troubles, {:.0} s",
         day.name,
@@ -76,7 +79,22 @@
     let played = play(&day, host, Some(Box::new(Shown::new())), recorder)
         .map_err(|e| format!("the day broke off: {e}"))?;
     print(&played);
-    Ok(if played.kept() { ExitCode::SUCCESS } else { ExitCode::from(1) })
+    let duties = runs != Runs::Fleet || duties(accounts.path())?;
+    Ok(if played.kept() && duties { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
+/// Says what became of the fleet's duties; whether each step took place once, by the newest owner.
+fn duties(accounts: &Path) -> Result<bool, String> {
+    let a = audit(accounts).map_err(|e| format!("the accounts: {e}"))?;
+    println!(
+        "duties: {} steps, twice {}, by a former owner {}, left out {}, longest without an owner {:.1} s",
+        a.steps,
+        a.twice,
+        a.former,
+        a.left_out,
+        a.longest.as_secs_f64()
+    );
+    Ok(a.steps > 0 && a.twice + a.former + a.left_out == 0)
 }
 
 /// Progress: a bar on a terminal, else a line for each trouble.
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,14 +1,18 @@
 //! `serve`: a planner until it is told to stop.
 
 use crate::record::Recording;
+use grebespool_duties::{Counts, NO_ROUTE, Terms as DutyTerms};
 use grebespool_engine::{SiteOrder, Start};
-use grebespool_members::{Answer, Change, Question, Running, SiteAsked, Store, fleet_id, run as run_member};
+use grebespool_members::{
+    Accounting, Answer, Change, Fleetwork, Question, Running, SiteAsked, Store, fleet_id, run as run_member,
+};
 use grebespool_planner::{
     Passage, SiteAsk, SiteWhat, Untouched, Watch, send_elsewhere, serve as serve_planner,
 };
 use grebespool_settings::{Members, Planned};
 use grebespool_succession::{Memory, Terms};
 use grebespool_wire::{CameLine, Entry, Key, Orders};
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -136,6 +140,9 @@
     every: Duration,
     memory: Option<Box<Memory>>,
     recording: Recording,
+    /// The zones' names, and each joined proxy's zone by its place among them.
+    zones: Vec<String>,
+    at: BTreeMap<String, u16>,
 }
 
 impl Watch for Leading {
@@ -144,12 +151,23 @@
     }
     fn joined(&mut self, now: Duration, name: &str, zone: &str, bare: bool) {
         self.recording.joined(now, name, zone, bare);
+        let zone = self.zones.iter().position(|z| z == zone).unwrap_or_default();
+        self.at.insert(name.into(), zone as u16);
     }
     fn left(&mut self, now: Duration, name: &str) {
         self.recording.left(now, name);
+        self.at.remove(name);
     }
     fn came(&mut self, now: Duration, name: &str, came: &[CameLine]) {
         self.recording.came(now, name, came);
+        let zone = self.at.get(name).copied().unwrap_or_default();
+        for line in came {
+            self.member.count(zone, line.route, Counts { calls: u64::from(line.calls), ..Counts::default() });
+        }
+    }
+    fn tried(&mut self, name: &str, tries: u64, dropped: u64) {
+        let zone = self.at.get(name).copied().unwrap_or_default();
+        self.member.count(zone, NO_ROUTE, Counts { tries, dropped, ..Counts::default() });
     }
     fn passed_over(&mut self, epoch: u64) {
         // Not from within the planner's own turn: standing down ends it.
@@ -194,6 +212,20 @@
     }
 }
 
+/// The work that the members share out, by their settings.
+fn fleetwork(members: &Members) -> Option<Fleetwork> {
+    let duties = members.duties.as_ref()?;
+    let accounts = duties.accounts.as_ref();
+    Some(Fleetwork {
+        terms: DutyTerms { lease: duties.lease.0, renew: duties.renew.0, drift: members.drift },
+        accounts: accounts.map(|a| Accounting {
+            folder: a.folder.clone(),
+            period: a.period.0,
+            slack: a.slack.0,
+        }),
+    })
+}
+
 /// A controller among others: plans while it leads, and sends proxies on while it does not.
 async fn lead_or_follow(
     file: &Path,
@@ -228,6 +260,7 @@
         terms,
         &members.key_file,
         members.weights_kept.0,
+        fleetwork(&members),
         &mut tasks,
     )
     .map_err(|why| why.to_string())?;
@@ -251,6 +284,8 @@
                         every: members.remember.0,
                         memory,
                         recording: recording.clone(),
+                        zones: planned.deployment.zones.clone(),
+                        at: BTreeMap::new(),
                     };
                     plan(file, own, start_in(epoch), &planned, key, gate, watch).await
                 }
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -1,6 +1,7 @@
 //! Three controllers as processes over one fleet: the one that leads is killed, stopped, cut off, each in the middle
 //! of something, and the rules are checked from what passed on the sockets.
 
+use grebespool_members::audit;
 use grebespool_rules::{Passed, Record};
 use grebespool_settings::Day;
 use grebespool_standin::{FleetHost, Played, free_ports, rehearse};
@@ -22,9 +23,16 @@
 
 fn play(day: &Day, cutting: bool) -> Played {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_grebespool-cli"));
-    let host = FleetHost::new(program, Duration::from_millis(1800), 3).unwrap();
+    let accounts = tempfile::tempdir().unwrap();
+    let host = FleetHost::new(program, Duration::from_millis(1800), 3, accounts.path().into()).unwrap();
     let host = if cutting { host.cutting() } else { host };
-    rehearse(day, Box::new(host), None, None).unwrap()
+    let played = rehearse(day, Box::new(host), None, None).unwrap();
+    let found = audit(accounts.path()).unwrap();
+    assert_eq!((found.twice, found.former, found.left_out), (0, 0, 0), "{found:?}");
+    // A period is 0.4 s; whoever had the accounts, the next went on with them.
+    assert!(found.steps >= 4 && found.calls > 0, "{found:?}");
+    assert!(found.longest < Duration::from_secs(8), "{found:?}");
+    played
 }
 
 /// The epochs whose orders proxies had in force, and how often one came after a newer.
@@ -112,7 +120,9 @@
         let peers: Vec<String> = peers.iter().map(peer).collect();
         let members = format!(
             "{{ members = {{ fleet = \"f\", name = \"m{i}\", address = \"127.0.0.1:{}\", folder = \"state{i}\",
-               key_file = \"members.key\", peers = [{}], beat = \"150ms\", lease = \"900ms\" }},
+               key_file = \"members.key\", peers = [{}], beat = \"150ms\", lease = \"900ms\",
+               duties = {{ lease = \"2s\", renew = \"200ms\",
+                           accounts = {{ folder = \"accounts\", period = \"200ms\", slack = \"200ms\" }} }} }},
                deployment.sites.watched = true }}",
             self.ports[2 * i + 1],
             peers.join(", ")
@@ -166,6 +176,43 @@
         panic!("nobody leads");
     }
 
+    /// Who has the accounts, once it is another than these; asked of members in turn, since one may be stopped.
+    fn owner(&self, asked: &[usize], but: &[usize]) -> usize {
+        for _ in 0..80 {
+            for i in asked {
+                let (_, text) = self.run(&["duties", "show", &format!("m{i}.ncl")]);
+                let found = text.lines().find_map(|l| l.strip_prefix("accounts: m")?.get(..1)?.parse().ok());
+                if let Some(owner) = found.filter(|o| !but.contains(o)) {
+                    return owner;
+                }
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        panic!("nobody has the accounts but {but:?}");
+    }
+
+    fn signal(&self, i: usize, name: &str) {
+        let id = self.running[i].as_ref().unwrap().id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    /// Each step of the accounts once, none by a former owner, none left out; how many there are.
+    fn steps(&self) -> usize {
+        let found = audit(&self.folder.path().join("accounts")).unwrap();
+        assert_eq!((found.twice, found.former, found.left_out), (0, 0, 0), "{found:?}");
+        found.steps
+    }
+
+    fn steps_beyond(&self, least: usize) -> usize {
+        for _ in 0..100 {
+            std::thread::sleep(Duration::from_millis(50));
+            if self.folder.path().join("accounts").exists() && self.steps() > least {
+                return self.steps();
+            }
+        }
+        panic!("no more than {least} steps");
+    }
+
     /// Tries until what is asked is done: the leader may be under way to know that a majority has the last change.
     fn done(&self, arguments: &[&str], says: &str) {
         let mut last = String::new();
@@ -258,3 +305,59 @@
     }
     fleet.done(&["sites", "show", &other], "west: whole");
 }
+
+/// The owner of the accounts is stopped for longer than its lease and runs on, is killed, and all are killed at once and
+/// started again: another goes on where the last stopped, and what the first had under way makes nothing twice.
+#[rstest]
+fn the_owner_of_a_duty_is_stopped_and_killed() {
+    let mut fleet = Fleet::new(3);
+    fleet.form_three();
+    let mut steps = fleet.steps_beyond(2);
+    for _ in 0..2 {
+        let first = fleet.owner(&[0, 1, 2], &[]);
+        let others: Vec<usize> = (0..3).filter(|i| *i != first).collect();
+        fleet.signal(first, "-STOP");
+        fleet.owner(&others, &[first]);
+        steps = fleet.steps_beyond(steps + 1);
+        fleet.signal(first, "-CONT");
+        steps = fleet.steps_beyond(steps + 2);
+    }
+    let first = fleet.owner(&[0, 1, 2], &[]);
+    let others: Vec<usize> = (0..3).filter(|i| *i != first).collect();
+    fleet.running[first].take().map(|mut c| (c.kill(), c.wait())).unwrap().1.unwrap();
+    fleet.owner(&others, &[first]);
+    steps = fleet.steps_beyond(steps + 1);
+    fleet.start(first);
+    for child in &mut fleet.running {
+        child.take().map(|mut c| (c.kill(), c.wait())).unwrap().1.unwrap();
+    }
+    (0..3).for_each(|i| fleet.start(i));
+    fleet.steps_beyond(steps + 3);
+}
+
+#[rstest]
+fn duties_are_shown_moved_held_and_released() {
+    let mut fleet = Fleet::new(3);
+    fleet.form_three();
+    let first = fleet.owner(&[0, 1, 2], &[]);
+    let (next, asked) = ((first + 1) % 3, format!("m{first}.ncl"));
+    for (arguments, says) in [
+        (&["duties", "move", &asked, "nothing", "m1"][..], "no duty \"nothing\"; there are accounts"),
+        (&["duties", "move", &asked, "accounts", "m9"][..], "no member \"m9\""),
+        (&["duties", "hold", &asked, "accounts", "--for", "0"][..], "--for 0"),
+        (&["duties", "release", &asked, "accounts"][..], "neither held nor moved"),
+    ] {
+        let (code, text) = fleet.run(arguments);
+        assert!(code == Some(2) && text.contains(says), "{text}");
+    }
+    fleet.done(&["duties", "move", &asked, "accounts", &format!("m{next}")], "accounts goes to");
+    assert_eq!(fleet.owner(&[first], &[first]), next);
+    fleet.done(&["duties", "hold", &asked, "accounts", "--for", "60"], "rests for 60 s");
+    fleet.done(&["duties", "show", &asked], "rests for");
+    std::thread::sleep(Duration::from_millis(600));
+    let held = fleet.steps();
+    std::thread::sleep(Duration::from_millis(900));
+    assert_eq!(fleet.steps(), held, "nobody works on what rests");
+    fleet.done(&["duties", "release", &asked, "accounts"], "is released");
+    fleet.steps_beyond(held + 2);
+}
--- a/crates/duties/src/duties.rs
+++ b/crates/duties/src/duties.rs
@@ -84,6 +84,8 @@
     steward: Option<Steward>,
     /// Until when this member leads, by the lease that its word as leader rests on.
     leads_until: Duration,
+    /// The newest epoch that it led: tokens of it are counted once.
+    led: u64,
     register: Register,
     works: BTreeMap<Duty, Work>,
     tally: Tally,
@@ -124,6 +126,7 @@
             owner: Owner::new(terms, names, life),
             steward: None,
             leads_until: Duration::ZERO,
+            led: 0,
             register: Register::new(cells, copied),
             works: BTreeMap::new(),
             tally,
@@ -141,8 +144,7 @@
     /// When [`Duties::woken`] is to be called next.
     pub fn due(&self) -> Duration {
         let takes_part = self.seats.contains(&self.own);
-        // Past its lease it is told that it leads no more, or until when it does.
-        let steward = self.steward.as_ref().map(Steward::due).filter(|at| *at < self.leads_until);
+        let steward = self.steward.as_ref().map(|s| s.due().min(self.leads_until));
         let works = self.works.values().filter_map(Work::due);
         let others = [steward, self.owner.due(), self.register.due(takes_part)];
         others.into_iter().flatten().chain(works).min().unwrap_or(Duration::MAX)
@@ -184,9 +186,11 @@
     pub fn roster(&mut self, now: Duration, seats: Vec<Id>, leader: Option<(u64, Id)>, until: Duration) {
         self.seats = seats;
         self.leads_until = until;
-        let leads = leader.filter(|(_, id)| *id == self.own).map(|(epoch, _)| epoch);
+        let leads = leader.filter(|(_, id)| *id == self.own && now < until).map(|(epoch, _)| epoch);
         if leads != self.steward.as_ref().map(Steward::epoch) {
-            self.steward = leads.map(|epoch| Steward::new(now, epoch, self.terms, self.names, self.count));
+            let new = leads.filter(|epoch| *epoch > self.led);
+            self.steward = new.map(|epoch| Steward::new(now, epoch, self.terms, self.names, self.count));
+            self.led = new.unwrap_or(self.led);
         }
         self.owner.follow(now, leader.filter(|_| self.seats.contains(&self.own)));
         self.settle(now);
@@ -195,7 +199,9 @@
     /// Time has passed.
     pub fn woken(&mut self, now: Duration) {
         self.owner.woken(local!(self), now);
-        if let Some(steward) = self.steward.as_mut().filter(|s| now < self.leads_until && now >= s.due()) {
+        // A lease that ran out is not renewed: what it would say as leader it never says again.
+        self.steward = self.steward.take().filter(|_| now < self.leads_until);
+        if let Some(steward) = self.steward.as_mut().filter(|s| now >= s.due()) {
             steward.woken(local!(self), now, &self.seats);
         }
         self.settle(now);
--- a/crates/members/src/disk.rs
+++ b/crates/members/src/disk.rs
@@ -1,6 +1,7 @@
 //! Writing on threads of their own, so that a slow disk holds up neither beats nor orders.
 
 use crate::store::Store;
+use grebespool_duties::{Cell, Tally};
 use grebespool_succession::Kept;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -11,21 +12,46 @@
 pub enum Written {
     Kept(u64),
     Failed(String),
+    /// Of duties' journals, all up to this stamp.
+    Cells(u64),
+}
+
+/// A part of a duty's journal on its way to the disk.
+pub struct Writing {
+    pub name: String,
+    pub cell: Cell,
+    pub stamp: u64,
 }
 
 pub struct Disk {
     kept: Sender<Kept>,
     memories: Sender<((u64, u64), Vec<u8>)>,
+    cells: Sender<(Vec<Writing>, bool)>,
+    tallies: Sender<Tally>,
 }
 
 impl Disk {
     pub fn new(store: Arc<Store>, told: UnboundedSender<Written>) -> Disk {
         let (kept, keeps) = channel();
         let (memories, remembers) = channel();
-        let state = store.clone();
+        let (cells, journal) = channel();
+        let (tallies, counted) = channel();
+        let (state, duties, counts) = (store.clone(), store.clone(), store.clone());
+        let heard = told.clone();
         std::thread::spawn(move || keep(&state, &keeps, &told));
         std::thread::spawn(move || remember(&store, &remembers));
-        Disk { kept, memories }
+        std::thread::spawn(move || keep_cells(&duties, &journal, &heard));
+        std::thread::spawn(move || count(&counts, &counted));
+        Disk { kept, memories, cells, tallies }
+    }
+
+    /// `copied`: with these, the member has all that it should have.
+    pub fn keep_cells(&self, cells: Vec<Writing>, copied: bool) {
+        let _ = self.cells.send((cells, copied));
+    }
+
+    pub fn count(&self, tally: Tally) {
+        let _ = self.tallies.send(tally);
     }
 
     pub fn keep(&self, kept: Kept) {
@@ -70,3 +96,37 @@
         }
     }
 }
+
+/// Several that wait are written at once. One that cannot be written is tried again, and answered for by nobody until it
+/// stands: a majority goes on without this member.
+fn keep_cells(store: &Store, journal: &Receiver<(Vec<Writing>, bool)>, told: &UnboundedSender<Written>) {
+    while let Ok((mut writing, mut copied)) = journal.recv() {
+        while let Ok((more, all)) = journal.try_recv() {
+            writing.extend(more);
+            copied |= all;
+        }
+        let stamp = writing.iter().map(|w| w.stamp).max();
+        let cells: Vec<(String, Cell)> = writing.into_iter().map(|w| (w.name, w.cell)).collect();
+        let mut failed = false;
+        while let Err(error) = store.keep_cells(&cells, copied.then_some(true)) {
+            if !std::mem::replace(&mut failed, true) {
+                warn!(folder = store.folder(), %error, "the journal of duties takes no writes");
+            }
+            std::thread::sleep(std::time::Duration::from_millis(500));
+        }
+        if stamp.is_some_and(|stamp| told.send(Written::Cells(stamp)).is_err()) {
+            return;
+        }
+    }
+}
+
+fn count(store: &Store, tallies: &Receiver<Tally>) {
+    while let Ok(mut tally) = tallies.recv() {
+        while let Ok(newer) = tallies.try_recv() {
+            tally = newer;
+        }
+        if let Err(error) = store.keep_tally(&tally) {
+            warn!(folder = store.folder(), %error, "what was counted could not be written; it is told from memory");
+        }
+    }
+}
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -2,14 +2,18 @@
 //! [`grebespool_succession`]'s; here are the state folder ([`Store`]), the sealed streams between members ([`seal`]),
 //! and the task that runs one ([`run`]).
 
+mod accounts;
 mod disk;
+mod duties;
 mod keys;
 mod operator;
 mod run;
 pub mod seal;
 mod store;
 
+pub use accounts::{Audit, audit};
+pub use duties::{Accounting, Fleetwork};
 pub use keys::Keys;
-pub use operator::{Answer, Question, SiteAsked, ask};
+pub use operator::{Answer, DutyOrder, Question, SiteAsked, ask};
 pub use run::{Change, Running, Unrunnable, run};
 pub use store::{Store, Unusable, first_roster, fleet_id, seat_id};
--- a/crates/members/src/operator.rs
+++ b/crates/members/src/operator.rs
@@ -20,6 +20,12 @@
         name: String,
     },
     StepDown,
+    /// Who owns which duty; asked of the leader.
+    Duties,
+    Duty {
+        name: String,
+        order: DutyOrder,
+    },
     /// What stands of each site; asked of the leader.
     Sites,
     /// Takes a site out, or lets it back; asked of the leader.
@@ -32,6 +38,16 @@
     },
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DutyOrder {
+    /// To the member of this name.
+    Move(String),
+    /// Nobody works on it for so many milliseconds.
+    Hold(u64),
+    /// Ends a hold, or the wish that a certain member has it.
+    Release,
+}
+
 /// A question on sites, for whoever plans while this member leads.
 pub struct SiteAsked {
     pub question: Question,
--- a/crates/members/src/run.rs
+++ b/crates/members/src/run.rs
@@ -1,10 +1,12 @@
 //! The task that runs a member.
 
 use crate::disk::{Disk, Written};
+use crate::duties::{Bench, Fleetwork};
 use crate::keys::KeyFile;
 use crate::operator::{Answer, Question, Shown, SiteAsked};
 use crate::seal::{Own, Packet, Sealed};
 use crate::store::Store;
+use grebespool_duties::Counts;
 use grebespool_succession::{Host, Id, Kept, Member, Memory, Seat, Standing, Terms, Why, Word};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -45,10 +47,14 @@
     Key { path: String, why: io::Error },
     #[error("the newest memory cannot be read: {0}")]
     Memory(String),
+    #[error("the journal of duties cannot be read: {0}")]
+    Duties(String),
 }
 
 /// Words wait for a peer that is out of reach, a few: what is older than a lease helps nobody.
 const WORDS_KEPT: usize = 32;
+/// Of duties', a renewal and a record for each; what is lost is said again.
+const DUTY_WORDS_KEPT: usize = 20_000;
 const PIECE: usize = 64 << 10;
 /// Between two pieces of a memory: on a slow way, beats pass between them.
 const BETWEEN_PIECES: Duration = Duration::from_millis(5);
@@ -66,11 +72,33 @@
 
 /// A way to one other member: words on one stream, memories on another, so that these never hold up those.
 struct Way {
-    words: Rc<RefCell<VecDeque<Word>>>,
-    come: Rc<Notify>,
+    words: Rc<Queue>,
+    duties: Rc<Queue>,
     freight: Rc<RefCell<Option<Freight>>>,
     laden: Rc<Notify>,
-    tasks: [AbortHandle; 2],
+    tasks: [AbortHandle; 3],
+}
+
+/// What is to be said on one stream.
+struct Queue {
+    most: usize,
+    packets: RefCell<VecDeque<Packet>>,
+    come: Notify,
+}
+
+impl Queue {
+    fn new(most: usize) -> Rc<Queue> {
+        Rc::new(Queue { most, packets: RefCell::default(), come: Notify::new() })
+    }
+
+    fn push(&self, packet: Packet) {
+        let mut packets = self.packets.borrow_mut();
+        if packets.len() == self.most {
+            packets.pop_front();
+        }
+        packets.push_back(packet);
+        self.come.notify_one();
+    }
 }
 
 type Freight = ((u64, u64), Rc<Vec<u8>>);
@@ -81,8 +109,8 @@
     }
 }
 
-struct Desk {
-    disk: Disk,
+pub(crate) struct Desk {
+    pub(crate) disk: Disk,
     said: Vec<(Id, Word)>,
     change: watch::Sender<Change>,
     led: Option<u64>,
@@ -108,11 +136,11 @@
     }
 }
 
-struct Shared {
-    began: Instant,
+pub(crate) struct Shared {
+    pub(crate) began: Instant,
     own: Own,
     name: String,
-    member: RefCell<Member<Desk>>,
+    pub(crate) member: RefCell<Member<Desk>>,
     keys: RefCell<KeyFile>,
     ways: RefCell<BTreeMap<Id, Way>>,
     woken: Notify,
@@ -122,6 +150,8 @@
     refused: Cell<u64>,
     /// Whoever answers questions on sites while this member leads.
     sites: RefCell<Option<mpsc::UnboundedSender<SiteAsked>>>,
+    /// Where work on behalf of the fleet is shared out.
+    pub(crate) work: Option<Bench>,
 }
 
 /// A member that runs. Cheap to clone.
@@ -147,6 +177,11 @@
         from
     }
 
+    /// So much came and became of it at a proxy of this zone, over one of its cycles.
+    pub fn count(&self, zone: u16, route: u8, counts: Counts) {
+        self.0.count(zone, route, counts);
+    }
+
     /// Who leads, by name.
     pub fn leader(&self) -> Option<String> {
         let member = self.0.member.borrow();
@@ -185,12 +220,7 @@
         let ways = self.ways.borrow();
         for (to, word) in said {
             let Some(way) = ways.get(&to) else { continue };
-            let mut words = way.words.borrow_mut();
-            if words.len() == WORDS_KEPT {
-                words.pop_front();
-            }
-            words.push_back(word);
-            way.come.notify_one();
+            way.words.push(Packet::Word(word));
         }
         drop(ways);
         if let Some(epoch) = led {
@@ -203,9 +233,16 @@
             self.member.borrow_mut().host().change.send_replace(Change::Lead { epoch, memory });
         }
         self.woken.notify_one();
+        self.place_duties();
         done
     }
 
+    pub(crate) fn say_of_duties(&self, to: Id, word: grebespool_duties::Word) {
+        if let Some(way) = self.ways.borrow().get(&to) {
+            way.duties.push(Packet::Duty(word));
+        }
+    }
+
     /// A way to each other member of the roster, and to nobody else.
     fn reach(self: &Rc<Self>) {
         let seats: Vec<(Id, Seat)> = {
@@ -218,14 +255,14 @@
         ways.retain(|id, _| seats.iter().any(|s| s.0 == *id));
         for (id, seat) in seats {
             ways.entry(id).or_insert_with(|| {
-                let (words, come) = (Rc::default(), Rc::new(Notify::new()));
+                let (words, duties) = (Queue::new(WORDS_KEPT), Queue::new(DUTY_WORDS_KEPT));
                 let (freight, laden) = (Rc::default(), Rc::new(Notify::new()));
-                let words_task =
-                    spawn_local(speak(self.clone(), id, seat.clone(), Rc::clone(&words), come.clone()));
+                let words_task = spawn_local(speak(self.clone(), id, seat.clone(), words.clone()));
+                let duties_task = spawn_local(speak(self.clone(), id, seat.clone(), duties.clone()));
                 let freight_task =
                     spawn_local(carry(self.clone(), id, seat, Rc::clone(&freight), laden.clone()));
-                let tasks = [words_task.abort_handle(), freight_task.abort_handle()];
-                Way { words, come, freight, laden, tasks }
+                let tasks = [words_task, duties_task, freight_task].map(|t| t.abort_handle());
+                Way { words, duties, freight, laden, tasks }
             });
         }
     }
@@ -312,6 +349,7 @@
     async fn answer(self: &Rc<Self>, question: Question) -> Answer {
         let done = match question {
             Question::Show => return self.status(),
+            Question::Duties | Question::Duty { .. } => return self.of_duties(question),
             Question::Sites | Question::Site { .. } => return self.of_sites(question).await,
             Question::StepDown => self.call(|m, now| m.step_down(now)).map(|()| "it stands down".to_string()),
             Question::Remove { name } => {
@@ -332,17 +370,21 @@
 }
 
 /// Says what is to be said to one other, dialling anew whenever the stream ends.
-async fn speak(shared: Rc<Shared>, id: Id, seat: Seat, words: Rc<RefCell<VecDeque<Word>>>, come: Rc<Notify>) {
+async fn speak(shared: Rc<Shared>, id: Id, seat: Seat, queue: Rc<Queue>) {
     let mut said = String::new();
     loop {
+        // A stream is there once there is something to say.
+        while queue.packets.borrow().is_empty() {
+            queue.come.notified().await;
+        }
         let failed = async {
             let mut sealed = shared.dial(id, &seat).await?;
             said.clear();
             loop {
-                let word = words.borrow_mut().pop_front();
-                match word {
-                    Some(word) => sealed.say(&Packet::Word(word)).await?,
-                    None => come.notified().await,
+                let packet = queue.packets.borrow_mut().pop_front();
+                match packet {
+                    Some(packet) => sealed.say(&packet).await?,
+                    None => queue.come.notified().await,
                 }
             }
         };
@@ -418,6 +460,7 @@
     loop {
         match timeout(SILENCE, sealed.hear()).await?? {
             Packet::Word(word) if peer != 0 => shared.call(|m, now| m.heard(now, peer, word)),
+            Packet::Duty(word) if peer != 0 => shared.duty_heard(peer, word),
             Packet::Memory { order, part, parts, bytes } if peer != 0 => {
                 piece(&shared, &mut coming, (order, part, parts), &bytes)?;
             }
@@ -505,6 +548,7 @@
 async fn disk_told(shared: Rc<Shared>, mut told: mpsc::UnboundedReceiver<Written>) {
     while let Some(written) = told.recv().await {
         match written {
+            Written::Cells(stamp) => shared.duty_kept(stamp),
             Written::Kept(stamp) => shared.call(|m, now| m.kept(now, stamp)),
             Written::Failed(why) => {
                 warn!(why, "the disk takes no writes: this member neither votes nor leads");
@@ -529,12 +573,17 @@
     terms: Terms,
     key_file: &Path,
     weights_kept: Duration,
+    work: Option<Fleetwork>,
     tasks: &mut JoinSet<()>,
 ) -> Result<(Running, watch::Receiver<Change>), Unrunnable> {
     let keys = KeyFile::open(key_file)
         .map_err(|why| Unrunnable::Key { path: key_file.display().to_string(), why })?;
     let damaged = |order: (u64, u64), why| warn!(?order, %why, "a damaged memory is set aside");
     let memory = store.memory(damaged).map_err(|why| Unrunnable::Memory(why.to_string()))?;
+    let work = work
+        .map(|w| Bench::open(&store, kept.id, w))
+        .transpose()
+        .map_err(|why| Unrunnable::Duties(why.to_string()))?;
     let (told, written) = mpsc::unbounded_channel();
     let (change, changes) = watch::channel(Change::Follow);
     let own = Own { fleet: kept.fleet, id: kept.id };
@@ -553,10 +602,12 @@
         weights_kept,
         refused: Cell::new(0),
         sites: RefCell::default(),
+        work,
     });
     shared.reach();
     tasks.spawn_local(accept(shared.clone(), listener));
     tasks.spawn_local(tick(shared.clone()));
     tasks.spawn_local(disk_told(shared.clone(), written));
+    crate::duties::run(&shared, tasks);
     Ok((Running(shared), changes))
 }
--- a/crates/members/src/seal.rs
+++ b/crates/members/src/seal.rs
@@ -37,6 +37,8 @@
     Answer(crate::operator::Answer),
     /// Why the stream is closed.
     Refused(String),
+    /// Of duties, on a stream of their own: many at once never wait before a beat.
+    Duty(grebespool_duties::Word),
 }
 
 fn denied(text: String) -> io::Error {
--- a/crates/members/src/store.rs
+++ b/crates/members/src/store.rs
@@ -1,13 +1,21 @@
 //! A member's state folder.
 
+use grebespool_duties::{Cell, Duty, Tally};
 use grebespool_succession::{Damaged, Id, Kept, Memory, Roster, Seat};
 use redb::{Database, ReadableTable, TableDefinition, TableError};
+use serde::{Serialize, de::DeserializeOwned};
+use std::collections::BTreeMap;
 use std::io;
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
 const STATE: TableDefinition<&str, &[u8]> = TableDefinition::new("state");
 const MEMORIES: TableDefinition<(u64, u64), &[u8]> = TableDefinition::new("memories");
+/// Cells of duties' journals by the duty's name, which outlives its place among the names.
+const CELLS: TableDefinition<&str, &[u8]> = TableDefinition::new("cells");
+const DAMAGED_CELLS: TableDefinition<&str, &[u8]> = TableDefinition::new("damaged cells");
+const TALLY: TableDefinition<&str, &[u8]> = TableDefinition::new("tally");
+const COUNTS: TableDefinition<&str, u64> = TableDefinition::new("counts");
 const SET_ASIDE: TableDefinition<(u64, u64), &[u8]> = TableDefinition::new("set aside");
 
 /// Why a state folder cannot be used.
@@ -59,6 +67,21 @@
     done.map_err(io::Error::other)
 }
 
+fn summed(value: &impl Serialize) -> Vec<u8> {
+    let mut bytes = postcard::to_stdvec(value).expect("memory takes all");
+    let sum = blake3::hash(&bytes);
+    bytes.extend_from_slice(&sum.as_bytes()[..16]);
+    bytes
+}
+
+fn unsummed<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+    let (content, sum) = bytes.split_at_checked(bytes.len().saturating_sub(16)).ok_or("short")?;
+    if blake3::hash(content).as_bytes()[..16] != *sum {
+        return Err("its sum is wrong".into());
+    }
+    postcard::from_bytes(content).map_err(|e| e.to_string())
+}
+
 /// An open state folder: what a member must find again, and the memories of leaders.
 pub struct Store {
     state: Database,
@@ -87,7 +110,9 @@
         }
         let store = Self::create(folder)?;
         let kept = Kept { id, fleet, epoch: 0, vote: None, roster, stamp: 1 };
-        store.keep(&kept).map_err(|why| Unusable::Damaged { path, why: why.to_string() })
+        let added = kept.roster.seats.is_empty();
+        let made = store.keep(&kept).and_then(|()| store.keep_cells(&[], Some(!added)));
+        made.map_err(|why| Unusable::Damaged { path, why: why.to_string() })
     }
 
     fn create(folder: &Path) -> Result<Store, Unusable> {
@@ -119,12 +144,7 @@
         let read = self.state.begin_read().map_err(|e| e.to_string())?;
         let table = read.open_table(STATE).map_err(|e| e.to_string())?;
         let bytes = table.get("kept").map_err(|e| e.to_string())?.ok_or("nothing is in it")?;
-        let (content, sum) =
-            bytes.value().split_at_checked(bytes.value().len().saturating_sub(16)).ok_or("short")?;
-        if blake3::hash(content).as_bytes()[..16] != *sum {
-            return Err("its sum is wrong".into());
-        }
-        postcard::from_bytes(content).map_err(|e| e.to_string())
+        unsummed(bytes.value())
     }
 
     /// Writes what must be found again, and returns once it is on disk.
@@ -133,9 +153,7 @@
     ///
     /// The disk's.
     pub fn keep(&self, kept: &Kept) -> io::Result<()> {
-        let mut bytes = postcard::to_stdvec(kept).expect("memory takes all");
-        let sum = blake3::hash(&bytes);
-        bytes.extend_from_slice(&sum.as_bytes()[..16]);
+        let bytes = summed(kept);
         let write = disk(self.state.begin_write())?;
         disk(disk(write.open_table(STATE))?.insert("kept", bytes.as_slice()))?;
         disk(write.commit())
@@ -196,6 +214,108 @@
         Ok(found)
     }
 
+    /// Counts this start; higher than at any start before.
+    ///
+    /// # Errors
+    ///
+    /// The disk's.
+    pub fn live(&self) -> io::Result<u32> {
+        let write = disk(self.state.begin_write())?;
+        let life = {
+            let mut table = disk(write.open_table(COUNTS))?;
+            let life = disk(table.get("life"))?.map_or(0, |v| v.value()) + 1;
+            disk(table.insert("life", life))?;
+            life
+        };
+        disk(write.commit())?;
+        Ok(u32::try_from(life).unwrap_or(u32::MAX))
+    }
+
+    /// What the disk has of the journals of these duties, and whether that is all that it should have: a member that
+    /// was added, or whose record is damaged, has to copy the others' first. Damaged ones are named to `damaged` and
+    /// set aside.
+    ///
+    /// # Errors
+    ///
+    /// The disk's.
+    pub fn cells(
+        &self,
+        names: &[String],
+        mut damaged: impl FnMut(&str, &str),
+    ) -> io::Result<(BTreeMap<Duty, Cell>, bool)> {
+        let write = disk(self.state.begin_write())?;
+        let (mut cells, mut whole) = (BTreeMap::new(), true);
+        {
+            let mut counts = disk(write.open_table(COUNTS))?;
+            let (mut table, mut aside) =
+                (disk(write.open_table(CELLS))?, disk(write.open_table(DAMAGED_CELLS))?);
+            whole &= disk(counts.get("copied"))?.is_none_or(|v| v.value() != 0);
+            for (duty, name) in names.iter().enumerate() {
+                let Some(bytes) = disk(table.get(name.as_str()))?.map(|b| b.value().to_vec()) else {
+                    continue;
+                };
+                match unsummed::<Cell>(&bytes) {
+                    Ok(cell) => drop(cells.insert(duty as Duty, cell)),
+                    Err(why) => {
+                        damaged(name, &why);
+                        whole = false;
+                        disk(aside.insert(name.as_str(), bytes.as_slice()))?;
+                        disk(table.remove(name.as_str()))?;
+                    }
+                }
+            }
+            disk(counts.insert("copied", u64::from(whole)))?;
+        }
+        disk(write.commit())?;
+        Ok((cells, whole))
+    }
+
+    /// Writes parts of journals, and returns once they are on disk. `copied`: whether they are all that this member
+    /// should have, where that changes.
+    ///
+    /// # Errors
+    ///
+    /// The disk's.
+    pub fn keep_cells(&self, cells: &[(String, Cell)], copied: Option<bool>) -> io::Result<()> {
+        let write = disk(self.state.begin_write())?;
+        {
+            let mut table = disk(write.open_table(CELLS))?;
+            for (name, cell) in cells {
+                disk(table.insert(name.as_str(), summed(cell).as_slice()))?;
+            }
+            if let Some(copied) = copied {
+                disk(disk(write.open_table(COUNTS))?.insert("copied", u64::from(copied)))?;
+            }
+        }
+        disk(write.commit())
+    }
+
+    /// What this member counted before it was started. Nothing where that is damaged: accounts keep what was told.
+    ///
+    /// # Errors
+    ///
+    /// The disk's.
+    pub fn tally(&self) -> io::Result<Tally> {
+        let read = disk(self.memories.begin_read())?;
+        match read.open_table(TALLY) {
+            Ok(table) => {
+                let bytes = disk(table.get("tally"))?;
+                Ok(bytes.and_then(|b| unsummed(b.value()).ok()).unwrap_or_default())
+            }
+            Err(TableError::TableDoesNotExist(_)) => Ok(Tally::default()),
+            Err(why) => Err(io::Error::other(why)),
+        }
+    }
+
+    /// # Errors
+    ///
+    /// The disk's.
+    pub fn keep_tally(&self, tally: &Tally) -> io::Result<()> {
+        let write = disk(self.memories.begin_write())?;
+        disk(disk(write.open_table(TALLY))?.insert("tally", summed(tally).as_slice()))?;
+        disk(write.commit())
+    }
+
     /// How many memories were set aside.
     ///
     /// # Errors
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -59,6 +59,8 @@
     fn left(&mut self, now: Duration, name: &str);
     /// So many calls of each route came to the proxy within its last cycle.
     fn came(&mut self, now: Duration, name: &str, came: &[CameLine]);
+    /// Tries of a proxy within its last cycle, and how many of them were not answered.
+    fn tried(&mut self, _: &str, _tries: u64, _dropped: u64) {}
     /// A proxy holds orders of an epoch that is newer than this planner's.
     fn passed_over(&mut self, epoch: u64);
     /// What a former leader of the fleet knew, to begin with. Asked once, before anybody is listened to.
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -171,6 +171,22 @@
     pub address: SocketAddr,
 }
 
+/// Accounts of periods, written by one member at a time.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Accounts {
+    pub folder: PathBuf,
+    pub period: Span,
+    pub slack: Span,
+}
+
+/// Work on behalf of the fleet that its members share out.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Duties {
+    pub lease: Span,
+    pub renew: Span,
+    pub accounts: Option<Accounts>,
+}
+
 /// This controller among those that follow each other.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Members {
@@ -186,6 +202,7 @@
     pub drift: f64,
     pub remember: Span,
     pub weights_kept: Span,
+    pub duties: Option<Duties>,
 }
 
 impl Deployment {
@@ -263,6 +280,9 @@
             if let Some(members) = &mut planned.members {
                 members.key_file = folder.join(&members.key_file);
                 members.folder = folder.join(&members.folder);
+                if let Some(a) = members.duties.as_mut().and_then(|d| d.accounts.as_mut()) {
+                    a.folder = folder.join(&a.folder);
+                }
             }
         }
         if let Some(members) = &planned.members {
@@ -279,6 +299,20 @@
             let why = format!("{:?} is shorter than three beats of {:?}", self.lease.0, self.beat.0);
             return bad("lease", why);
         }
+        if let Some(duties) = &self.duties {
+            if duties.lease.0 < duties.renew.0 * 3 {
+                let why =
+                    format!("{:?} is shorter than three renewals of {:?}", duties.lease.0, duties.renew.0);
+                return bad("duties.lease", why);
+            }
+            if duties.lease.0 < self.lease.0 * 2 {
+                let why = format!(
+                    "{:?} is shorter than twice members.lease, {:?}: a change of the leader would take all duties",
+                    duties.lease.0, self.lease.0
+                );
+                return bad("duties.lease", why);
+            }
+        }
         let mut names = vec![self.name.as_str()];
         for (i, peer) in self.peers.iter().enumerate() {
             if names.contains(&peer.name.as_str()) {
--- a/crates/settings/src/text.rs
+++ b/crates/settings/src/text.rs
@@ -71,7 +71,7 @@
 }
 
 /// The text of a controller's settings file among others of a fleet: where they reach it, and where it listens.
-/// `peers`: names and addresses of the others.
+/// `folder`, `accounts`: its state's, and the accounts' that are all members'. `peers`: names and addresses of the others.
 #[expect(clippy::too_many_arguments, reason = "each part takes its own few settings; none holds them all")]
 pub fn member_text(
     deployment: &Deployment,
@@ -80,13 +80,16 @@
     stall: Duration,
     name: &str,
     (address, listen): (SocketAddr, SocketAddr),
-    folder: &Path,
+    (folder, accounts): (&Path, &Path),
     peers: &[(String, SocketAddr)],
 ) -> String {
     let peers: Vec<Value> =
         peers.iter().map(|(name, address)| json!({ "name": name, "address": address.to_string() })).collect();
+    // Accounts of short periods, so that a rehearsal sees many.
+    let accounts = json!({ "folder": accounts, "period": "400ms", "slack": "300ms" });
     let members = json!({
         "members": {
+            "duties": { "lease": "2500ms", "renew": "300ms", "accounts": accounts },
             "fleet": "fleet", "name": name, "address": address.to_string(),
             "listen": listen.to_string(), "folder": folder, "key_file": key_file,
             "peers": peers, "beat": "150ms", "lease": "750ms", "remember": "500ms",
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -119,6 +119,7 @@
     ways: Vec<Way>,
     cuts: bool,
     leading: Arc<Mutex<Option<usize>>>,
+    accounts: PathBuf,
 }
 
 struct Controller {
@@ -156,12 +157,17 @@
 impl FleetHost {
     const CHOSEN_WITHIN: Duration = Duration::from_secs(60);
 
-    /// `program`: the command line. `stall`: as for one planner.
+    /// `program`: the command line. `stall`: as for one planner. `accounts`: where the members write their accounts.
     ///
     /// # Errors
     ///
     /// No folder can be made, or no ports are free.
-    pub fn new(program: PathBuf, stall: Duration, members: usize) -> io::Result<FleetHost> {
+    pub fn new(
+        program: PathBuf,
+        stall: Duration,
+        members: usize,
+        accounts: PathBuf,
+    ) -> io::Result<FleetHost> {
         let folder = tempfile::tempdir()?;
         let controller = |(i, address)| Controller {
             settings: folder.path().join(format!("m{i}.ncl")),
@@ -178,6 +184,7 @@
             ways: vec![],
             cuts: false,
             leading: Arc::default(),
+            accounts,
         })
     }
 
@@ -203,7 +210,7 @@
                 self.stall,
                 &name,
                 (between[i], listens[i]),
-                &state,
+                (&state, &self.accounts),
                 &peers,
             );
             std::fs::write(&controller.settings, text)?;
--- a/crates/succession/src/member.rs
+++ b/crates/succession/src/member.rs
@@ -227,6 +227,11 @@
         matches!(&self.role, Role::Leading(lead) if now < lead.until)
     }
 
+    /// Until when its lease as leader runs; zero where it does not lead.
+    pub fn leads_until(&self) -> Duration {
+        if let Role::Leading(lead) = &self.role { lead.until } else { Duration::ZERO }
+    }
+
     pub fn leads(&self) -> bool {
         matches!(self.role, Role::Leading(_))
     }
