--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -6,10 +6,12 @@
 mod disk;
 mod duties;
 mod keys;
+mod listen;
 mod operator;
 mod run;
 pub mod seal;
 mod store;
+mod ways;
 
 pub use accounts::{Audit, audit};
 pub use duties::{Accounting, Fleetwork};
--- a/crates/members/src/run.rs
+++ b/crates/members/src/run.rs
@@ -3,13 +3,15 @@
 use crate::disk::{Disk, Written};
 use crate::duties::{Bench, Fleetwork};
 use crate::keys::KeyFile;
+use crate::listen::accept;
 use crate::operator::{Answer, Question, Shown, SiteAsked};
 use crate::seal::{Own, Packet, Sealed};
 use crate::store::Store;
+use crate::ways::{DUTY_WORDS_KEPT, Queue, WORDS_KEPT, Way, carry, speak};
 use grebespool_duties::Counts;
 use grebespool_succession::{Host, Id, Kept, Member, Memory, Seat, Standing, Terms, Why, Word};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
@@ -18,8 +20,8 @@
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::task::{AbortHandle, JoinSet, spawn_local};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::task::{JoinSet, spawn_local};
+use tokio::time::{Instant, timeout};
 use tracing::{info, warn};
 
 /// Whether this member is to plan.
@@ -51,64 +53,7 @@
     Duties(String),
 }
 
-/// Words wait for a peer that is out of reach, a few: what is older than a lease helps nobody.
-const WORDS_KEPT: usize = 32;
-/// Of duties', a renewal and a record for each; what is lost is said again.
-const DUTY_WORDS_KEPT: usize = 20_000;
-const PIECE: usize = 64 << 10;
-/// Between two pieces of a memory: on a slow way, beats pass between them.
-const BETWEEN_PIECES: Duration = Duration::from_millis(5);
-const DIALLED_WITHIN: Duration = Duration::from_secs(2);
-const REDIAL: Duration = Duration::from_millis(200);
-const SILENCE: Duration = Duration::from_secs(30);
-
-/// What a memory's pieces come to.
-struct Coming {
-    order: (u64, u64),
-    parts: u32,
-    bytes: Vec<u8>,
-    next: u32,
-}
-
-/// A way to one other member: words on one stream, memories on another, so that these never hold up those.
-struct Way {
-    words: Rc<Queue>,
-    duties: Rc<Queue>,
-    freight: Rc<RefCell<Option<Freight>>>,
-    laden: Rc<Notify>,
-    tasks: [AbortHandle; 3],
-}
-
-/// What is to be said on one stream.
-struct Queue {
-    most: usize,
-    packets: RefCell<VecDeque<Packet>>,
-    come: Notify,
-}
-
-impl Queue {
-    fn new(most: usize) -> Rc<Queue> {
-        Rc::new(Queue { most, packets: RefCell::default(), come: Notify::new() })
-    }
-
-    fn push(&self, packet: Packet) {
-        let mut packets = self.packets.borrow_mut();
-        if packets.len() == self.most {
-            packets.pop_front();
-        }
-        packets.push_back(packet);
-        self.come.notify_one();
-    }
-}
-
-type Freight = ((u64, u64), Rc<Vec<u8>>);
-
-impl Drop for Way {
-    fn drop(&mut self) {
-        self.tasks.iter().for_each(AbortHandle::abort);
-    }
-}
-
+pub(crate) const DIALLED_WITHIN: Duration = Duration::from_secs(2);
 pub(crate) struct Desk {
     pub(crate) disk: Disk,
     said: Vec<(Id, Word)>,
@@ -138,14 +83,14 @@
 
 pub(crate) struct Shared {
     pub(crate) began: Instant,
-    own: Own,
-    name: String,
+    pub(crate) own: Own,
+    pub(crate) name: String,
     pub(crate) member: RefCell<Member<Desk>>,
-    keys: RefCell<KeyFile>,
+    pub(crate) keys: RefCell<KeyFile>,
     ways: RefCell<BTreeMap<Id, Way>>,
     woken: Notify,
     /// The newest memory of a leader, and when it came.
-    memory: RefCell<Option<(Memory, Instant)>>,
+    pub(crate) memory: RefCell<Option<(Memory, Instant)>>,
     weights_kept: Duration,
     refused: Cell<u64>,
     /// Whoever answers questions on sites while this member leads.
@@ -209,7 +154,7 @@
 
 impl Shared {
     /// Calls the member at this moment, and carries out what it asked.
-    fn call<T>(self: &Rc<Self>, what: impl FnOnce(&mut Member<Desk>, Duration) -> T) -> T {
+    pub(crate) fn call<T>(self: &Rc<Self>, what: impl FnOnce(&mut Member<Desk>, Duration) -> T) -> T {
         let (done, said, led) = {
             let mut member = self.member.borrow_mut();
             let done = what(&mut member, self.began.elapsed());
@@ -267,13 +212,13 @@
         }
     }
 
-    fn refuse(&self, what: &str, why: &io::Error) {
+    pub(crate) fn refuse(&self, what: &str, why: &io::Error) {
         self.refused.set(self.refused.get() + 1);
         warn!(refused = self.refused.get(), "{what}: {why}");
     }
 
     /// A stream to the member with this id, and with nobody else at its address.
-    async fn dial(&self, id: Id, seat: &Seat) -> io::Result<Sealed<TcpStream>> {
+    pub(crate) async fn dial(&self, id: Id, seat: &Seat) -> io::Result<Sealed<TcpStream>> {
         let (sealed, name) = self.meet(&seat.address).await?;
         if sealed.peer != id {
             let text = format!("{name} ({:016x}) is there in place of {id:016x}", sealed.peer);
@@ -346,7 +291,7 @@
         }
     }
 
-    async fn answer(self: &Rc<Self>, question: Question) -> Answer {
+    pub(crate) async fn answer(self: &Rc<Self>, question: Question) -> Answer {
         let done = match question {
             Question::Show => return self.status(),
             Question::Duties | Question::Duty { .. } => return self.of_duties(question),
@@ -369,172 +314,6 @@
     }
 }
 
-/// Says what is to be said to one other, dialling anew whenever the stream ends.
-async fn speak(shared: Rc<Shared>, id: Id, seat: Seat, queue: Rc<Queue>) {
-    let mut said = String::new();
-    loop {
-        // A stream is there once there is something to say.
-        while queue.packets.borrow().is_empty() {
-            queue.come.notified().await;
-        }
-        let failed = async {
-            let mut sealed = shared.dial(id, &seat).await?;
-            said.clear();
-            loop {
-                let packet = queue.packets.borrow_mut().pop_front();
-                match packet {
-                    Some(packet) => sealed.say(&packet).await?,
-                    None => queue.come.notified().await,
-                }
-            }
-        };
-        let failed: io::Result<()> = failed.await;
-        if let Err(why) = failed {
-            // Once for each cause, not with each dialling.
-            if why.to_string() != said {
-                said = why.to_string();
-                match why.kind() {
-                    io::ErrorKind::PermissionDenied => shared.refuse(&seat.name, &why),
-                    _ => info!(member = seat.name, error = said, "out of reach"),
-                }
-            }
-        }
-        sleep(REDIAL).await;
-    }
-}
-
-/// Ships the newest memory to one other.
-async fn carry(
-    shared: Rc<Shared>,
-    id: Id,
-    seat: Seat,
-    freight: Rc<RefCell<Option<Freight>>>,
-    laden: Rc<Notify>,
-) {
-    loop {
-        laden.notified().await;
-        let shipped: io::Result<()> = async {
-            let mut sealed = shared.dial(id, &seat).await?;
-            loop {
-                let Some((order, bytes)) = freight.borrow_mut().take() else {
-                    laden.notified().await;
-                    continue;
-                };
-                let pieces = bytes.chunks(PIECE);
-                let parts = pieces.len() as u32;
-                for (part, piece) in pieces.enumerate() {
-                    let bytes = piece.to_vec();
-                    sealed.say(&Packet::Memory { order, part: part as u32, parts, bytes }).await?;
-                    sleep(BETWEEN_PIECES).await;
-                }
-            }
-        }
-        .await;
-        if shipped.is_err() {
-            sleep(REDIAL).await;
-        }
-    }
-}
-
-/// One stream that another member or an operator dialled.
-async fn listen(shared: Rc<Shared>, stream: TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let keys = shared.keys.borrow_mut().keys();
-    let meeting = async {
-        let mut sealed = Sealed::accept(stream, shared.own, &keys).await?;
-        let (_, told) = sealed.met().await?;
-        let peer = sealed.peer;
-        if peer != 0
-            && let Err(why) = shared.call(|m, _| m.met(peer, told))
-        {
-            sealed.say(&Packet::Refused(why.to_string())).await?;
-            return Err(io::Error::new(io::ErrorKind::PermissionDenied, why));
-        }
-        let stamp = shared.member.borrow().kept_state().stamp;
-        sealed.say(&Packet::Here { name: shared.name.clone(), stamp }).await?;
-        io::Result::Ok(sealed)
-    };
-    let mut sealed = timeout(DIALLED_WITHIN, meeting).await??;
-    let peer = sealed.peer;
-    let mut coming: Option<Coming> = None;
-    loop {
-        match timeout(SILENCE, sealed.hear()).await?? {
-            Packet::Word(word) if peer != 0 => shared.call(|m, now| m.heard(now, peer, word)),
-            Packet::Duty(word) if peer != 0 => shared.duty_heard(peer, word),
-            Packet::Memory { order, part, parts, bytes } if peer != 0 => {
-                piece(&shared, &mut coming, (order, part, parts), &bytes)?;
-            }
-            Packet::Question(question) if peer == 0 => {
-                let answer = shared.answer(question).await;
-                sealed.say(&Packet::Answer(answer)).await?;
-            }
-            _ => return Err(io::Error::new(io::ErrorKind::InvalidData, "what does not belong here")),
-        }
-    }
-}
-
-/// Puts a memory's pieces together, and takes it once it is whole.
-fn piece(
-    shared: &Rc<Shared>,
-    coming: &mut Option<Coming>,
-    (order, part, parts): ((u64, u64), u32, u32),
-    bytes: &[u8],
-) -> io::Result<()> {
-    let bad = |text: String| Err(io::Error::new(io::ErrorKind::InvalidData, text));
-    if part == 0 {
-        *coming = Some(Coming { order, parts, bytes: vec![], next: 0 });
-    }
-    let Some(c) = coming.as_mut().filter(|c| c.order == order && c.parts == parts && c.next == part) else {
-        return bad(format!("piece {part} of a memory out of its order"));
-    };
-    if c.bytes.len() + bytes.len() > grebespool_succession::MOST_BYTES {
-        return bad("a memory that is too large".into());
-    }
-    c.bytes.extend_from_slice(bytes);
-    c.next += 1;
-    if c.next < parts {
-        return Ok(());
-    }
-    let whole = coming.take().map(|c| c.bytes).unwrap_or_default();
-    match Memory::read(&whole) {
-        Ok(memory) if memory.order() == order => {
-            let newer = shared.memory.borrow().as_ref().is_none_or(|m| m.0.order() < order);
-            if newer {
-                *shared.memory.borrow_mut() = Some((memory, Instant::now()));
-                shared.member.borrow_mut().host().disk.remember(order, whole);
-            }
-            Ok(())
-        }
-        Ok(_) => bad("a memory under another's number".into()),
-        Err(why) => bad(format!("a damaged memory: {why}")),
-    }
-}
-
-async fn accept(shared: Rc<Shared>, listener: TcpListener) {
-    let mut streams = JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, from)) => {
-                    let shared = shared.clone();
-                    streams.spawn_local(async move {
-                        if let Err(why) = listen(shared.clone(), stream).await
-                            && !matches!(why.kind(), io::ErrorKind::UnexpectedEof | io::ErrorKind::ConnectionReset)
-                        {
-                            shared.refuse(&format!("a stream from {from}"), &why);
-                        }
-                    });
-                }
-                Err(error) => {
-                    warn!(%error, "a connection could not be accepted");
-                    sleep(Duration::from_millis(50)).await;
-                }
-            },
-            Some(_) = streams.join_next() => {}
-        }
-    }
-}
-
 async fn tick(shared: Rc<Shared>) {
     loop {
         let due = shared.began + shared.member.borrow().due();
--- a/crates/succession/src/member.rs
+++ b/crates/succession/src/member.rs
@@ -1,6 +1,6 @@
 //! One member: votes, leads, follows, and changes who takes part.
 
-use crate::roster::{Id, Roster, Seat};
+use crate::roster::{Id, Roster};
 use crate::word::Word;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -10,6 +10,12 @@
 use std::time::Duration;
 use thiserror::Error;
 
+mod candidacy;
+mod lease;
+mod seats;
+
+use lease::Lead;
+
 /// What a member must find again after a crash.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Kept {
@@ -110,19 +116,6 @@
     Leading(Lead),
 }
 
-#[derive(Debug, Clone)]
-struct Lead {
-    since: Duration,
-    number: u64,
-    /// When beats that may still be answered went out.
-    sent: BTreeMap<u64, Duration>,
-    /// When the newest beat went out that a member heard; its roster.
-    heard: BTreeMap<Id, Duration>,
-    rosters: BTreeMap<Id, (u64, u64)>,
-    until: Duration,
-    beat_at: Duration,
-}
-
 /// What a member is at the moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -382,17 +375,6 @@
         self.kept.roster.holds(self.kept.id) && !self.disk_fails
     }
 
-    fn may_vote(&self, now: Duration, for_whom: Id, roster: (u64, u64), yielded: bool) -> bool {
-        let free = now >= self.promised || yielded;
-        let leads = matches!(&self.role, Role::Leading(lead) if now < lead.until);
-        self.takes_part()
-            && now >= self.mute
-            && free
-            && (!leads || yielded)
-            && roster >= self.kept.roster.version()
-            && (self.kept.roster.holds(for_whom) || roster > self.kept.roster.version())
-    }
-
     pub fn heard(&mut self, now: Duration, from: Id, word: Word) {
         match word {
             Word::Canvass { epoch, roster } => {
@@ -419,208 +401,6 @@
         }
     }
 
-    // Choosing a leader.
-
-    fn favoured(&mut self, now: Duration, from: Id, epoch: u64) {
-        if epoch != self.kept.epoch + 1 {
-            return;
-        }
-        let Role::Canvassing { favours } = &mut self.role else { return };
-        favours.insert(from);
-        let favours = favours.clone();
-        if self.kept.roster.majority(|id| favours.contains(&id)) {
-            self.stand(now, false);
-        }
-    }
-
-    /// Votes for itself in the next epoch, and asks the others once that is on disk.
-    fn stand(&mut self, now: Duration, yielded: bool) {
-        (self.kept.epoch, self.kept.vote) = (self.kept.epoch + 1, Some(self.kept.id));
-        self.role = Role::Standing { yielded, asked: None, votes: BTreeSet::new() };
-        self.put_off(now);
-        self.keep();
-        self.ask(now);
-    }
-
-    fn ask(&mut self, now: Duration) {
-        if self.on_disk < self.kept.stamp {
-            return;
-        }
-        let Role::Standing { yielded, asked, votes } = &mut self.role else { return };
-        if asked.is_some() {
-            return;
-        }
-        *asked = Some(now);
-        votes.insert(self.kept.id);
-        let word =
-            Word::Ask { epoch: self.kept.epoch, roster: self.kept.roster.version(), yielded: *yielded };
-        for other in self.kept.roster.others(self.kept.id) {
-            self.host.say(other, word.clone());
-        }
-        self.count(now);
-    }
-
-    fn asked(&mut self, now: Duration, from: Id, epoch: u64, roster: (u64, u64), yielded: bool) {
-        if epoch < self.kept.epoch {
-            return self.host.say(from, Word::Newer { epoch: self.kept.epoch });
-        }
-        let free = epoch > self.kept.epoch || self.kept.vote.is_none_or(|v| v == from);
-        // One that may not be voted for does not raise the epoch either: a member that came back from behind a cut
-        // would else end the lease of a leader that all others hear.
-        if !free || !self.may_vote(now, from, roster, yielded) {
-            return;
-        }
-        self.adopt(now, epoch);
-        if self.kept.vote.is_none() {
-            self.kept.vote = Some(from);
-            self.keep();
-        }
-        self.promised = now + self.terms.wait();
-        self.follow(now, None);
-        self.say_kept(from, Word::Vote { epoch });
-    }
-
-    fn voted(&mut self, now: Duration, from: Id, epoch: u64) {
-        if epoch == self.kept.epoch
-            && let Role::Standing { votes, asked: Some(_), .. } = &mut self.role
-        {
-            votes.insert(from);
-            self.count(now);
-        }
-    }
-
-    fn count(&mut self, now: Duration) {
-        let Role::Standing { asked: Some(asked), votes, .. } = &self.role else { return };
-        let (asked, votes) = (*asked, votes.clone());
-        if !self.kept.roster.majority(|id| votes.contains(&id)) {
-            return;
-        }
-        // Those who voted help no other for as long, from when they were asked on.
-        let until = asked + self.terms.lease;
-        if now >= until && self.kept.roster.seats.len() > 1 {
-            return;
-        }
-        self.role = Role::Leading(Lead {
-            since: now,
-            number: 0,
-            sent: BTreeMap::new(),
-            heard: votes.iter().map(|id| (*id, asked)).collect(),
-            rosters: BTreeMap::new(),
-            until,
-            beat_at: now,
-        });
-        self.stood_down = None;
-        // Stated anew in this epoch, so that one of an older that only few have is out of the way.
-        (self.kept.roster.epoch, self.kept.roster.number) = (self.kept.epoch, 0);
-        self.keep();
-        self.host.lead(self.kept.epoch);
-        self.beat(now);
-    }
-
-    // Leading.
-
-    fn beat(&mut self, now: Duration) {
-        let Role::Leading(lead) = &mut self.role else { return };
-        lead.number += 1;
-        lead.beat_at = now + self.terms.beat;
-        lead.sent.insert(lead.number, now);
-        while lead.sent.len() > Self::BEATS {
-            lead.sent.pop_first();
-        }
-        let (number, epoch, roster) = (lead.number, self.kept.epoch, self.kept.roster.version());
-        for other in self.kept.roster.others(self.kept.id) {
-            self.host.say(other, Word::Beat { epoch, number, roster });
-        }
-        self.renew(now);
-    }
-
-    /// The lease runs from the newest beat that a majority heard.
-    fn renew(&mut self, now: Duration) {
-        let (id, lease) = (self.kept.id, self.terms.lease);
-        let Role::Leading(lead) = &mut self.role else { return };
-        let seats = &self.kept.roster.seats;
-        let mut times: Vec<Duration> = seats
-            .keys()
-            .map(|s| if *s == id { now } else { lead.heard.get(s).copied().unwrap_or_default() })
-            .collect();
-        times.sort_unstable_by(|a, b| b.cmp(a));
-        if let Some(majority) = times.get(seats.len() / 2) {
-            lead.until = lead.until.max(*majority + lease);
-        }
-    }
-
-    fn was_heard(&mut self, now: Duration, from: Id, epoch: u64, number: u64, roster: (u64, u64)) {
-        if epoch != self.kept.epoch {
-            return;
-        }
-        let Role::Leading(lead) = &mut self.role else { return };
-        if let Some(sent) = lead.sent.get(&number).copied() {
-            let newest = lead.heard.entry(from).or_default();
-            *newest = sent.max(*newest);
-        }
-        let newest = lead.rosters.entry(from).or_default();
-        *newest = roster.max(*newest);
-        // A lease that ran out is not renewed: what was heard since may be from before it did.
-        if now < lead.until {
-            self.renew(now);
-        }
-        let known = self.kept.roster.version();
-        if roster < known && self.kept.roster.holds(from) {
-            let word = Word::Seats { epoch, roster: self.kept.roster.clone() };
-            self.say_kept(from, word);
-        }
-        self.leave_if_removed(now);
-    }
-
-    fn settled(&self, lead: &Lead) -> bool {
-        let known = self.kept.roster.version();
-        self.kept.roster.majority(|id| lead.rosters.get(&id).is_some_and(|v| *v == known))
-    }
-
-    fn leave_if_removed(&mut self, now: Duration) {
-        if let Role::Leading(lead) = &self.role
-            && !self.kept.roster.holds(self.kept.id)
-            && self.settled(lead)
-        {
-            self.stop(now, Why::Removed);
-        }
-    }
-
-    fn beaten(&mut self, now: Duration, from: Id, epoch: u64, number: u64) {
-        if epoch < self.kept.epoch {
-            return self.host.say(from, Word::Newer { epoch: self.kept.epoch });
-        }
-        if epoch == self.kept.epoch && self.leads() {
-            // Only where a member voted twice, out of a state that it was set back to.
-            self.host.note("another leads in this very epoch: a member's state was set back");
-            return self.stop(now, Why::PassedOver(epoch));
-        }
-        self.adopt(now, epoch);
-        self.promised = now + self.terms.wait();
-        self.heard_at = now;
-        self.follow(now, Some(from));
-        let known = if self.on_disk >= self.kept.stamp { self.kept.roster.version() } else { (0, 0) };
-        self.host.say(from, Word::Heard { epoch, number, roster: known });
-    }
-
-    fn seats(&mut self, now: Duration, from: Id, epoch: u64, roster: Roster) {
-        let leader = matches!(&self.role, Role::Following { leader: Some(l) } if *l == from);
-        if epoch != self.kept.epoch || !leader || roster.version() <= self.kept.roster.version() {
-            return;
-        }
-        let took_part = self.kept.roster.holds(self.kept.id);
-        let version = roster.version();
-        self.kept.roster = roster;
-        self.keep();
-        match (took_part, self.kept.roster.holds(self.kept.id)) {
-            (true, false) => self.host.note("this member takes no part any more"),
-            (false, true) => self.host.note("this member takes part from here on"),
-            _ => {}
-        }
-        self.put_off(now);
-        self.say_kept(from, Word::Heard { epoch, number: 0, roster: version });
-    }
-
     /// Time has passed.
     pub fn woken(&mut self, now: Duration) {
         match &self.role {
@@ -650,87 +430,4 @@
             }
         }
     }
-
-    // Who takes part.
-
-    fn may_change(&self) -> Result<(), Refused> {
-        match &self.role {
-            Role::Leading(lead) if self.settled(lead) => Ok(()),
-            Role::Leading(_) => Err(Refused::Underway),
-            _ => Err(Refused::NotLeading { leader: self.leader().map(|l| self.name_of(l)) }),
-        }
-    }
-
-    fn change(&mut self, now: Duration) {
-        self.kept.roster.number += 1;
-        self.keep();
-        // Told at once, not with the next answer to a beat.
-        let word = Word::Seats { epoch: self.kept.epoch, roster: self.kept.roster.clone() };
-        for other in self.kept.roster.others(self.kept.id) {
-            self.say_kept(other, word.clone());
-        }
-        self.beat(now);
-    }
-
-    /// # Errors
-    ///
-    /// It does not lead; another change is under way; the name or folder takes part already.
-    pub fn add(&mut self, now: Duration, id: Id, seat: Seat) -> Result<(), Refused> {
-        self.may_change()?;
-        let roster = &mut self.kept.roster;
-        if roster.holds(id) || roster.seats.values().any(|s| s.name == seat.name) {
-            return Err(Refused::Already(seat.name));
-        }
-        roster.seats.insert(id, seat);
-        self.change(now);
-        Ok(())
-    }
-
-    /// The leader may remove itself: it leads until a majority of the rest knows.
-    ///
-    /// # Errors
-    ///
-    /// It does not lead; another change is under way; nobody has that name, or nobody else is there.
-    pub fn remove(&mut self, now: Duration, name: &str) -> Result<(), Refused> {
-        self.may_change()?;
-        let roster = &mut self.kept.roster;
-        let Some(id) = roster.seats.iter().find(|s| s.1.name == name).map(|s| *s.0) else {
-            return Err(Refused::Nobody(name.into()));
-        };
-        if roster.seats.len() == 1 {
-            return Err(Refused::Last);
-        }
-        let removed = roster.seats.remove(&id);
-        self.change(now);
-        if let Some(seat) = removed.filter(|_| id != self.kept.id) {
-            let text = format!("{} takes no part any more", seat.name);
-            self.host.note(&text);
-            // It is told, so that it does not canvass for ever; whether it hears it does not matter.
-            let word = Word::Seats { epoch: self.kept.epoch, roster: self.kept.roster.clone() };
-            self.say_kept(id, word);
-        }
-        Ok(())
-    }
-
-    /// Leaves the lead to the member that was heard last.
-    ///
-    /// # Errors
-    ///
-    /// It does not lead, or nobody else is there.
-    pub fn step_down(&mut self, now: Duration) -> Result<(), Refused> {
-        let Role::Leading(lead) = &self.role else {
-            return Err(Refused::NotLeading { leader: self.leader().map(|l| self.name_of(l)) });
-        };
-        let others = self.kept.roster.others(self.kept.id);
-        let heard = |id: &Id| lead.heard.get(id).copied().unwrap_or_default();
-        let Some(next) = others.into_iter().max_by_key(|id| (heard(id), *id)) else {
-            return Err(Refused::Last);
-        };
-        let epoch = self.kept.epoch;
-        self.stop(now, Why::Asked);
-        // Those who hear the next may vote at once; this one stands again only if none is chosen.
-        self.promised = now;
-        self.host.say(next, Word::Turn { epoch });
-        Ok(())
-    }
 }
