A next leader begins with the former one's pools and with who is bound to which

Only bound proxies are told, lest names of those long gone be handed on for ever. Comments of over 110 characters are shorter.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -117,6 +117,13 @@
     watch: Option<Watch>,
 }
 
+/// What a planner has dealt: each pool's zone and servers, and each proxy's pool by its place.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Dealt {
+    pub pools: Vec<(String, Vec<ServerId>)>,
+    pub bound: Vec<(String, usize)>,
+}
+
 impl<O: Outlet> Engine<O> {
     const STALLED: Duration = Duration::from_millis(400);
     const FORGET: Duration = Duration::from_secs(600);
@@ -233,6 +240,34 @@
         }
     }
 
+    /// What each pool holds, and which one each proxy has, by name.
+    pub fn dealt(&self) -> Dealt {
+        let (pools, bound) = self.planner.dealt();
+        let zone = |z: Zone| self.list.zones().get(usize::from(z)).cloned().unwrap_or_default();
+        let id = |s: &usize| *self.servers.id(*s);
+        let pools = pools.iter().map(|(z, held)| (zone(*z), held.iter().map(id).collect()));
+        let at = |(name, p): (&str, Proxy)| Some((name.to_string(), *bound.get(&p)?));
+        Dealt { pools: pools.collect(), bound: self.proxies.names().filter_map(at).collect() }
+    }
+
+    /// Begins with what a former leader had dealt: called after the first list, before [`Engine::recall`] and any join.
+    pub fn recall_dealt(&mut self, dealt: &Dealt) {
+        let zone = |name: &str| self.list.zone(name);
+        let listed = |id: &ServerId| self.servers.find(id).filter(|_| self.list.lists(*id));
+        let pool =
+            |(z, held): &(String, Vec<ServerId>)| Some((zone(z)?, held.iter().filter_map(listed).collect()));
+        // With a zone less, the pools' places would not be those that proxies had.
+        let Some(pools) = dealt.pools.iter().map(pool).collect::<Option<Vec<_>>>() else { return };
+        let mut bound = BTreeMap::new();
+        for (name, pool) in &dealt.bound {
+            let place = pools.get(*pool).map(|p| (p.0, *pool));
+            if let Some((proxy, place)) = self.proxies.enter(name, self.bounds.proxies).zip(place) {
+                bound.insert(proxy, place);
+            }
+        }
+        self.planner.recall_dealt(&pools, &bound);
+    }
+
     /// What it has learnt of servers, each as a multiple of its pool's mean.
     pub fn learnt(&self) -> Vec<(ServerId, f64)> {
         let learnt = self.planner.learnt().into_iter().map(|(s, w)| (*self.servers.id(s), w));
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -17,6 +17,6 @@
 pub use admission::Admission;
 pub use channel::{Channel, Overrun};
 pub use confirm::Confirm;
-pub use engine::{Arrival, Bounds, Engine, Outlet, Start, StreamId, Unsupported};
+pub use engine::{Arrival, Bounds, Dealt, Engine, Outlet, Start, StreamId, Unsupported};
 pub use grebespool_sites::{Order as SiteOrder, Pacing, Plan, Refused, Standing, Status, Timing};
 pub use trust::{ListSense, ReportSense, Untrusted};
--- a/crates/model/src/play.rs
+++ b/crates/model/src/play.rs
@@ -7,7 +7,7 @@
 use crate::servers::{Listing, Server, ability, server_id};
 use crate::troubles::InHand;
 use grebespool_behaviour::{Held, Service, Sums, Tally, facts};
-use grebespool_engine::{Engine, Start, StreamId, Unsupported};
+use grebespool_engine::{Dealt, Engine, Start, StreamId, Unsupported};
 use grebespool_rules::{Checker, List, Passed, Verdict};
 use grebespool_settings::{Day, ListMode, What};
 use grebespool_wire::{Entry, Phase, ServerId};
@@ -62,6 +62,7 @@
     version: u64,
     entries: Vec<Entry>,
     weights: BTreeMap<ServerId, f64>,
+    dealt: Dealt,
 }
 
 pub(crate) struct Model<'a> {
@@ -296,8 +297,8 @@
         let now = self.planner_now();
         if let Some(engine) = self.engine.as_ref().filter(|e| e.list_version() > 0) {
             let (version, _, entries) = engine.believed(now);
-            self.memory =
-                Some(Remembered { version, entries, weights: engine.learnt().into_iter().collect() });
+            let (weights, dealt) = (engine.learnt().into_iter().collect(), engine.dealt());
+            self.memory = Some(Remembered { version, entries, weights, dealt });
         }
         self.agenda.borrow_mut().after(Self::REMEMBER, Due::Remember);
     }
@@ -306,11 +307,12 @@
     pub fn take_over(&mut self) {
         self.start_planner();
         let (Some(memory), now_ms) = (self.memory.clone(), self.now_ms()) else { return };
-        let Remembered { version, entries, weights } = memory;
+        let Remembered { version, entries, weights, dealt } = memory;
         let told = List { version, base: 0, now_ms, entries: entries.clone() };
         self.agenda.borrow_mut().put(Passed::ListTold(told));
         self.plan(|engine| {
             engine.list(Duration::ZERO, version, 0, now_ms, &entries);
+            engine.recall_dealt(&dealt);
             engine.recall(&weights);
         });
     }
--- a/crates/planner/src/memory.rs
+++ b/crates/planner/src/memory.rs
@@ -1,9 +1,10 @@
 //! What the next leader is to know of this planner, and what this one begins with.
 
 use crate::{Shared, Shell};
-use grebespool_engine::Engine;
+use grebespool_engine::{Dealt, Engine};
 use grebespool_succession::{Drain, Held, Listed, Memory, Phase, Weight};
-use grebespool_wire::{Entry, Phase as WirePhase};
+use grebespool_wire::{Entry, Phase as WirePhase, ServerId};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -24,6 +25,12 @@
     };
     let entries: Vec<Entry> = memory.list.iter().map(entry).collect();
     engine.list(Duration::ZERO, memory.list_version, 0, memory.list_ms, &entries);
+    let server = |place: &u32| memory.list.get(*place as usize).map(Listed::server);
+    let pool = |(zone, held): &(String, Vec<u32>)| (zone.clone(), held.iter().filter_map(server).collect());
+    engine.recall_dealt(&Dealt {
+        pools: memory.pools.iter().map(pool).collect(),
+        bound: memory.bound.iter().map(|(name, pool)| (name.clone(), *pool as usize)).collect(),
+    });
     engine.recall(&memory.weights());
 }
 
@@ -48,15 +55,22 @@
         number: id.number,
         known_for_ms: now.saturating_sub(since).as_millis() as u64,
     };
+    let list: Vec<Listed> = entries.into_iter().filter_map(listed).collect();
+    let places: BTreeMap<ServerId, u32> =
+        list.iter().enumerate().map(|(i, l)| (l.server(), i as u32)).collect();
+    let Dealt { pools, bound } = engine.dealt();
+    let held = |ids: Vec<ServerId>| ids.iter().filter_map(|id| places.get(id).copied()).collect();
     Memory {
         epoch: 0,
         number: 0,
         list_version,
         list_ms,
-        list: entries.into_iter().filter_map(listed).collect(),
+        list,
         weights: engine.learnt().into_iter().map(weight).collect(),
         drains: engine.drains().map(drain).collect(),
         held: engine.in_force().into_iter().map(|(proxy, seq)| Held { proxy, seq }).collect(),
+        pools: pools.into_iter().map(|(zone, ids)| (zone, held(ids))).collect(),
+        bound: bound.into_iter().map(|(name, pool)| (name, pool as u32)).collect(),
     }
 }
 
--- a/crates/succession/src/memory.rs
+++ b/crates/succession/src/memory.rs
@@ -10,7 +10,7 @@
 /// The most bytes that a memory has; one that is larger is neither sent nor taken.
 pub const MOST_BYTES: usize = 8 << 20;
 
-const VERSION: u16 = 1;
+const VERSION: u16 = 2;
 const SUM: usize = 16;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -58,6 +58,9 @@
     pub seq: u64,
 }
 
+/// A server by its place in the memory's list.
+pub type Place = u32;
+
 /// What a leader knew.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Memory {
@@ -71,6 +74,10 @@
     pub weights: Vec<Weight>,
     pub drains: Vec<Drain>,
     pub held: Vec<Held>,
+    /// Each pool's zone and servers.
+    pub pools: Vec<(String, Vec<Place>)>,
+    /// Each proxy's pool, by its place among the pools.
+    pub bound: Vec<(String, u32)>,
 }
 
 /// Why bytes are no memory.
@@ -145,6 +152,7 @@
         // What of a proxy's orders was in force says nothing once it may have heard others.
         if age > weights_kept {
             memory.held.clear();
+            (memory.pools, memory.bound) = (vec![], vec![]);
         }
         memory
     }
--- a/crates/succession/tests/memory.rs
+++ b/crates/succession/tests/memory.rs
@@ -23,6 +23,8 @@
         ],
         drains: vec![Drain { addr: addr(2), number: 1, known_for_ms: 800 }],
         held: vec![Held { proxy: "p".into(), seq: 3 }],
+        pools: vec![("east".into(), vec![0, 1])],
+        bound: vec![("p".into(), 0)],
     }
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -415,14 +415,46 @@
         lines.for_each(|l| l.learnt = weight.clamp(Pool::FLOOR * Pool::CEILING, Pool::CEILING));
     }
 
+    /// What each pool holds, and which one each proxy has, for whoever plans next.
+    pub fn dealt(&self) -> (Vec<DealtPool>, BTreeMap<Proxy, usize>) {
+        let held = |p: &Pool| p.lines.iter().filter(|l| !l.leaving).map(|l| l.server).collect();
+        let pools = self.pools.iter().map(|p| (p.zone, held(p))).collect();
+        // Those that left are not handed on from planner to planner for ever.
+        let bound = self.proxies.iter().filter(|p| p.1.bound);
+        (pools, bound.filter_map(|(p, j)| Some((*p, j.pool?))).collect())
+    }
+
+    /// Begins with what a former planner had dealt, lest every proxy change most of its connections at once.
+    /// Told after the first list and before any join; what has come since is dealt, what has gone is not.
+    pub fn recall_dealt(&mut self, pools: &[DealtPool], bound: &BTreeMap<Proxy, (Zone, usize)>) {
+        if self.pools.is_empty() || pools.is_empty() {
+            return;
+        }
+        let pool = |(i, (zone, _)): (usize, &DealtPool)| Pool {
+            table: i as Table,
+            zone: *zone,
+            lines: vec![],
+            sent: VecDeque::new(),
+        };
+        self.pools = pools.iter().enumerate().map(pool).collect();
+        for (pool, (_, held)) in self.pools.iter_mut().zip(pools) {
+            held.iter().filter(|s| self.peers.get(**s).is_some_and(Peer::ready)).for_each(|s| pool.add(*s));
+        }
+        self.deal();
+        for (proxy, (zone, pool)) in bound.iter().filter(|b| b.1.1 < pools.len()) {
+            let joined = Joined { zone: *zone, rate: 0.0, pool: Some(*pool), bound: false };
+            self.proxies.insert(*proxy, joined);
+        }
+    }
+
     /// What part of a zone's servers' weight may be used, by what is known of the zone as one thing.
     pub fn hold(&mut self, now: Duration, zone: Zone, part: f64) {
         self.zones.parts[usize::from(zone)] = part;
         self.push(now);
     }
 
-    /// At most these parts of the routes' calls are let in, by what is planned for those that are left. What only
-    /// the former bound kept down rises with it at once.
+    /// At most these parts of the routes' calls are let in, by what is planned for those that are left. What
+    /// only the former bound kept down rises with it at once.
     pub fn bound(&mut self, now: Duration, most: &[f64]) {
         let levels = &mut self.levels;
         for (r, most) in most.iter().map(|m| *m as f32).enumerate().take(levels.wanted.len()) {
@@ -784,7 +816,7 @@
         self.levels.wanted.iter_mut().zip(&self.levels.most).for_each(|(w, most)| *w = w.min(*most));
         for p in &mut self.peers {
             let by_age = Ramp::allowed(now, p.warm_at, self.graces.warm_up);
-            // Against a planner that hears little, by reports that are few or late: it would raise what is full already.
+            // Against a planner that hears little, by few or late reports: it would raise what is full.
             let shown = by_age == Ramp::STEPS || p.load.0.back().is_some_and(|x| x.at > p.ramp.since);
             if p.ramp.step > 0 && p.ramp.step < by_age.min(p.health.allowed) && shown {
                 (p.ramp.step, p.ramp.since) = (p.ramp.step + 1, now + self.channel.pace.worst_transit);
@@ -826,7 +858,7 @@
         let since = now.saturating_sub(Health::EVIDENCE);
         let of = |z: usize| self.peers.iter().filter(move |p| usize::from(p.zone) == z).map(|p| &p.load);
         for z in 0..self.zones.busy.len() {
-            // Cold servers look idle because they are held back, and would draw the other zones' calls all at once.
+            // Cold servers look idle because they are held back, and would draw the other zones' calls.
             let whole = self.peers.iter().filter(|p| usize::from(p.zone) == z && !p.ramp.cold);
             let heard = whole.filter_map(|p| p.load.mean(since, |x| x.cpu));
             self.zones.busy[z] = if self.zones.parts[z] < 1.0 { None } else { mean(heard) };
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -101,6 +101,9 @@
     }
 }
 
+/// A pool's zone and the servers that it holds.
+pub type DealtPool = (Zone, Vec<Server>);
+
 /// What zones make of each other.
 pub struct Zones {
     /// From which zone to which calls fared badly, and until when that counts.
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -634,3 +634,39 @@
     let learnt = rig.planner.learnt();
     assert!((learnt[&0] / learnt[&1] - f64::from(bound[0] / bound[1])).abs() < 1e-3, "{learnt:?}");
 }
+
+/// A takeover that deals anew has every proxy change most of its connections at once.
+#[rstest]
+#[case::nothing_has_changed(30)]
+#[case::one_has_gone(29)]
+fn a_planner_begins_with_what_a_former_one_had_dealt(#[case] left: usize) {
+    let plane =
+        DataPlane { zones: 2, slices: 0, levels: true, try_factor: 0.8, proxies: 400, least_conns: 200.0 };
+    let all: Vec<Listed> = (0..30).map(|s| listed(s, (s % 2) as Zone, Phase::Ready, None)).collect();
+    let new = || Rig::on(plane, PACE, vec![route(1.0, Effect::Mutating)], true);
+    let mut former = new();
+    former.list(true, &all[..22]);
+    former.list(true, &all);
+    (0..12).for_each(|p| former.planner.joined(former.now, p, p % 2, true, 1.0));
+    let (pools, bound) = former.planner.dealt();
+    assert!(pools.len() > 2 && bound.len() == 12, "{pools:?}");
+    let mut next = new();
+    next.list(true, &all[..left]);
+    assert_ne!(next.planner.dealt().0, pools, "dealt alike by chance: the test shows nothing");
+    let places = bound.iter().map(|(p, pool)| (*p, (p % 2, *pool))).collect();
+    next.planner.recall_dealt(&pools, &places);
+    for ((zone, held), (was, before)) in next.planner.dealt().0.iter().zip(&pools) {
+        let kept = before.iter().filter(|s| **s < left);
+        assert!(zone == was && kept.clone().all(|s| held.contains(s)), "{held:?} of {before:?}");
+    }
+    for proxy in (0..12).rev() {
+        next.planner.joined(next.now, proxy, proxy % 2, false, 1.0);
+    }
+    assert_eq!(next.planner.dealt().1, bound, "each proxy goes on with its own pool");
+    // A place that is none, and a server that never was, are left out.
+    let mut odd = new();
+    odd.list(true, &all);
+    odd.planner.recall_dealt(&[(0, vec![0, 99]), (1, vec![1])], &[(0, (0, 7))].into());
+    odd.planner.joined(odd.now, 0, 0, false, 1.0);
+    assert_eq!(odd.planner.dealt().1[&0], 0);
+}
