--- a/crates/cli/benches/takeover.rs
+++ b/crates/cli/benches/takeover.rs
@@ -244,6 +244,8 @@
             list: (0..servers).map(listed).collect(),
             weights: (0..servers).map(weight).collect(),
             drains: vec![],
+            pools: vec![("east".into(), (0..servers as u32).collect())],
+            bound: (0..proxies).map(|n| (format!("proxy-{n}"), 0)).collect(),
             held: (0..proxies).map(held).collect(),
         };
         let folder = tempfile::tempdir().unwrap();
