--- a/crates/duties/src/duties.rs
+++ b/crates/duties/src/duties.rs
@@ -232,8 +232,19 @@
         self.settle(now);
     }
 
-    fn hear(&mut self, now: Duration, from: Id, word: Word) {
-        let again = self.terms.renew;
+    fn hear(&mut self, now: Duration, from: Id, mut word: Word) {
+        let (again, count) = (self.terms.renew, self.count);
+        // A member with other settings may speak of duties that are none here, and have no name to be kept under.
+        if let Word::Copied { cells, .. } = &mut word {
+            cells.retain(|c| (c.0 as usize) < count);
+        }
+        if let Word::Grants { duties, holds, .. } = &mut word {
+            duties.retain(|d| (d.0 as usize) < count);
+            holds.retain(|d| (d.0 as usize) < count);
+        }
+        if word.duty().is_some_and(|duty| duty as usize >= count) {
+            return;
+        }
         match word {
             Word::Renew { epoch, turn, number, version, names, busy, claims } => {
                 if let Some(steward) = self.steward.as_mut().filter(|_| now < self.leads_until) {
--- a/crates/duties/src/register.rs
+++ b/crates/duties/src/register.rs
@@ -8,8 +8,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// The most bytes of a step's content.
-pub const MOST_CONTENT: usize = 64 << 10;
+/// The most bytes of a step's content: it goes whole in one frame between members.
+pub const MOST_CONTENT: usize = 192 << 10;
 /// Of cells copied at once: well below a frame between members.
 const MOST_COPIED: usize = 128 << 10;
 
--- a/crates/duties/src/work.rs
+++ b/crates/duties/src/work.rs
@@ -93,6 +93,20 @@
     },
 }
 
+impl Word {
+    /// The duty whose journal it is of.
+    pub(crate) fn duty(&self) -> Option<Duty> {
+        match self {
+            Word::Open { duty, .. }
+            | Word::Opened { duty, .. }
+            | Word::Write { duty, .. }
+            | Word::Written { duty, .. }
+            | Word::Late { duty, .. } => Some(*duty),
+            _ => None,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 enum Phase {
     Opening(Option<Record>),
--- a/crates/duties/tests/world.rs
+++ b/crates/duties/tests/world.rs
@@ -735,3 +735,26 @@
     assert_eq!(fence.offer(token(3), 3), Offer::Gap);
     assert_eq!(fence.offer(token(3), 2), Offer::Take);
 }
+
+/// From a member whose settings name other duties: nothing is kept of what has no name here, and nothing is given to it.
+#[rstest]
+fn words_of_duties_that_are_none_here_come_to_nothing() {
+    let desk = Desk::default();
+    let none = (BTreeMap::new(), Tally::default());
+    let mut duties = Duties::start(desk.clone(), 1, TERMS, (7, 2), 1, none.0, true, none.1);
+    duties.roster(S(1), vec![1, 2], Some((3, 1)), S(60));
+    let token = Token { epoch: 3, number: 1 };
+    let record = Record { token, step: 1, ended: false, content: vec![] };
+    for word in [
+        Word::Open { duty: 2, token },
+        Word::Write { duty: 9, record },
+        Word::Late { duty: 2, token, seen: token },
+        Word::Renew { epoch: 3, turn: 1, number: 1, version: 0, names: 8, busy: vec![], claims: None },
+    ] {
+        duties.heard(S(2), 2, word);
+    }
+    assert!(desk.0.borrow().keep.is_empty());
+    let said = &desk.0.borrow().say;
+    assert!(said.iter().all(|s| matches!(s.1, Word::OtherNames { epoch: 3 })), "{said:?}");
+    assert_eq!(said.len(), 1);
+}
--- a/crates/members/src/accounts.rs
+++ b/crates/members/src/accounts.rs
@@ -4,7 +4,7 @@
 
 use crate::duties::{Accounting, Bench};
 use crate::run::Shared;
-use grebespool_duties::{Account, Duty, Ledger, Record, Token};
+use grebespool_duties::{Account, Duty, Ledger, MOST_CONTENT, Record, Token};
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File};
 use std::io::{self, Write};
@@ -155,9 +155,18 @@
             continue;
         }
         let step = ledger.step(over, &seats, &bench.told.borrow());
-        if let Some(content) = step.and_then(|l| postcard::to_stdvec(&l).ok()) {
-            shared.duty(|d, now| Bench::write(d, duty, |d| d.begin(now, duty, content)));
+        let Some(content) = step.and_then(|l| postcard::to_stdvec(&l).ok()) else { continue };
+        if content.len() > MOST_CONTENT {
+            let bytes = content.len();
+            warn!(
+                bytes,
+                most = MOST_CONTENT,
+                "an account has too many zones and routes to be written; it stays open"
+            );
+            sleep(a.slack).await;
+            continue;
         }
+        shared.duty(|d, now| Bench::write(d, duty, |d| d.begin(now, duty, content)));
     }
 }
 
--- a/crates/settings/tests/files.rs
+++ b/crates/settings/tests/files.rs
@@ -139,3 +139,20 @@
     assert_eq!(format!("{read:?}"), format!("{whole:?}"));
     assert_eq!(read.channel.most_messages, 0);
 }
+
+#[rstest]
+#[case::shorter_than_its_renewals("lease = \"5s\", renew = \"2s\"", "members.duties.lease")]
+#[case::shorter_than_a_change_of_the_lead("lease = \"2s\", renew = \"500ms\"", "twice members.lease")]
+#[case::accounts_without_a_folder("accounts = { period = \"1min\" }", "folder")]
+#[case::no_span("renew = 3", "expected a span")]
+fn bad_settings_of_duties_are_named(#[case] duties: &str, #[case] says: &str) {
+    let members = format!(
+        "listen = {{ address = \"127.0.0.1:7400\", key_file = \"fleet.key\" }},
+         members = {{ fleet = \"f\", name = \"m0\", address = \"127.0.0.1:7500\", folder = \"state\",
+                      key_file = \"members.key\", duties = {{ {duties} }} }},"
+    );
+    let from = "listen = { address = \"127.0.0.1:7400\", key_file = \"fleet.key\" },";
+    let (_folder, file) = altered("serve.ncl", from, &members);
+    let said = Planned::read(&file).unwrap_err().to_string();
+    assert!(said.contains(says), "{said}");
+}
