Take out of duties what stood twice, and wake work only when something moved

Found by reading the whole change; no behaviour is meant to differ but how often tasks wake. - How long a lease is outlasted stood in succession and duties: one function, `outlasting`. A number for some bytes, too: the store's serves the duties' names. The longest hold stands once, for the leader and the command line. - `Owner::give_up`, `Owner::knows`, `Steward::flapped`, `Steward::grant_anew` and `Engine::listed` in place of copies. - `Shared::duty` told work that something had moved with every call; a task that asked for its lease woke itself, and had been mended at that one place. It tells it now only when something has, so a record is not copied and read with each beat. - The planner's stream summed up tries for every message where nobody wanted them: the hearer sums now (`Watch::met`). - `Refused::NoDuty`, `MOST_DUTIES`, `Duties::owned` and `last` had no use; an operator's answer was made by replacing a hex number in a text.

--- a/crates/cli/src/duties.rs
+++ b/crates/cli/src/duties.rs
@@ -2,6 +2,7 @@
 
 use crate::members::{members_of, of_leader};
 use clap::Subcommand;
+use grebespool_duties::LONGEST_HOLD;
 use grebespool_members::{DutyOrder, Question};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -31,8 +32,9 @@
             (settings, Question::Duty { name, order: DutyOrder::Move(member) })
         }
         DutiesCommand::Hold { settings, name, span } => {
-            if !(span > 0.0 && span <= 86_400.0) {
-                return Err(format!("--for {span}: above 0 and at most 86400 seconds"));
+            let most = LONGEST_HOLD.as_secs();
+            if !(span > 0.0 && span <= most as f64) {
+                return Err(format!("--for {span}: above 0 and at most {most} seconds"));
             }
             (settings, Question::Duty { name, order: DutyOrder::Hold((span * 1000.0) as u64) })
         }
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -11,7 +11,7 @@
 };
 use grebespool_settings::{Members, Planned};
 use grebespool_succession::{Memory, Terms};
-use grebespool_wire::{CameLine, Entry, Key, Orders};
+use grebespool_wire::{CameLine, Entry, Key, MetLine, Orders};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -165,7 +165,9 @@
             self.member.count(zone, line.route, Counts { calls: u64::from(line.calls), ..Counts::default() });
         }
     }
-    fn tried(&mut self, name: &str, tries: u64, dropped: u64) {
+    fn met(&mut self, name: &str, met: &[MetLine]) {
+        let sum = |of: fn(&MetLine) -> u32| met.iter().map(|m| u64::from(of(m))).sum();
+        let (tries, dropped) = (sum(|m| m.tries), sum(|m| m.dropped));
         let zone = self.at.get(name).copied().unwrap_or_default();
         self.member.count(zone, NO_ROUTE, Counts { tries, dropped, ..Counts::default() });
     }
--- a/crates/duties/src/duties.rs
+++ b/crates/duties/src/duties.rs
@@ -156,11 +156,6 @@
         self.owner.may(now, duty)
     }
 
-    /// What it works on.
-    pub fn owned(&self) -> &BTreeMap<Duty, Token> {
-        self.owner.active()
-    }
-
     /// Which duties rest, as this member was told, and until when.
     pub fn holds(&self) -> impl Iterator<Item = (Duty, Duration)> {
         self.owner.holds()
@@ -176,11 +171,6 @@
         self.steward.as_ref().map(|s| s.shown().collect())
     }
 
-    /// The last step of a duty that this member works on, as a majority has it.
-    pub fn last(&self, duty: Duty) -> Option<&Record> {
-        self.works.get(&duty)?.last()
-    }
-
     /// Who takes part, who leads in which epoch, and, where it is this member, until when it may say anything as leader:
     /// one that stalled and wakes up would renew what the next leader has granted to others.
     pub fn roster(&mut self, now: Duration, seats: Vec<Id>, leader: Option<(u64, Id)>, until: Duration) {
@@ -211,8 +201,7 @@
         }
         for (duty, work) in &mut self.works {
             if work.due().is_some_and(|at| at <= now) {
-                let host = &mut Local { host: &mut self.host, own: self.own, inbox: &mut self.inbox };
-                work.say(host, now, *duty, &self.seats, self.terms.renew);
+                work.say(local!(self), now, *duty, &self.seats, self.terms.renew);
             }
         }
         self.settle(now);
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -22,5 +22,5 @@
 pub use register::{Cell, LateOwner, MOST_CONTENT, Record};
 pub use share::share;
 pub use steward::{Refused, Shown};
-pub use token::{Duty, MOST_DUTIES, Terms, Token};
+pub use token::{Duty, LONGEST_HOLD, Terms, Token};
 pub use work::Word;
--- a/crates/duties/src/owner.rs
+++ b/crates/duties/src/owner.rs
@@ -109,12 +109,8 @@
     pub fn expire(&mut self, host: &mut impl Host, now: Duration) {
         let over: Vec<Duty> = self.leaving.iter().filter(|l| *l.1 <= now).map(|l| *l.0).collect();
         for duty in over {
-            self.leaving.remove(&duty);
-            self.busy.remove(&duty);
-            if let Some(token) = self.active.remove(&duty) {
-                host.lose(duty, token, Lost::LeaseRanOut);
-                self.unclaim();
-            }
+            self.give_up(host, duty, Lost::LeaseRanOut);
+            self.unclaim();
         }
         if now < self.until || self.active.is_empty() {
             return;
@@ -144,7 +140,7 @@
         while self.sent.len() > Self::RENEWALS {
             self.sent.pop_first();
         }
-        let known = (self.told.0, self.told.1) == (epoch, self.turn);
+        let known = self.knows(epoch);
         let claims = (!known).then(|| Claims {
             duties: self.active.iter().map(|(d, t)| (*d, *t)).collect(),
             holds: self.holds.iter().map(|(d, at)| (*d, at.saturating_sub(now).as_millis() as u64)).collect(),
@@ -203,14 +199,13 @@
         // What was to be handed over may be left here after all, by a new leader.
         let (share, active) = (&self.share, &self.active);
         self.leaving.retain(|d, _| share.get(d) != active.get(d));
-        let gone = |(d, t): (&Duty, &Token)| (self.share.get(d) != Some(t)).then_some((*d, *t));
-        let gone: Vec<(Duty, Token)> = self.active.iter().filter_map(gone).collect();
-        for (duty, token) in gone {
+        let gone = |(d, t): (&Duty, &Token)| (self.share.get(d) != Some(t)).then_some(*d);
+        let gone: Vec<Duty> = self.active.iter().filter_map(gone).collect();
+        for duty in gone {
             if self.busy.contains(&duty) {
                 self.leaving.entry(duty).or_insert(self.until);
             } else {
-                self.active.remove(&duty);
-                host.lose(duty, token, Lost::Moved);
+                self.give_up(host, duty, Lost::Moved);
             }
         }
         self.settle(host, now);
@@ -218,6 +213,19 @@
         self.renew(host, now);
     }
 
+    fn give_up(&mut self, host: &mut impl Host, duty: Duty, why: Lost) {
+        self.leaving.remove(&duty);
+        self.busy.remove(&duty);
+        if let Some(token) = self.active.remove(&duty) {
+            host.lose(duty, token, why);
+        }
+    }
+
+    /// Whether the share that it knows is of this epoch and of its own present turn.
+    fn knows(&self, epoch: u64) -> bool {
+        (self.told.0, self.told.1) == (epoch, self.turn)
+    }
+
     fn settle(&mut self, host: &mut impl Host, now: Duration) {
         if now >= self.until {
             return;
@@ -237,10 +245,8 @@
             return;
         }
         self.busy.remove(&duty);
-        if self.leaving.remove(&duty).is_some()
-            && let Some(token) = self.active.remove(&duty)
-        {
-            host.lose(duty, token, Lost::Moved);
+        if self.leaving.contains_key(&duty) {
+            self.give_up(host, duty, Lost::Moved);
             self.unclaim();
             self.settle(host, now);
             self.renew(host, now);
@@ -249,7 +255,7 @@
 
     /// A new leader may have been told that this member has what it has just given up, and would leave it here.
     fn unclaim(&mut self) {
-        if self.leader.is_some_and(|(epoch, _)| (self.told.0, self.told.1) != (epoch, self.turn)) {
+        if self.leader.is_some_and(|(epoch, _)| !self.knows(epoch)) {
             self.turn += 1;
         }
     }
@@ -259,11 +265,8 @@
         if self.active.get(&duty) != Some(&token) {
             return;
         }
-        self.active.remove(&duty);
         self.share.remove(&duty);
-        self.leaving.remove(&duty);
-        self.busy.remove(&duty);
-        host.lose(duty, token, Lost::Late(seen));
+        self.give_up(host, duty, Lost::Late(seen));
         self.turn += 1;
         self.renew_at = now + self.terms.renew;
     }
--- a/crates/duties/src/steward.rs
+++ b/crates/duties/src/steward.rs
@@ -2,7 +2,7 @@
 
 use crate::duties::Host;
 use crate::share::share;
-use crate::token::{Duty, Terms, Token};
+use crate::token::{Duty, LONGEST_HOLD, Terms, Token};
 use crate::work::{Claims, Word};
 use grebespool_succession::Id;
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,10 +14,8 @@
 pub enum Refused {
     #[error("this member does not lead")]
     NotLeading,
-    #[error("no duty {0:?}")]
-    NoDuty(String),
-    #[error("no member {0:?} that renews its duties")]
-    NoMember(String),
+    #[error("that member renews no duties")]
+    NoMember,
     #[error("it rests until it is released")]
     Resting,
     #[error("a hold ends within a day; {0:?} is longer")]
@@ -84,7 +82,6 @@
 }
 
 impl Steward {
-    pub const LONGEST_HOLD: Duration = Duration::from_secs(24 * 60 * 60);
     /// As a power of two of the wait: how long a member that goes again and again rests at the most.
     const MOST_FLAPS: u32 = 6;
     /// In waits: one that stayed for so long, beyond its last rest, counts as steady again.
@@ -215,7 +212,7 @@
         }
         for (duty, left) in claims.holds {
             if let Some(post) = self.posts.get_mut(duty as usize) {
-                let until = now + Duration::from_millis(left).min(Self::LONGEST_HOLD);
+                let until = now + Duration::from_millis(left).min(LONGEST_HOLD);
                 // A release is known to this leader alone, so a hold of its own time counts for more.
                 if now < self.free_from && post.held_until.is_none_or(|at| at < until) {
                     post.held_until = Some(until);
@@ -223,13 +220,18 @@
             }
         }
         if known.is_some() {
-            let flap = self.flaps.entry(from).or_default();
-            flap.lost = (flap.lost + 1).min(Self::MOST_FLAPS);
-            flap.rests_until = now + self.terms.wait() * (1 << flap.lost) / 2;
+            self.flapped(now, from);
         }
         self.peers.insert(from, peer);
     }
 
+    /// A member went, or came back: the more often, the longer it rests before it is given anything.
+    fn flapped(&mut self, now: Duration, id: Id) {
+        let flap = self.flaps.entry(id).or_default();
+        flap.lost = (flap.lost + 1).min(Self::MOST_FLAPS);
+        flap.rests_until = now + self.terms.wait() * (1 << flap.lost) / 2;
+    }
+
     /// Time has passed, or something is free.
     pub fn woken(&mut self, host: &mut impl Host, now: Duration, seats: &[Id]) {
         let wait = self.terms.wait();
@@ -238,9 +240,7 @@
         for id in lost {
             let Some(peer) = self.peers.remove(&id) else { continue };
             host.note(&format!("{id:016x} renews its duties no more; {} are free", peer.share.len()));
-            let flap = self.flaps.entry(id).or_default();
-            flap.lost = (flap.lost + 1).min(Self::MOST_FLAPS);
-            flap.rests_until = now + wait * (1 << flap.lost) / 2;
+            self.flapped(now, id);
             // One that was taken out of the roster may renew no more, and holds what it has until its lease ends.
             let until = peer.heard + wait;
             for post in &mut self.posts {
@@ -298,15 +298,21 @@
         }
         for (id, duties) in changed {
             self.version += 1;
-            let Some(peer) = self.peers.get_mut(&id) else { continue };
-            peer.version = self.version;
             for d in duties {
                 let leaving = &mut self.posts[d as usize].leaving;
                 *leaving =
                     leaving.map(|l| if l.0 == id && l.2 == u64::MAX { (id, l.1, self.version) } else { l });
             }
-            self.grant(host, now, id);
+            self.grant_anew(host, now, id);
+        }
+    }
+
+    /// A member's share as it is now, under the newest version.
+    fn grant_anew(&mut self, host: &mut impl Host, now: Duration, to: Id) {
+        if let Some(peer) = self.peers.get_mut(&to) {
+            peer.version = self.version;
         }
+        self.grant(host, now, to);
     }
 
     fn grant(&self, host: &mut impl Host, now: Duration, to: Id) {
@@ -330,10 +336,7 @@
     fn tell_all(&mut self, host: &mut impl Host, now: Duration) {
         for id in self.peers.keys().copied().collect::<Vec<_>>() {
             self.version += 1;
-            if let Some(peer) = self.peers.get_mut(&id) {
-                peer.version = self.version;
-            }
-            self.grant(host, now, id);
+            self.grant_anew(host, now, id);
         }
     }
 
@@ -346,7 +349,7 @@
         seats: &[Id],
     ) -> Result<(), Refused> {
         if !self.peers.contains_key(&to) {
-            return Err(Refused::NoMember(format!("{to:016x}")));
+            return Err(Refused::NoMember);
         }
         let post = &mut self.posts[duty as usize];
         if post.held_until.is_some() {
@@ -365,7 +368,7 @@
         span: Duration,
         seats: &[Id],
     ) -> Result<(), Refused> {
-        if span > Self::LONGEST_HOLD {
+        if span > LONGEST_HOLD {
             return Err(Refused::TooLong(span));
         }
         self.posts[duty as usize].held_until = Some(now + span);
--- a/crates/duties/src/token.rs
+++ b/crates/duties/src/token.rs
@@ -1,5 +1,6 @@
 //! What stands for an ownership, and how long one lasts.
 
+use grebespool_succession::outlasting;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::time::Duration;
@@ -7,8 +8,8 @@
 /// A duty by its place among the names that all members of a fleet state alike.
 pub type Duty = u32;
 
-/// The most duties of a fleet: a member's whole share still fits into one frame between members.
-pub const MOST_DUTIES: usize = 10_000;
+/// The longest that a hold lasts.
+pub const LONGEST_HOLD: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// An ownership. The leader of an epoch counts within it, and an epoch has one leader, so no two ownerships of a duty
 /// have the same, and a later one's is higher.
@@ -36,9 +37,8 @@
 }
 
 impl Terms {
-    /// How long the leader waits after the last renewal that it answered: by the fastest clock that may be, no shorter
-    /// than the lease is by the slowest.
+    /// How long the leader waits after the last renewal that it answered.
     pub fn wait(&self) -> Duration {
-        self.lease.mul_f64((1.0 + self.drift) / (1.0 - self.drift))
+        outlasting(self.lease, self.drift)
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -234,12 +234,16 @@
     /// the first list and before any join.
     pub fn recall(&mut self, weights: &BTreeMap<ServerId, f64>) {
         for (id, weight) in weights {
-            if let Some(server) = self.servers.find(id).filter(|_| self.list.lists(*id)) {
+            if let Some(server) = self.listed(id) {
                 self.planner.recall(server, *weight);
             }
         }
     }
 
+    fn listed(&self, id: &ServerId) -> Option<grebespool::host::Server> {
+        self.servers.find(id).filter(|_| self.list.lists(*id))
+    }
+
     /// What each pool holds, and which one each proxy has, by name.
     pub fn dealt(&self) -> Dealt {
         let (pools, bound) = self.planner.dealt();
@@ -253,9 +257,9 @@
     /// Begins with what a former leader had dealt: called after the first list, before [`Engine::recall`] and any join.
     pub fn recall_dealt(&mut self, dealt: &Dealt) {
         let zone = |name: &str| self.list.zone(name);
-        let listed = |id: &ServerId| self.servers.find(id).filter(|_| self.list.lists(*id));
-        let pool =
-            |(z, held): &(String, Vec<ServerId>)| Some((zone(z)?, held.iter().filter_map(listed).collect()));
+        let pool = |(z, held): &(String, Vec<ServerId>)| {
+            Some((zone(z)?, held.iter().filter_map(|id| self.listed(id)).collect()))
+        };
         // With a zone less, the pools' places would not be those that proxies had.
         let Some(pools) = dealt.pools.iter().map(pool).collect::<Option<Vec<_>>>() else { return };
         let mut bound = BTreeMap::new();
--- a/crates/members/src/duties.rs
+++ b/crates/members/src/duties.rs
@@ -5,8 +5,10 @@
 use crate::disk::Writing;
 use crate::operator::{Answer, DutyOrder, Question};
 use crate::run::Shared;
-use crate::store::Store;
-use grebespool_duties::{Cell, Counts, Duties, Duty, Host, Lost, Record, Rows, Tally, Terms, Token, Word};
+use crate::store::{Store, number};
+use grebespool_duties::{
+    Cell, Counts, Duties, Duty, Host, Lost, Record, Refused, Rows, Tally, Terms, Token, Word,
+};
 use grebespool_succession::Id;
 use std::cell::{Cell as Slot, RefCell};
 use std::collections::BTreeMap;
@@ -45,43 +47,51 @@
     }
 }
 
-/// What became of a member's duties while it was called.
+/// What a member's duties ask for while they are called.
 #[derive(Default)]
-pub(crate) struct Slate {
+struct Asked {
     said: Vec<(Id, Word)>,
     writing: Vec<(Duty, Cell, u64)>,
     copied: bool,
-    /// The last step of what may be gone on with, and by which token.
-    pub go_on: BTreeMap<Duty, (Token, Option<Record>)>,
     told: Vec<(Id, Vec<(u64, Rows)>)>,
     changes: Vec<(Duty, Token, Option<Lost>)>,
+    /// Something may be gone on with.
+    moved: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct Slate {
+    asked: Asked,
+    /// The last step of what may be gone on with, and by which token.
+    pub go_on: BTreeMap<Duty, (Token, Option<Record>)>,
 }
 
 impl Host for Slate {
     fn say(&mut self, to: Id, word: Word) {
-        self.said.push((to, word));
+        self.asked.said.push((to, word));
     }
     fn keep(&mut self, duty: Duty, cell: &Cell, stamp: u64) {
-        self.writing.push((duty, cell.clone(), stamp));
+        self.asked.writing.push((duty, cell.clone(), stamp));
     }
     fn copied(&mut self) {
-        self.copied = true;
+        self.asked.copied = true;
     }
     fn take(&mut self, duty: Duty, token: Token) {
-        self.changes.push((duty, token, None));
+        self.asked.changes.push((duty, token, None));
     }
     fn lose(&mut self, duty: Duty, token: Token, why: Lost) {
         self.go_on.remove(&duty);
-        self.changes.push((duty, token, Some(why)));
+        self.asked.changes.push((duty, token, Some(why)));
     }
     fn ready(&mut self, duty: Duty, token: Token, last: Option<&Record>) {
+        self.asked.moved = true;
         self.go_on.insert(duty, (token, last.cloned()));
     }
     fn stands(&mut self, duty: Duty, token: Token, record: &Record) {
-        self.go_on.insert(duty, (token, Some(record.clone())));
+        self.ready(duty, token, Some(record));
     }
     fn counted(&mut self, from: Id, periods: Vec<(u64, Rows)>) {
-        self.told.push((from, periods));
+        self.asked.told.push((from, periods));
     }
     fn note(&mut self, text: &str) {
         info!("{text}");
@@ -114,8 +124,7 @@
             );
         };
         let (cells, copied) = store.cells(&names, damaged)?;
-        let stands_for = blake3::hash(names.join("\n").as_bytes());
-        let stands_for = stands_for.as_bytes().first_chunk::<8>().map_or(0, |b| u64::from_be_bytes(*b));
+        let stands_for = number("grebespool 2026 duties", names.join("\n").as_bytes());
         let (life, tally) = (store.live()?, store.tally()?);
         let known = (stands_for, names.len());
         let duties = Duties::start(Slate::default(), own, work.terms, known, life, cells, copied, tally);
@@ -164,16 +173,12 @@
     /// Calls the duties at this moment, and carries out what they asked.
     pub(crate) fn duty<T>(&self, what: impl FnOnce(&mut Duties<Slate>, Duration) -> T) -> Option<T> {
         let bench = self.work.as_ref()?;
-        let (done, said, writing, copied, told, changes) = {
+        let (done, asked) = {
             let mut duties = bench.duties.borrow_mut();
             let done = what(&mut duties, self.began.elapsed());
-            let slate = duties.host();
-            let said = std::mem::take(&mut slate.said);
-            let writing = std::mem::take(&mut slate.writing);
-            let copied = std::mem::take(&mut slate.copied);
-            let told = std::mem::take(&mut slate.told);
-            (done, said, writing, copied, told, std::mem::take(&mut slate.changes))
+            (done, std::mem::take(&mut duties.host().asked))
         };
+        let Asked { said, writing, copied, told, changes, moved } = asked;
         for (duty, token, lost) in changes {
             let name = &bench.names[duty as usize];
             match lost {
@@ -193,10 +198,14 @@
         for (to, word) in said {
             self.say_of_duties(to, word);
         }
+        let moved = moved || !told.is_empty();
         for (from, periods) in told {
             bench.told.borrow_mut().insert(from, periods.into_iter().collect());
         }
-        bench.moved.notify_one();
+        // Not with every call: work that asks something of duties would wake itself.
+        if moved {
+            bench.moved.notify_one();
+        }
         bench.called.notify_one();
         Some(done)
     }
@@ -212,10 +221,7 @@
     }
 
     pub(crate) fn duty_heard(&self, from: Id, word: Word) {
-        self.duty(|d, now| {
-            // One that names a duty that this member does not know would be kept under no name.
-            d.heard(now, from, word);
-        });
+        self.duty(|d, now| d.heard(now, from, word));
     }
 
     pub(crate) fn duty_kept(&self, stamp: u64) {
@@ -236,9 +242,7 @@
             return Answer::Refused("no work is shared out: members.duties is not set".into());
         };
         let Question::Duty { name, order } = question else {
-            return self
-                .duty(|d, now| self.duties_shown(bench, d, now))
-                .unwrap_or(Answer::Refused(String::new()));
+            return self.duties_shown(bench, &bench.duties.borrow(), self.began.elapsed());
         };
         let Some(duty) = bench.number(&name) else {
             let there = bench.names.join(", ");
@@ -252,8 +256,10 @@
                 else {
                     return Err(format!("no member {to:?}"));
                 };
-                let moved = d.move_to(now, duty, id).map(|()| format!("{name} goes to {to}"));
-                moved.map_err(|why| why.to_string().replace(&format!("{id:016x}"), to))
+                d.move_to(now, duty, id).map(|()| format!("{name} goes to {to}")).map_err(|why| match why {
+                    Refused::NoMember => format!("no member {to:?} that renews its duties"),
+                    why => why.to_string(),
+                })
             }
             DutyOrder::Hold(ms) => {
                 let held = d.hold(now, duty, Duration::from_millis(*ms));
--- a/crates/members/src/store.rs
+++ b/crates/members/src/store.rs
@@ -56,7 +56,7 @@
     Roster { epoch: 0, number: 0, seats: members.into_iter().map(seat).collect() }
 }
 
-fn number(context: &str, bytes: &[u8]) -> u64 {
+pub(crate) fn number(context: &str, bytes: &[u8]) -> u64 {
     let hash = blake3::derive_key(context, bytes);
     // 0 is nobody's.
     hash.first_chunk::<8>().map_or(1, |b| u64::from_be_bytes(*b)).max(1)
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -19,7 +19,7 @@
 use grebespool_engine::{Engine, Outlet, Start, StreamId, Unsupported};
 use grebespool_settings::{Deployment, ListSource, Listen};
 use grebespool_succession::Memory;
-use grebespool_wire::{CameLine, Entry, Key, Message, Orders, Reason, ServerId};
+use grebespool_wire::{CameLine, Entry, Key, Message, MetLine, Orders, Reason, ServerId};
 use outgoing::Outgoing;
 pub use sites::{SiteAsk, SiteWhat};
 use std::cell::{Cell, RefCell};
@@ -59,8 +59,8 @@
     fn left(&mut self, now: Duration, name: &str);
     /// So many calls of each route came to the proxy within its last cycle.
     fn came(&mut self, now: Duration, name: &str, came: &[CameLine]);
-    /// Tries of a proxy within its last cycle, and how many of them were not answered.
-    fn tried(&mut self, _: &str, _tries: u64, _dropped: u64) {}
+    /// What the proxy met at servers within its last cycle.
+    fn met(&mut self, _: &str, _: &[MetLine]) {}
     /// A proxy holds orders of an epoch that is newer than this planner's.
     fn passed_over(&mut self, epoch: u64);
     /// What a former leader of the fleet knew, to begin with. Asked once, before anybody is listened to.
--- a/crates/planner/src/stream.rs
+++ b/crates/planner/src/stream.rs
@@ -4,7 +4,7 @@
 use crate::outgoing::Outgoing;
 use grebespool_engine::{Arrival, StreamId};
 use grebespool_outgoing::Patience;
-use grebespool_wire::{Inbox, MOST_BODY, MOST_BODY_UNJOINED, Message, MetLine, Reason, Role, VERSION};
+use grebespool_wire::{Inbox, MOST_BODY, MOST_BODY_UNJOINED, Message, Reason, Role, VERSION};
 use rand::RngCore;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -100,8 +100,7 @@
                 if let Some(name) = &*name {
                     let mut watch = shared.watch.borrow_mut();
                     watch.came(shared.now(), name, &came);
-                    let sum = |of: fn(&MetLine) -> u32| met.iter().map(|m| u64::from(of(m))).sum();
-                    watch.tried(name, sum(|m| m.tries), sum(|m| m.dropped));
+                    watch.met(name, &met);
                 }
                 shared.call(|engine, _| engine.sums(id, &met, &came));
             }
--- a/crates/succession/src/lib.rs
+++ b/crates/succession/src/lib.rs
@@ -10,7 +10,7 @@
 mod roster;
 mod word;
 
-pub use member::{Host, Kept, Member, Refused, Standing, Status, Terms, Why};
+pub use member::{Host, Kept, Member, Refused, Standing, Status, Terms, Why, outlasting};
 pub use memory::{Damaged, Drain, Held, Listed, MOST_BYTES, Memory, Phase, Weight};
 pub use roster::{Id, Roster, Seat};
 pub use word::Word;
--- a/crates/succession/src/member.rs
+++ b/crates/succession/src/member.rs
@@ -41,13 +41,18 @@
 }
 
 impl Terms {
-    /// How long a member that heard the leader helps no other: by the fastest clock that may be, no shorter than the
-    /// lease is by the slowest.
+    /// How long a member that heard the leader helps no other.
     pub fn wait(&self) -> Duration {
-        self.lease.mul_f64((1.0 + self.drift) / (1.0 - self.drift))
+        outlasting(self.lease, self.drift)
     }
 }
 
+/// How long to wait for the end of somebody else's lease: by the fastest clock that may be, no shorter than the lease is by
+/// the slowest. `drift`: by how much of the time a clock may be fast or slow.
+pub fn outlasting(lease: Duration, drift: f64) -> Duration {
+    lease.mul_f64((1.0 + drift) / (1.0 - drift))
+}
+
 /// Why a member stopped leading.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Why {
