Have the duties' test world end a leader whose own clock saw its lease end

Traced: the leader's clock is fast (1.046), it saw its lease end and dropped its part as leader; the world then renewed the lease by its own time, which the succession never does. So the leader led on without one, for ever.

Change: the world renews only what the leader's own clock has not seen end (`beat`). No assertion differs.

--- a/crates/duties/tests/world.rs
+++ b/crates/duties/tests/world.rs
@@ -146,8 +146,9 @@
     newest: BTreeMap<Duty, Token>,
     leader: Option<(u64, Id)>,
     epoch: u64,
-    /// Until when it leads, by the world's time.
+    /// Until when it leads, by the world's time; and by its own clock, as it was told.
     until: Duration,
+    until_own: Duration,
     seats: Vec<Id>,
     /// What each knows of who leads.
     known: BTreeMap<Id, Option<(u64, Id)>>,
@@ -177,6 +178,7 @@
             leader: None,
             epoch: 0,
             until: Duration::ZERO,
+            until_own: Duration::ZERO,
             seats: (1..=members).collect(),
             known: BTreeMap::new(),
             broken: vec![],
@@ -238,6 +240,9 @@
         // By its own clock, a little less than what the others wait for.
         let own = node.clock(self.now) + until.saturating_sub(self.now).mul_f64(node.rate.min(1.0));
         let until = if known == self.leader && until > self.now { own } else { Duration::ZERO };
+        if known.is_some_and(|(_, leader)| leader == id) {
+            self.until_own = until;
+        }
         self.call(id, |d, now| d.roster(now, seats, known, until));
     }
 
@@ -441,7 +446,10 @@
     /// Who leads: renewed while a majority hears it, another once its lease is over.
     fn beat(&mut self) {
         if let Some((_, id)) = self.leader {
-            if self.carried(id) && self.known.get(&id) == Some(&self.leader) && self.now < self.until {
+            // One whose own clock has seen its lease end leads no more, as in the succession.
+            let leads = self.nodes.get(&id).is_some_and(|n| n.clock(self.now) < self.until_own);
+            let told = self.known.get(&id) == Some(&self.leader);
+            if leads && told && self.carried(id) && self.now < self.until {
                 if self.until < self.now + LEADS - MS(150) {
                     self.until = self.now + LEADS;
                     self.tell(id);
