Add accord: editions of settings and lists that members agree on, free of I/O

Need: each planner reads its own file and hears its own list, and two that heard different things act against each other for as long as that lasts.

Change: crates/accord.

Nothing calls it yet.

--- /dev/null
+++ b/crates/accord/tests/accord/main.rs
@@ -0,0 +1,5 @@
+//! Members under faults, and what editions may say.
+
+mod content;
+mod helpers;
+mod world;
