--- a/crates/accord/src/content/change.rs
+++ b/crates/accord/src/content/change.rs
@@ -5,6 +5,7 @@
 
 /// One change. Said again after others, it does what it says and nothing else.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Change {
     /// All of it; what it does not name is gone.
     Whole(Box<Content>),
--- a/crates/accord/src/content/mod.rs
+++ b/crates/accord/src/content/mod.rs
@@ -23,6 +23,7 @@
 
 /// A bound by a name that the program knows.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Limit {
     /// The lower is the stricter.
     Most(f64),
@@ -48,6 +49,7 @@
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum State {
     Ready,
     /// It ends what it has and takes nothing new.
--- a/crates/accord/src/holder.rs
+++ b/crates/accord/src/holder.rs
@@ -1,18 +1,19 @@
 //! What a member holds, and by what it may act.
 
-use crate::content::{State, View};
+use crate::content::View;
 use crate::edition::{Edition, Kept};
 use crate::fetch::Fetch;
 use crate::terms::{Host, Terms};
 use crate::word::{Manifest, Name, Word};
 use grebespool_duties::Token;
 use grebespool_succession::Id;
-use std::collections::{BTreeMap, BTreeSet};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
 
 /// By what a member acts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Acts {
     Alone(u64),
     /// By what both allow.
@@ -59,8 +60,6 @@
     sent: BTreeMap<u64, Sent>,
     renew_at: Duration,
     missing: Option<Missing>,
-    /// Drains that this member heard of before any edition told of them.
-    drains: BTreeSet<String>,
     stamp: u64,
     on_disk: u64,
     /// To be said once so much is on disk.
@@ -83,7 +82,6 @@
             sent: BTreeMap::new(),
             renew_at: Duration::ZERO,
             missing: None,
-            drains: BTreeSet::new(),
             stamp: 0,
             on_disk: 0,
             held: vec![],
@@ -126,24 +124,13 @@
 
     pub fn view(&self) -> View {
         let standing = self.kept.standing.content();
-        let mut view = self
-            .kept
+        self.kept
             .next
             .as_ref()
-            .map_or_else(|| View::of(standing), |next| View::both(standing, next.content()));
-        self.drains.iter().for_each(|name| view.drain(name));
-        view
-    }
-
-    /// A server drains, as this member hears before any edition tells: it takes calls from it at once.
-    pub fn drains(&mut self, name: &str) {
-        self.drains.insert(name.into());
+            .map_or_else(|| View::of(standing), |next| View::both(standing, next.content()))
     }
 
     fn keep(&mut self, host: &mut impl Host) {
-        let listed = &self.kept.standing.content().servers;
-        // What an edition tells is not remembered beside it, and what it has never heard of may come yet.
-        self.drains.retain(|name| listed.get(name).is_none_or(|s| s.state == State::Ready));
         self.stamp += 1;
         host.keep(&self.kept, self.stamp);
     }
--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -59,6 +59,9 @@
     proposal: Proposal,
     /// Of one that is too large for a word.
     bytes: Vec<u8>,
+    /// Servers that it takes calls from: acted on before it is agreed, since that is the stricter, and not any more
+    /// once it has come to nothing.
+    closes: Vec<String>,
 }
 
 pub struct Member<H> {
@@ -127,8 +130,11 @@
         self.holder.until()
     }
 
+    /// What it goes by. Without a lease, only what stands of it is gone on with.
     pub fn view(&self) -> View {
-        self.holder.view()
+        let mut view = self.holder.view();
+        self.waiting.values().flat_map(|w| &w.closes).for_each(|name| view.drain(name));
+        view
     }
 
     pub fn held(&self) -> &Kept {
@@ -172,8 +178,7 @@
         if bytes.len() > MOST_BYTES {
             return Err(format!("{} bytes of changes; {MOST_BYTES} can be", bytes.len()));
         }
-        // What takes calls away is acted on before it is agreed: it is the stricter.
-        changes.iter().filter_map(Change::closes).for_each(|name| self.holder.drains(name));
+        let closes = changes.iter().filter_map(Change::closes).cloned().collect();
         self.ticket += 1;
         let (body, bytes) = if bytes.len() <= Self::MOST_SAID {
             (Body::Changes(changes), vec![])
@@ -181,7 +186,7 @@
             (Body::Bytes(Hash(*blake3::hash(&bytes).as_bytes())), bytes)
         };
         let proposal = Proposal { ticket: self.ticket, body, forced };
-        self.waiting.insert(self.ticket, Waiting { proposal, bytes });
+        self.waiting.insert(self.ticket, Waiting { proposal, bytes, closes });
         self.say_proposals(now);
         self.settle(now);
         Ok(self.ticket)
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod compare;
 mod duties;
+mod editions;
 mod members;
 mod record;
 mod rehearse;
@@ -89,6 +90,11 @@
         #[command(subcommand)]
         command: duties::DutiesCommand,
     },
+    /// Editions of settings and lists that several controllers agree on
+    Editions {
+        #[command(subcommand)]
+        command: editions::EditionsCommand,
+    },
     /// What the loss of a whole site would mean
     Sites {
         #[command(subcommand)]
@@ -140,6 +146,7 @@
         Command::Trace { command } => trace::trace(command),
         Command::Members { command } => members::members(command),
         Command::Duties { command } => duties::duties(command),
+        Command::Editions { command } => editions::editions(command),
         Command::Sites { command } => sites::sites(command),
         Command::Settings { command: SettingsCommand::Check { file, kind } } => check(&file, kind),
         Command::Settings { command: SettingsCommand::Show { file } } => {
--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -86,7 +86,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn question(m: &Members, at: Option<String>, question: Question) -> Result<Answer, String> {
+pub fn question(m: &Members, at: Option<String>, question: Question) -> Result<Answer, String> {
     let keys = Keys::read(&m.key_file).map_err(|e| format!("{}: {e}", m.key_file.display()))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let address = at.unwrap_or_else(|| m.listen.unwrap_or(m.address).to_string());
@@ -112,7 +112,7 @@
             Ok(ExitCode::SUCCESS)
         }
         Answer::Refused(why) => Err(why),
-        Answer::Status { .. } => Err("it answered something else".into()),
+        Answer::Status { .. } | Answer::Editions(_) => Err("it answered something else".into()),
     }
 }
 
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -4,7 +4,8 @@
 use grebespool_duties::{Counts, NO_ROUTE, Terms as DutyTerms};
 use grebespool_engine::{SiteOrder, Start};
 use grebespool_members::{
-    Accounting, Answer, Change, Fleetwork, Question, Running, SiteAsked, Store, fleet_id, run as run_member,
+    Accounting, Answer, Change, Fleetwork, LIMITS, Question, Running, SiteAsked, Store, fleet_id,
+    run as run_member,
 };
 use grebespool_planner::{
     Passage, SiteAsk, SiteWhat, Untouched, Watch, send_elsewhere, serve as serve_planner,
@@ -225,6 +226,13 @@
             period: a.period.0,
             slack: a.slack.0,
         }),
+        agree: duties.agree.as_ref().map(|a| grebespool_accord::Terms {
+            lease: a.lease.0,
+            renew: a.renew.0,
+            drift: members.drift,
+            most_withdrawn: a.most_withdrawn,
+            limits: LIMITS.to_vec(),
+        }),
     })
 }
 
--- a/crates/engine/src/trust.rs
+++ b/crates/engine/src/trust.rs
@@ -130,7 +130,7 @@
         let over = |id: &ServerId| placed.get(&id.addr).is_some_and(|number| *number != id.number);
         let left_out = |id: &ServerId| !named.contains(id) && (base == 0 || over(id));
         for (id, known) in self.known.iter().filter(|(id, k)| k.phase != Phase::Gone && left_out(id)) {
-            put(*id, Listed { server: 0, zone: known.zone, phase: phase(Phase::Gone), age: None });
+            put(*id, Listed { server: 0, zone: known.zone, kind: 0, phase: phase(Phase::Gone), age: None });
         }
         self.known.retain(|id, _| !left_out(id));
         for (e, zone) in entries.iter().zip(zones) {
@@ -140,7 +140,7 @@
             let told = (e.started_ms > 0).then(|| Duration::from_millis(now_ms.saturating_sub(e.started_ms)));
             let age_at = same.unwrap_or((now, told));
             let age = age_at.1.map(|age| age + (now - age_at.0));
-            put(e.server, Listed { server: 0, zone, phase: phase(e.phase), age });
+            put(e.server, Listed { server: 0, zone, kind: 0, phase: phase(e.phase), age });
             let known = Known { zone, phase: e.phase, started_ms: e.started_ms, age_at };
             self.known.insert(e.server, known);
         }
--- /dev/null
+++ b/crates/members/src/accord.rs
@@ -0,0 +1,206 @@
+//! Editions of a member that runs: their words on the streams of duties, what is held on the disk, and the journal that
+//! is a duty's. All decisions are [`grebespool_accord`]'s.
+
+use crate::duties::{Bench, EDITIONS};
+use crate::operator::{self, Answer};
+use crate::run::Shared;
+use crate::seal::Packet;
+use crate::store::Store;
+use grebespool_accord::{Acts, Change, Host, Kept, Member, Terms, Ticket, Word};
+use grebespool_duties::{Duty, Token};
+use grebespool_succession::Id;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::{sleep_until, timeout};
+use tracing::{info, warn};
+
+/// The limits that this program knows, by their names in editions (`docs/operators/editions.md`).
+pub const LIMITS: [&str; 2] = ["power.most_withdrawn", "power.reserve"];
+
+/// What is asked for while a member's editions are called.
+#[derive(Default)]
+pub(crate) struct Asked {
+    said: Vec<(Id, Word)>,
+    writing: Option<(Kept, u64)>,
+    fix: Option<(Token, Vec<u8>)>,
+    end: Option<Token>,
+    proposed: Vec<(Ticket, Result<u64, Vec<String>>)>,
+}
+
+#[derive(Default)]
+pub(crate) struct Slate(Asked);
+
+impl Host for Slate {
+    fn say(&mut self, to: Id, word: Word) {
+        self.0.said.push((to, word));
+    }
+    fn keep(&mut self, kept: &Kept, stamp: u64) {
+        self.0.writing = Some((kept.clone(), stamp));
+    }
+    fn fix(&mut self, token: Token, content: Vec<u8>) {
+        self.0.fix = Some((token, content));
+    }
+    fn end(&mut self, token: Token) {
+        self.0.end = Some(token);
+    }
+    fn acts(&mut self, acts: Acts) {
+        info!("this member acts by {acts}");
+    }
+    fn proposed(&mut self, ticket: Ticket, done: Result<u64, Vec<String>>) {
+        self.0.proposed.push((ticket, done));
+    }
+    fn note(&mut self, text: &str) {
+        warn!("{text}");
+    }
+}
+
+/// Who waits for what becomes of a proposal.
+type Asking = oneshot::Sender<Result<u64, Vec<String>>>;
+
+/// The editions of one member, and who waits for an answer.
+pub(crate) struct Editions {
+    member: RefCell<Member<Slate>>,
+    called: Notify,
+    asking: RefCell<BTreeMap<Ticket, Asking>>,
+}
+
+impl Editions {
+    /// # Errors
+    ///
+    /// The disk's.
+    pub fn open(store: &Store, own: Id, terms: Terms) -> io::Result<Editions> {
+        let damaged = |why: &str| {
+            warn!(why, "what was held of editions is damaged; the convener is asked for all of it")
+        };
+        let kept = store.editions(damaged)?;
+        let member = Member::start(Slate::default(), own, terms, kept, store.live()?);
+        Ok(Editions { member: RefCell::new(member), called: Notify::new(), asking: RefCell::default() })
+    }
+}
+
+impl Shared {
+    /// Calls the editions at this moment, and carries out what they asked.
+    pub(crate) fn agree<T>(
+        self: &Rc<Self>,
+        what: impl FnOnce(&mut Member<Slate>, Duration) -> T,
+    ) -> Option<T> {
+        let (editions, bench) = (self.editions.as_ref()?, self.work.as_ref()?);
+        let duty = bench.number(EDITIONS)?;
+        let (done, asked) = {
+            let mut member = editions.member.borrow_mut();
+            let now = self.began.elapsed();
+            member.owns(bench.may(now, duty));
+            let done = what(&mut member, now);
+            (done, std::mem::take(&mut member.host().0))
+        };
+        self.agreed(editions, duty, asked);
+        Some(done)
+    }
+
+    /// What editions asked for while they were called.
+    fn agreed(self: &Rc<Self>, editions: &Editions, duty: Duty, asked: Asked) {
+        if let Some((kept, stamp)) = asked.writing {
+            self.member.borrow_mut().host().disk.hold(kept, stamp);
+        }
+        for (to, word) in asked.said {
+            self.say_of_work(to, Packet::Accord(word));
+        }
+        for (ticket, done) in asked.proposed {
+            if let Some(asking) = editions.asking.borrow_mut().remove(&ticket) {
+                let _ = asking.send(done);
+            }
+        }
+        if let Some((token, content)) = asked.fix {
+            let begun = self.duty(|d, now| {
+                let mut begun = false;
+                Bench::write(d, duty, |d| {
+                    begun = d.begin(now, duty, content);
+                    begun
+                });
+                begun
+            });
+            if begun != Some(true) {
+                self.agree(|m, now| m.unfixed(now, token));
+            }
+        }
+        if asked.end.is_some() {
+            self.duty(|d, now| Bench::write(d, duty, |d| d.end(now, duty)));
+        }
+        editions.called.notify_one();
+    }
+
+    pub(crate) fn accord_heard(self: &Rc<Self>, from: Id, word: Word) {
+        self.agree(|m, now| m.heard(now, from, word));
+    }
+
+    pub(crate) fn editions_shown(&self) -> Answer {
+        let Some(editions) = &self.editions else { return none() };
+        let member = editions.member.borrow();
+        let shown = member.shown(self.began.elapsed());
+        let own = self.member.borrow();
+        let seats = &own.kept_state().roster.seats;
+        let named = |id: Id| seats.get(&id).map_or(format!("{id:016x}"), |s| s.name.clone());
+        let name = |(number, hash): grebespool_accord::Name| (number, hash.to_string());
+        Answer::Editions(Box::new(operator::Editions {
+            name: self.name.clone(),
+            acts: shown.acts,
+            standing: name(shown.standing),
+            next: shown.next.map(name),
+            convener: shown.convener.map(|(_, id)| named(id)),
+            waiting: shown.waiting,
+            view: member.view(),
+        }))
+    }
+
+    /// Waits for what becomes of it, for a while: a fleet without a majority answers nothing, and goes on with it later.
+    pub(crate) async fn proposed(self: &Rc<Self>, changes: Vec<Change>, forced: bool) -> Answer {
+        const WAITED: Duration = Duration::from_secs(8);
+        let Some(editions) = &self.editions else { return none() };
+        let (tell, told) = oneshot::channel();
+        // The answer may come from within the call.
+        let ticket = self.agree(|m, now| {
+            let ticket = m.propose(now, changes, forced);
+            if let Ok(ticket) = &ticket {
+                editions.asking.borrow_mut().insert(*ticket, tell);
+            }
+            ticket
+        });
+        match ticket {
+            Some(Ok(_)) => {}
+            Some(Err(why)) => return Answer::Refused(why),
+            None => return none(),
+        }
+        match timeout(WAITED, told).await {
+            Ok(Ok(Ok(number))) => Answer::Done(format!("edition {number} holds")),
+            Ok(Ok(Err(why))) => Answer::Refused(why.join("; ")),
+            _ => Answer::Refused(format!(
+                "nothing is agreed yet after {WAITED:?}; it is proposed again until it is answered, while this member runs"
+            )),
+        }
+    }
+}
+
+fn none() -> Answer {
+    Answer::Refused("no editions are agreed on: members.duties.agree is not set".into())
+}
+
+async fn tick(shared: Rc<Shared>) {
+    let Some(editions) = &shared.editions else { return };
+    loop {
+        let due = editions.member.borrow().due();
+        let due = shared.began + due.min(shared.began.elapsed() + Duration::from_secs(3600));
+        tokio::select! {
+            () = sleep_until(due) => drop(shared.agree(|m, now| m.woken(now))),
+            () = editions.called.notified() => {}
+        }
+    }
+}
+
+pub(crate) fn run(shared: &Rc<Shared>, tasks: &mut JoinSet<()>) {
+    tasks.spawn_local(tick(shared.clone()));
+}
--- a/crates/members/src/disk.rs
+++ b/crates/members/src/disk.rs
@@ -14,6 +14,8 @@
     Failed(String),
     /// Of duties' journals, all up to this stamp.
     Cells(u64),
+    /// Of editions, all up to this stamp.
+    Editions(u64),
 }
 
 /// A part of a duty's journal on its way to the disk.
@@ -28,6 +30,7 @@
     memories: Sender<((u64, u64), Vec<u8>)>,
     cells: Sender<(Vec<Writing>, bool)>,
     tallies: Sender<Tally>,
+    editions: Sender<(grebespool_accord::Kept, u64)>,
 }
 
 impl Disk {
@@ -36,13 +39,15 @@
         let (memories, remembers) = channel();
         let (cells, journal) = channel();
         let (tallies, counted) = channel();
-        let (state, duties, counts) = (store.clone(), store.clone(), store.clone());
-        let heard = told.clone();
+        let (editions, held) = channel();
+        let (state, duties, counts, agreed) = (store.clone(), store.clone(), store.clone(), store.clone());
+        let (heard, prepared) = (told.clone(), told.clone());
+        std::thread::spawn(move || keep_editions(&agreed, &held, &prepared));
         std::thread::spawn(move || keep(&state, &keeps, &told));
         std::thread::spawn(move || remember(&store, &remembers));
         std::thread::spawn(move || keep_cells(&duties, &journal, &heard));
         std::thread::spawn(move || count(&counts, &counted));
-        Disk { kept, memories, cells, tallies }
+        Disk { kept, memories, cells, tallies, editions }
     }
 
     /// `copied`: with these, the member has all that it should have.
@@ -50,6 +55,10 @@
         let _ = self.cells.send((cells, copied));
     }
 
+    pub fn hold(&self, held: grebespool_accord::Kept, stamp: u64) {
+        let _ = self.editions.send((held, stamp));
+    }
+
     pub fn count(&self, tally: Tally) {
         let _ = self.tallies.send(tally);
     }
@@ -120,6 +129,31 @@
     }
 }
 
+/// Each is all that is held, so of several that wait the last is enough. One that cannot be written is tried again, and
+/// answered for by nobody until it stands.
+fn keep_editions(
+    store: &Store,
+    held: &Receiver<(grebespool_accord::Kept, u64)>,
+    told: &UnboundedSender<Written>,
+) {
+    while let Ok(mut last) = held.recv() {
+        let mut failed = false;
+        loop {
+            while let Ok(newer) = held.try_recv() {
+                last = newer;
+            }
+            let Err(error) = store.keep_editions(&last.0) else { break };
+            if !std::mem::replace(&mut failed, true) {
+                warn!(folder = store.folder(), %error, "what is held of editions cannot be written");
+            }
+            std::thread::sleep(std::time::Duration::from_millis(500));
+        }
+        if told.send(Written::Editions(last.1)).is_err() {
+            return;
+        }
+    }
+}
+
 fn count(store: &Store, tallies: &Receiver<Tally>) {
     while let Ok(mut tally) = tallies.recv() {
         while let Ok(newer) = tallies.try_recv() {
--- a/crates/members/src/duties.rs
+++ b/crates/members/src/duties.rs
@@ -5,6 +5,7 @@
 use crate::disk::Writing;
 use crate::operator::{Answer, DutyOrder, Question};
 use crate::run::Shared;
+use crate::seal::Packet;
 use crate::store::{Store, number};
 use grebespool_duties::{
     Cell, Counts, Duties, Duty, Host, Lost, Record, Refused, Rows, Tally, Terms, Token, Word,
@@ -36,14 +37,18 @@
 pub struct Fleetwork {
     pub terms: Terms,
     pub accounts: Option<Accounting>,
+    /// Editions of settings and lists that members agree on.
+    pub agree: Option<grebespool_accord::Terms>,
 }
 
+pub(crate) const EDITIONS: &str = "editions";
 const ACCOUNTS: &str = "accounts";
 
 impl Fleetwork {
     /// The names of all duties, in an order that is the same on all members.
     fn names(&self) -> Vec<String> {
-        self.accounts.iter().map(|_| ACCOUNTS.to_string()).collect()
+        let accounts = self.accounts.iter().map(|_| ACCOUNTS.to_string());
+        accounts.chain(self.agree.iter().map(|_| EDITIONS.to_string())).collect()
     }
 }
 
@@ -57,6 +62,8 @@
     changes: Vec<(Duty, Token, Option<Lost>)>,
     /// Something may be gone on with.
     moved: bool,
+    /// What came to stand of journals, and whether it is the first of an ownership.
+    stood: Vec<(Duty, Token, Option<Record>, bool)>,
 }
 
 #[derive(Default)]
@@ -85,10 +92,13 @@
     }
     fn ready(&mut self, duty: Duty, token: Token, last: Option<&Record>) {
         self.asked.moved = true;
+        self.asked.stood.push((duty, token, last.cloned(), true));
         self.go_on.insert(duty, (token, last.cloned()));
     }
     fn stands(&mut self, duty: Duty, token: Token, record: &Record) {
-        self.ready(duty, token, Some(record));
+        self.asked.moved = true;
+        self.asked.stood.push((duty, token, Some(record.clone()), false));
+        self.go_on.insert(duty, (token, Some(record.clone())));
     }
     fn counted(&mut self, from: Id, periods: Vec<(u64, Rows)>) {
         self.asked.told.push((from, periods));
@@ -171,14 +181,25 @@
 
 impl Shared {
     /// Calls the duties at this moment, and carries out what they asked.
-    pub(crate) fn duty<T>(&self, what: impl FnOnce(&mut Duties<Slate>, Duration) -> T) -> Option<T> {
+    pub(crate) fn duty<T>(
+        self: &Rc<Self>,
+        what: impl FnOnce(&mut Duties<Slate>, Duration) -> T,
+    ) -> Option<T> {
         let bench = self.work.as_ref()?;
         let (done, asked) = {
             let mut duties = bench.duties.borrow_mut();
             let done = what(&mut duties, self.began.elapsed());
             (done, std::mem::take(&mut duties.host().asked))
         };
-        let Asked { said, writing, copied, told, changes, moved } = asked;
+        self.carry_out(bench, asked);
+        Some(done)
+    }
+
+    /// What duties asked for while they were called.
+    fn carry_out(self: &Rc<Self>, bench: &Bench, asked: Asked) {
+        let Asked { said, writing, copied, told, changes, moved, stood } = asked;
+        let editions = bench.number(EDITIONS);
+        let lost_editions = changes.iter().any(|c| Some(c.0) == editions && c.2.is_some());
         for (duty, token, lost) in changes {
             let name = &bench.names[duty as usize];
             match lost {
@@ -196,7 +217,7 @@
             self.member.borrow_mut().host().disk.keep_cells(writing, copied);
         }
         for (to, word) in said {
-            self.say_of_duties(to, word);
+            self.say_of_work(to, Packet::Duty(word));
         }
         let moved = moved || !told.is_empty();
         for (from, periods) in told {
@@ -207,24 +228,35 @@
             bench.moved.notify_one();
         }
         bench.called.notify_one();
-        Some(done)
+        if lost_editions {
+            self.agree(|m, now| m.cease(now));
+        }
+        for (_, token, record, first) in stood.into_iter().filter(|s| Some(s.0) == editions) {
+            self.agree(|m, now| match &record {
+                last if first => m.convene(now, token, last.as_ref()),
+                Some(record) if record.ended => m.ended(now, token),
+                _ => m.fixed(now, token),
+            });
+        }
     }
 
     /// Who takes part and who leads, as it is now.
-    pub(crate) fn place_duties(&self) {
+    pub(crate) fn place_duties(self: &Rc<Self>) {
         let (seats, leader, until) = {
             let member = self.member.borrow();
-            let seats = member.kept_state().roster.seats.keys().copied().collect();
+            let seats: Vec<Id> = member.kept_state().roster.seats.keys().copied().collect();
             (seats, member.leader().map(|id| (member.epoch(), id)), member.leads_until())
         };
+        let taking_part = seats.clone();
         self.duty(|d, now| d.roster(now, seats, leader, until));
+        self.agree(|m, now| m.seats(now, taking_part));
     }
 
-    pub(crate) fn duty_heard(&self, from: Id, word: Word) {
+    pub(crate) fn duty_heard(self: &Rc<Self>, from: Id, word: Word) {
         self.duty(|d, now| d.heard(now, from, word));
     }
 
-    pub(crate) fn duty_kept(&self, stamp: u64) {
+    pub(crate) fn duty_kept(self: &Rc<Self>, stamp: u64) {
         self.duty(|d, now| d.kept(now, stamp));
     }
 
@@ -237,7 +269,7 @@
         bench.counted.set(true);
     }
 
-    pub(crate) fn of_duties(&self, question: Question) -> Answer {
+    pub(crate) fn of_duties(self: &Rc<Self>, question: Question) -> Answer {
         let Some(bench) = &self.work else {
             return Answer::Refused("no work is shared out: members.duties is not set".into());
         };
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -2,6 +2,7 @@
 //! [`grebespool_succession`]'s; here are the state folder ([`Store`]), the sealed streams between members ([`seal`]),
 //! and the task that runs one ([`run`]).
 
+mod accord;
 mod accounts;
 mod disk;
 mod duties;
@@ -13,9 +14,10 @@
 mod store;
 mod ways;
 
+pub use accord::LIMITS;
 pub use accounts::{Audit, audit};
 pub use duties::{Accounting, Fleetwork};
 pub use keys::Keys;
-pub use operator::{Answer, DutyOrder, Question, SiteAsked, ask};
+pub use operator::{Answer, DutyOrder, Editions, Question, SiteAsked, ask};
 pub use run::{Change, Running, Unrunnable, run};
 pub use store::{Store, Unusable, first_roster, fleet_id, seat_id};
--- a/crates/members/src/listen.rs
+++ b/crates/members/src/listen.rs
@@ -46,6 +46,7 @@
         match timeout(SILENCE, sealed.hear()).await?? {
             Packet::Word(word) if peer != 0 => shared.call(|m, now| m.heard(now, peer, word)),
             Packet::Duty(word) if peer != 0 => shared.duty_heard(peer, word),
+            Packet::Accord(word) if peer != 0 => shared.accord_heard(peer, word),
             Packet::Memory { order, part, parts, bytes } if peer != 0 => {
                 piece(&shared, &mut coming, (order, part, parts), &bytes)?;
             }
--- a/crates/members/src/operator.rs
+++ b/crates/members/src/operator.rs
@@ -2,13 +2,14 @@
 
 use crate::keys::Keys;
 use crate::seal::{Own, Packet, Sealed};
+use grebespool_accord::{Acts, Change, View};
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Question {
     Show,
     /// The member that listens at this address takes part from here on.
@@ -26,6 +27,14 @@
         name: String,
         order: DutyOrder,
     },
+    /// What this member holds of editions, and by what it acts at this moment.
+    Editions,
+    /// Changes of what all share, on top of whatever stands.
+    Propose {
+        changes: Vec<Change>,
+        /// More may be withdrawn at once than is allowed.
+        forced: bool,
+    },
     /// What stands of each site; asked of the leader.
     Sites,
     /// Takes a site out, or lets it back; asked of the leader.
@@ -64,7 +73,7 @@
     pub missing: bool,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
     Status {
         name: String,
@@ -85,6 +94,22 @@
     Refused(String),
     /// A line for each thing that is told.
     Lines(Vec<String>),
+    Editions(Box<Editions>),
+}
+
+/// How a member stands with editions.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Editions {
+    pub name: String,
+    pub acts: Acts,
+    /// By number and hash.
+    pub standing: (u64, String),
+    pub next: Option<(u64, String)>,
+    pub convener: Option<String>,
+    /// Proposals of this member that are not answered.
+    pub waiting: usize,
+    /// What it goes by, of one edition or the stricter of two.
+    pub view: View,
 }
 
 /// Asks a member on behalf of an operator who holds the key.
--- a/crates/members/src/run.rs
+++ b/crates/members/src/run.rs
@@ -1,5 +1,6 @@
 //! The task that runs a member.
 
+use crate::accord::Editions;
 use crate::disk::{Disk, Written};
 use crate::duties::{Bench, Fleetwork};
 use crate::keys::KeyFile;
@@ -51,6 +52,8 @@
     Memory(String),
     #[error("the journal of duties cannot be read: {0}")]
     Duties(String),
+    #[error("what is held of editions cannot be read: {0}")]
+    Editions(String),
 }
 
 pub(crate) const DIALLED_WITHIN: Duration = Duration::from_secs(2);
@@ -97,6 +100,7 @@
     sites: RefCell<Option<mpsc::UnboundedSender<SiteAsked>>>,
     /// Where work on behalf of the fleet is shared out.
     pub(crate) work: Option<Bench>,
+    pub(crate) editions: Option<Editions>,
 }
 
 /// A member that runs. Cheap to clone.
@@ -182,9 +186,10 @@
         done
     }
 
-    pub(crate) fn say_of_duties(&self, to: Id, word: grebespool_duties::Word) {
+    /// On the stream of duties.
+    pub(crate) fn say_of_work(&self, to: Id, packet: Packet) {
         if let Some(way) = self.ways.borrow().get(&to) {
-            way.duties.push(Packet::Duty(word));
+            way.duties.push(packet);
         }
     }
 
@@ -295,6 +300,8 @@
         let done = match question {
             Question::Show => return self.status(),
             Question::Duties | Question::Duty { .. } => return self.of_duties(question),
+            Question::Editions => return self.editions_shown(),
+            Question::Propose { changes, forced } => return self.proposed(changes, forced).await,
             Question::Sites | Question::Site { .. } => return self.of_sites(question).await,
             Question::StepDown => self.call(|m, now| m.step_down(now)).map(|()| "it stands down".to_string()),
             Question::Remove { name } => {
@@ -328,6 +335,7 @@
     while let Some(written) = told.recv().await {
         match written {
             Written::Cells(stamp) => shared.duty_kept(stamp),
+            Written::Editions(stamp) => drop(shared.agree(|m, now| m.kept(now, stamp))),
             Written::Kept(stamp) => shared.call(|m, now| m.kept(now, stamp)),
             Written::Failed(why) => {
                 warn!(why, "the disk takes no writes: this member neither votes nor leads");
@@ -363,6 +371,12 @@
         .map(|w| Bench::open(&store, kept.id, w))
         .transpose()
         .map_err(|why| Unrunnable::Duties(why.to_string()))?;
+    let editions = match work.as_ref().and_then(|w| w.work.agree.clone()) {
+        Some(terms) => Some(
+            Editions::open(&store, kept.id, terms).map_err(|why| Unrunnable::Editions(why.to_string()))?,
+        ),
+        None => None,
+    };
     let (told, written) = mpsc::unbounded_channel();
     let (change, changes) = watch::channel(Change::Follow);
     let own = Own { fleet: kept.fleet, id: kept.id };
@@ -382,11 +396,13 @@
         refused: Cell::new(0),
         sites: RefCell::default(),
         work,
+        editions,
     });
     shared.reach();
     tasks.spawn_local(accept(shared.clone(), listener));
     tasks.spawn_local(tick(shared.clone()));
     tasks.spawn_local(disk_told(shared.clone(), written));
     crate::duties::run(&shared, tasks);
+    crate::accord::run(&shared, tasks);
     Ok((Running(shared), changes))
 }
--- a/crates/members/src/seal.rs
+++ b/crates/members/src/seal.rs
@@ -11,7 +11,7 @@
 
 const MAGIC: &[u8; 4] = b"GBMB";
 /// The version that members speak. One of another is told so and closed.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 const HELLO: usize = 4 + 2 + 8 + 8 + 8 + 16;
 const MAC: usize = 16;
 /// The most bytes of a frame; memories come in pieces.
@@ -39,6 +39,8 @@
     Refused(String),
     /// Of duties, on a stream of their own: many at once never wait before a beat.
     Duty(grebespool_duties::Word),
+    /// Of editions.
+    Accord(grebespool_accord::Word),
 }
 
 fn denied(text: String) -> io::Error {
--- a/crates/members/src/store.rs
+++ b/crates/members/src/store.rs
@@ -14,6 +14,8 @@
 /// Cells of duties' journals by the duty's name, which outlives its place among the names.
 const CELLS: TableDefinition<&str, &[u8]> = TableDefinition::new("cells");
 const DAMAGED_CELLS: TableDefinition<&str, &[u8]> = TableDefinition::new("damaged cells");
+/// What a member holds of editions.
+const EDITIONS: TableDefinition<&str, &[u8]> = TableDefinition::new("editions");
 const TALLY: TableDefinition<&str, &[u8]> = TableDefinition::new("tally");
 const COUNTS: TableDefinition<&str, u64> = TableDefinition::new("counts");
 const SET_ASIDE: TableDefinition<(u64, u64), &[u8]> = TableDefinition::new("set aside");
@@ -290,6 +292,38 @@
         disk(write.commit())
     }
 
+    /// What this member held of editions. Nothing where that is damaged, which `damaged` is told: the convener has it.
+    ///
+    /// # Errors
+    ///
+    /// The disk's.
+    pub fn editions(&self, mut damaged: impl FnMut(&str)) -> io::Result<grebespool_accord::Kept> {
+        let read = disk(self.state.begin_read())?;
+        match read.open_table(EDITIONS) {
+            Ok(table) => {
+                let bytes = disk(table.get("held"))?;
+                let held = bytes.map(|b| unsummed(b.value()));
+                held.transpose().map(Option::unwrap_or_default).or_else(|why| {
+                    damaged(&why);
+                    Ok(grebespool_accord::Kept::default())
+                })
+            }
+            Err(TableError::TableDoesNotExist(_)) => Ok(grebespool_accord::Kept::default()),
+            Err(why) => Err(io::Error::other(why)),
+        }
+    }
+
+    /// Writes what this member holds of editions, and returns once it is on disk.
+    ///
+    /// # Errors
+    ///
+    /// The disk's.
+    pub fn keep_editions(&self, held: &grebespool_accord::Kept) -> io::Result<()> {
+        let write = disk(self.state.begin_write())?;
+        disk(disk(write.open_table(EDITIONS))?.insert("held", summed(held).as_slice()))?;
+        disk(write.commit())
+    }
+
     /// What this member counted before it was started. Nothing where that is damaged: accounts keep what was told.
     ///
     /// # Errors
--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -1,7 +1,7 @@
 //! The list of servers as it is believed, entry by entry.
 
 use crate::message::Fields;
-use grebespool::host::{Listed, Phase, Zone};
+use grebespool::host::{Kind, Listed, Phase, Zone};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -10,6 +10,7 @@
 struct Known {
     addr: Option<SocketAddr>,
     zone: Zone,
+    kind: Kind,
     phase: Phase,
     started_ms: f64,
     /// The same instant on the planner's clock, which may lie before its start.
@@ -19,6 +20,8 @@
 /// The list by the servers' ids; addresses are only where to dial.
 pub struct Roster {
     zones: Vec<String>,
+    /// In the order in which they were first told.
+    kinds: Vec<String>,
     version: Option<u64>,
     known: BTreeMap<String, Known>,
 }
@@ -36,15 +39,17 @@
 struct Entry<'a> {
     id: &'a str,
     phase: Phase,
+    kind: Option<&'a str>,
     placed: Result<(Option<SocketAddr>, Zone, f64), String>,
 }
 
 impl Roster {
     /// Milliseconds ahead of now from which on a start is worth a line: a clock is wrong somewhere.
+    const MOST_KINDS: usize = 64;
     const AHEAD: f64 = 3_600_000.0;
 
     pub fn new(zones: Vec<String>) -> Self {
-        Roster { zones, version: None, known: BTreeMap::new() }
+        Roster { zones, kinds: vec![], version: None, known: BTreeMap::new() }
     }
 
     /// Unset before any list came; the first may well be number 0.
@@ -56,6 +61,18 @@
         self.zones.iter().position(|z| z == name).map(|z| z as Zone)
     }
 
+    /// Against a list that names ever new kinds: past the most, all others are one.
+    fn kind(&mut self, name: &str) -> Kind {
+        let known = self.kinds.iter().position(|k| k == name);
+        let at = known.unwrap_or_else(|| {
+            if self.kinds.len() < Self::MOST_KINDS {
+                self.kinds.push(name.into());
+            }
+            self.kinds.len() - 1
+        });
+        at as Kind + 1
+    }
+
     pub fn address(&self, id: &str) -> Option<SocketAddr> {
         self.known.get(id)?.addr
     }
@@ -84,7 +101,9 @@
             };
             Ok((addr, zone, started))
         };
-        Ok(Entry { id, phase, placed: placed() })
+        // One without a kind, or of more kinds than there are machines, is still a server.
+        let kind = fields.text("kind").ok().filter(|k| k.len() <= 128);
+        Ok(Entry { id, phase, kind, placed: placed() })
     }
 
     /// Takes an answer of discovery, at `unix_ms` by the machines' clock. A drain or a removal holds whatever else is
@@ -155,7 +174,10 @@
 
     fn gone(&mut self, id: String, judged: &mut Judged) {
         if let Some(known) = self.known.remove(&id) {
-            judged.entries.push((id, Listed { server: 0, zone: known.zone, phase: Phase::Gone, age: None }));
+            judged.entries.push((
+                id,
+                Listed { server: 0, zone: known.zone, kind: known.kind, phase: Phase::Gone, age: None },
+            ));
         }
     }
 
@@ -163,7 +185,9 @@
         if entry.phase == Phase::Gone {
             return self.gone(entry.id.into(), judged);
         }
+        let kind = entry.kind.map(|k| self.kind(k));
         let old = self.known.get(entry.id);
+        let kind = kind.or(old.map(|k| k.kind)).unwrap_or_default();
         let (addr, zone, started_ms) = match (&entry.placed, old) {
             (Ok(placed), _) => *placed,
             (Err(fault), old) => {
@@ -186,9 +210,10 @@
             || Duration::try_from_secs_f64((unix_ms - started_ms).max(0.0) / 1000.0).unwrap_or_default();
         let age_at = same.unwrap_or_else(|| (now, (started_ms > 0.0).then(age)));
         let age = age_at.1.map(|age| age + now.saturating_sub(age_at.0));
-        let listed = Listed { server: 0, zone, phase: entry.phase, age };
+        let listed = Listed { server: 0, zone, kind, phase: entry.phase, age };
         let addr = addr.or(old.and_then(|k| k.addr));
-        self.known.insert(entry.id.into(), Known { addr, zone, phase: entry.phase, started_ms, age_at });
+        self.known
+            .insert(entry.id.into(), Known { addr, zone, kind, phase: entry.phase, started_ms, age_at });
         judged.entries.push((entry.id.into(), listed));
     }
 
--- a/crates/scripted/src/fleet.rs
+++ b/crates/scripted/src/fleet.rs
@@ -60,6 +60,8 @@
     dial_at: Duration,
     pub table: BTreeMap<usize, f64>,
     pub level: f64,
+    /// Whether a try that found a server full is made again at another.
+    again: bool,
     unusable: Option<Duration>,
     /// Whole tables that came to it.
     pub wholes: usize,
@@ -96,7 +98,7 @@
     collectors: Vec<Collector>,
     warm_up: Duration,
     /// What a cold server is able to, as a part.
-    cold: f64,
+    pub cold: f64,
     looked: Duration,
     reported: Duration,
     /// Tries and failures by planner, zone and server since the last report.
@@ -106,17 +108,31 @@
     pub service: Vec<[f64; 2]>,
     /// A proxy goes home so long after it was lost to another planner.
     pub homing: Duration,
+    /// Between two reports.
+    pub every: Duration,
+    /// The most that a cold server was sent over the time of the rule, as a multiple of what it was able to.
+    pub worst: f64,
 }
 
 const ZONES: [&str; 2] = ["north", "south"];
-const EVERY: Duration = ms(500);
 
 impl Fleet {
     /// `planners` processes of `program`, `proxies` that ask 10 calls a second each, and `servers` that are filled to
     /// `load` by them.
     pub fn start(program: &str, planners: usize, proxies: usize, servers: usize, load: f64) -> Fleet {
+        Fleet::warming(program, planners, proxies, servers, load, ms(4000))
+    }
+
+    /// The same with servers that are warm after `warm_up`.
+    pub fn warming(
+        program: &str,
+        planners: usize,
+        proxies: usize,
+        servers: usize,
+        load: f64,
+        warm_up: Duration,
+    ) -> Fleet {
         let mut settings = crate::program::settings();
-        let warm_up = ms(4000);
         settings["familyInfo"]["dataPlaneSize"] = json!(proxies);
         settings["invariants"]["warmUpMs"] = json!(warm_up.as_millis() as u64);
         let discovery = Discovery::new(servers);
@@ -132,6 +148,7 @@
             dial_at: ms(node as u64 * 3),
             table: BTreeMap::new(),
             level: 1.0,
+            again: false,
             unusable: None,
             wholes: 0,
             came: 0.0,
@@ -158,6 +175,8 @@
             breaches: vec![],
             service: vec![],
             homing: ms(3000),
+            every: ms(500),
+            worst: 0.0,
         }
     }
 
@@ -250,7 +269,7 @@
             self.looked = now;
             self.check(now);
         }
-        if now - self.reported >= EVERY {
+        if now - self.reported >= self.every {
             self.report(now);
         }
     }
@@ -317,6 +336,9 @@
             if let Some(level) = message["level"].as_f64().filter(|_| message.get("classes").is_none()) {
                 proxy.level = level;
             }
+            if let Some(how) = message["retry"].as_u64() {
+                proxy.again = how > 0;
+            }
             if let Some(mark) = message.get("ticket") {
                 let answer = json!({"msg": "ACK", "node": p, "nonce": mark, "latency": 1.5});
                 let _ = stream.socket.write_all(&frame(&answer));
@@ -327,22 +349,33 @@
     /// What the tables send where.
     fn offer(&mut self, now: Duration, span: f64) {
         let mut came = 0.0;
+        let able: Vec<f64> =
+            self.machines.iter().map(|m| m.able_now(now, self.warm_up, self.cold) * span).collect();
         let mut to: BTreeMap<usize, Vec<(usize, usize, f64)>> = BTreeMap::new();
         for proxy in &mut self.proxies {
-            let sum: f64 = proxy.table.values().sum();
             let calls = proxy.rate * span;
             (came, proxy.came) = (came + calls, proxy.came + calls);
-            let planner = proxy.stream.as_ref().map_or(usize::MAX, |s| s.planner);
-            for (server, weight) in &proxy.table {
-                let work = calls * proxy.level * weight / sum;
-                to.entry(*server).or_default().push((planner, proxy.zone, work));
+            for (server, work) in proxy.spread(calls * proxy.level, usize::MAX) {
+                to.entry(server).or_default().push((proxy.planner(), proxy.zone, work));
+            }
+        }
+        let full = |to: &BTreeMap<usize, Vec<(usize, usize, f64)>>, k: usize| {
+            let all: f64 = to.get(&k).into_iter().flatten().map(|w| w.2).sum();
+            if all > able[k] { 1.0 - able[k] / all } else { 0.0 }
+        };
+        let over: Vec<f64> = (0..able.len()).map(|k| full(&to, k)).collect();
+        // What a full server turned away comes again at the others of the proxy's table.
+        for proxy in self.proxies.iter().filter(|p| p.again) {
+            for (server, work) in proxy.spread(proxy.rate * span * proxy.level, usize::MAX) {
+                for (other, again) in proxy.spread(work * over[server], server) {
+                    to.entry(other).or_default().push((proxy.planner(), proxy.zone, again));
+                }
             }
         }
         let mut good = 0.0;
         for (k, machine) in self.machines.iter_mut().enumerate() {
             let work = to.remove(&k).unwrap_or_default();
-            let all: f64 = work.iter().map(|w| w.2).sum();
-            let able = if machine.up { machine.able_at(now, self.warm_up, self.cold) * span } else { 0.0 };
+            let (all, able): (f64, f64) = (work.iter().map(|w| w.2).sum(), able[k]);
             let done = if all > able { able / all } else { 1.0 };
             (good, machine.offered) = (good + all * done, all / able.max(1e-9));
             machine.recent.push_back((now, all, able));
@@ -418,15 +451,18 @@
                 }
             }
         }
+        let mut worst = self.worst;
         for (k, machine) in self.machines.iter().enumerate() {
             let age = machine.started.map(|at| now - at);
             if age.is_some_and(|age| age > limits.fall && age < self.warm_up + limits.fall) {
                 let [came, able] = machine.recent.iter().fold([0.0; 2], |[c, a], r| [c + r.1, a + r.2]);
+                worst = worst.max(came / able.max(1e-9));
                 if came > limits.fall_multiple * able {
                     found.push(format!("rule 4 at {now:?}: s{k} was sent {:.1} times its due", came / able));
                 }
             }
         }
+        self.worst = worst;
         self.breaches.extend(found);
     }
 }
@@ -449,6 +485,10 @@
         self.able * (cold + (1.0 - cold) * warm.min(1.0))
     }
 
+    fn able_now(&self, now: Duration, warm_up: Duration, cold: f64) -> f64 {
+        if self.up { self.able_at(now, warm_up, cold) } else { 0.0 }
+    }
+
     /// Down, without a word to anybody, or up again and cold.
     pub fn lost(&mut self, now: Duration, lost: bool) {
         self.up = !lost;
@@ -458,6 +498,17 @@
 }
 
 impl Rover {
+    fn planner(&self) -> usize {
+        self.stream.as_ref().map_or(usize::MAX, |s| s.planner)
+    }
+
+    /// So much work by the table's weights, without one of its servers.
+    fn spread(&self, work: f64, but: usize) -> Vec<(usize, f64)> {
+        let lines = || self.table.iter().filter(|(server, _)| **server != but);
+        let sum: f64 = lines().map(|l| l.1).sum();
+        lines().map(|(server, weight)| (*server, work * weight / sum)).collect()
+    }
+
     fn lost(&mut self, now: Duration) {
         self.stream = None;
         self.dial_at = now + ms(100 + (37 * self.node as u64) % 300);
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -179,12 +179,21 @@
     pub slack: Span,
 }
 
+/// Editions that members agree on.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Agree {
+    pub lease: Span,
+    pub renew: Span,
+    pub most_withdrawn: f64,
+}
+
 /// Work on behalf of the fleet that its members share out.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Duties {
     pub lease: Span,
     pub renew: Span,
     pub accounts: Option<Accounts>,
+    pub agree: Option<Agree>,
 }
 
 /// This controller among those that follow each other.
@@ -312,6 +321,11 @@
                 );
                 return bad("duties.lease", why);
             }
+            if let Some(agree) = duties.agree.as_ref().filter(|a| a.lease.0 < a.renew.0 * 3) {
+                let why =
+                    format!("{:?} is shorter than three renewals of {:?}", agree.lease.0, agree.renew.0);
+                return bad("duties.agree.lease", why);
+            }
         }
         let mut names = vec![self.name.as_str()];
         for (i, peer) in self.peers.iter().enumerate() {
--- a/crates/start/tests/fleet.rs
+++ b/crates/start/tests/fleet.rs
@@ -131,3 +131,22 @@
     fleet.run(ms(5000));
     kept(&fleet);
 }
+
+/// Three in four servers come anew at once as the load rises by half: what the warm ones turn away is not tried again at
+/// the cold ones, which no report tells of for seconds yet (docs/incidents/016). Harder than the rule's own days, so its
+/// multiple is wider here: 2.9 are sent, and 4.5 without the mend.
+#[rstest]
+fn what_full_servers_turn_away_does_not_push_cold_ones_over() {
+    let mut fleet = Fleet::warming(PROGRAM, 5, 60, 30, 0.62, ms(15_000));
+    fleet.until("every proxy has a table", ms(8000), Fleet::settled);
+    // A planner that has just started lets no cold server in.
+    fleet.run(ms(8000));
+    (fleet.cold, fleet.every, fleet.limits.fall_multiple) = (0.1, ms(2000), 3.7);
+    fleet.proxies.iter_mut().for_each(|p| p.rate *= 1.5);
+    fleet.replace(&(0..23).collect::<Vec<usize>>());
+    fleet.run(ms(2200));
+    fleet.remove_drained();
+    fleet.run(ms(5000));
+    kept(&fleet);
+    assert!(fleet.worst > 1.0, "cold servers are let in: {}", fleet.worst);
+}
--- a/crates/wirehost/src/hosted.rs
+++ b/crates/wirehost/src/hosted.rs
@@ -85,6 +85,7 @@
 struct Entry {
     address: Address,
     zone: Zone,
+    kind: Kind,
     phase: Phase,
     started: f64,
 }
@@ -98,7 +99,7 @@
             2 => Phase::Draining,
             other => return malformed(format!("a list entry of phase {other}")),
         };
-        Ok(Entry { address: f.address(0), zone: f.u16(6), phase, started: f.f64(16) })
+        Ok(Entry { address: f.address(0), zone: f.u16(6), kind: f.u8(8).into(), phase, started: f.f64(16) })
     }
 }
 
@@ -236,6 +237,7 @@
             .map(|e| Listed {
                 server: door.enter(e.address),
                 zone: e.zone,
+                kind: e.kind,
                 phase: e.phase,
                 age: age(e.started),
             })
--- /dev/null
+++ b/src/decide/lists.rs
@@ -0,0 +1,107 @@
+//! The server list, as it is told, and what is handed from one planner to the next.
+
+use super::*;
+
+impl Peer {
+    pub(super) const KEPT: Duration = Duration::from_secs(8);
+    pub(super) const STILL: Duration = Duration::from_secs(3);
+
+    pub(super) fn open(&self) -> bool {
+        self.ready() && self.ramp.step > 0
+    }
+
+    /// Guards against a list that calls running servers gone: where that does not bind, one that was not
+    /// seen draining stays until it fails, and needs no ramp when it is listed again.
+    pub(super) fn gone(&mut self, binds: bool) {
+        self.doubted = !binds && self.open();
+        self.phase = if self.doubted { self.phase } else { Phase::Gone };
+    }
+
+    /// Guards against a report that stands still, at nought or elsewhere, while calls are answered: it would
+    /// draw ever more calls. An honest one that does so is judged by its waits meanwhile.
+    pub(super) fn take(&mut self, sample: Sample) {
+        let (now, told, samples) = (sample.at, sample.told, &mut self.load.0);
+        drop_old(samples, now, Self::KEPT, |x| x.at);
+        samples.push_back(sample);
+        let still = samples.iter().rev().filter(|x| x.told.is_some()).take_while(|x| x.told == told);
+        let (count, first) = still.fold((0, now), |(n, _), x| (n + 1, x.at));
+        if count >= 3 && now - first >= Self::STILL {
+            samples.iter_mut().filter(|x| x.told == told).for_each(|x| (x.load, x.cpu) = (None, None));
+        }
+    }
+}
+
+impl<H: Host> Planner<H> {
+    pub fn list(&mut self, now: Duration, whole: bool, entries: &[Listed]) {
+        // What was held from before the start answers no call.
+        self.ask_at = self.ask_at.filter(|_| now.is_zero());
+        entries.iter().for_each(|e| self.enter(now, e));
+        let named: BTreeSet<Server> = entries.iter().map(|e| e.server).collect();
+        for s in (0..self.peers.len()).filter(|s| whole && !named.contains(s)) {
+            self.peers[s].gone(self.graces.gone_binds);
+        }
+        self.deal();
+        self.push(now);
+    }
+
+    pub(super) fn enter(&mut self, now: Duration, entry: &Listed) {
+        if entry.server >= self.peers.len() {
+            self.peers.resize_with(entry.server + 1, || Peer::unlisted(Health::NEW, Ramp::STEPS));
+        }
+        let peer = &mut self.peers[entry.server];
+        if entry.phase == Phase::Gone {
+            return peer.gone(self.graces.gone_binds);
+        }
+        let warm_at = match entry.age {
+            Some(age) if age < self.graces.warm_up => now + self.graces.warm_up - age,
+            _ => Duration::ZERO,
+        };
+        let fresh = warm_at > now && warm_at > peer.warm_at + Duration::from_millis(1);
+        if entry.phase == Phase::Ready && (fresh || peer.phase == Phase::Gone) {
+            peer.ramp = Ramp { step: 1, cold: true, since: now };
+            peer.load.0.clear();
+            peer.health.clear(now, Ramp::STEPS);
+        }
+        (peer.zone, peer.kind, peer.phase) = (entry.zone, entry.kind, entry.phase);
+        (peer.warm_at, peer.doubted) = (warm_at, false);
+    }
+
+    /// Asked at the next look, lest a list that turns calls away be flooded.
+    pub fn list_failed(&mut self, now: Duration) {
+        self.ask_at = Some(now);
+    }
+
+    /// What it has learnt of servers, each as a multiple of its pool's mean, over the pools that hold it.
+    pub fn learnt(&self) -> BTreeMap<Server, f64> {
+        learnt(&self.pools)
+    }
+
+    /// In place of its pool's mean, told after the first list and before any join.
+    pub fn recall(&mut self, s: Server, weight: f64) {
+        let lines = self.pools.iter_mut().flat_map(|p| &mut p.lines).filter(|l| l.server == s);
+        lines.for_each(|l| l.learnt = weight.clamp(Pool::FLOOR * Pool::CEILING, Pool::CEILING));
+    }
+
+    /// What each pool holds, and which one each proxy has, for whoever plans next.
+    pub fn dealt(&self) -> (Vec<DealtPool>, BTreeMap<Proxy, usize>) {
+        dealt(&self.pools, &self.proxies)
+    }
+
+    /// Lest every proxy change most of its connections at once: told after the first list, before any join.
+    pub fn recall_dealt(&mut self, pools: &[DealtPool], bound: &BTreeMap<Proxy, (Zone, usize)>) {
+        if self.pools.is_empty() || pools.is_empty() {
+            return;
+        }
+        self.pools = pools.iter().enumerate().map(|(i, (zone, _))| Pool::new(i as Table, *zone)).collect();
+        for (pool, (_, held)) in self.pools.iter_mut().zip(pools) {
+            held.iter()
+                .filter(|s| self.peers.get(**s).is_some_and(Peer::ready))
+                .for_each(|s| pool.enter(*s, 1.0));
+        }
+        self.deal();
+        for (proxy, (zone, pool)) in bound.iter().filter(|b| b.1.1 < pools.len()) {
+            let joined = Joined { zone: *zone, rate: 0.0, pool: Some(*pool), bound: false };
+            self.proxies.insert(*proxy, joined);
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/zones.rs
@@ -0,0 +1,106 @@
+//! What zones make of each other, and what is planned for one that is lost.
+
+use super::*;
+
+impl Zones {
+    /// What far servers count for beside near ones: ordinarily, at most for those lost, over a bad way.
+    pub(super) const FAR: (f64, f64, f64) = (0.2, 0.6, 0.02);
+    pub(super) const HOLD: Duration = Duration::from_secs(5);
+    pub(super) const FULL: f64 = 0.92;
+    pub(super) const EASY: f64 = 0.7;
+    pub(super) const LEAN: f64 = 0.4;
+    pub(super) const MOST: f64 = 1.5;
+
+    /// Guards against ways between zones that are cut, slow or lossy; and against a zone that is full while
+    /// another has time to spare, as its traffic or its servers are shared out unevenly, move, or slow down
+    /// together. `met` gives, from zone to zone, the tries, the answered ones and the sum of their waits.
+    pub(super) fn judge(
+        &mut self,
+        now: Duration,
+        slo: f64,
+        throttled: bool,
+        met: impl Fn(usize, usize) -> [f64; 3],
+    ) {
+        // Where a trickle is too little to tell, the way is tried again in full after a while.
+        self.bad.retain(|_, until| *until > now);
+        for from in 0..self.busy.len() {
+            let [tries, answered, waits] = met(from, from);
+            let mut far = None;
+            for to in (0..self.busy.len()).filter(|to| *to != from) {
+                let way = (from as Zone, to as Zone);
+                let [t, a, w] = met(from, to);
+                let least = if self.bad.contains_key(&way) { 1.0 } else { 5.0 } * Health::LEAST_TRIES;
+                // Calls fare badly at full servers too; these lose weight one by one.
+                if tries.min(t) >= least && self.busy[to].is_none_or(|b| b < Levels::FULL) {
+                    let slow = w / a.max(1.0) > waits / answered.max(1.0) + 0.4 * slo;
+                    if slow || a / t < 0.7 * answered / tries {
+                        self.bad.insert(way, now + Self::HOLD);
+                    } else {
+                        self.bad.remove(&way);
+                    }
+                }
+                let reached = self.busy[to].filter(|_| !self.bad.contains_key(&way));
+                far = [far, reached].into_iter().flatten().min_by(f64::total_cmp);
+            }
+            let change = match (self.busy[from], far) {
+                (Some(a), Some(b)) if a > Self::FULL || throttled || b > a => Self::LEAN * (a - b),
+                (Some(a), Some(_)) if a > Self::EASY => 0.0,
+                _ => -Self::LEAN / 20.0,
+            };
+            self.reach[from] = (self.reach[from] + change).clamp(0.0, Self::MOST);
+        }
+    }
+}
+
+impl<H: Host> Planner<H> {
+    pub(super) fn look_afar(&mut self, now: Duration, slo: f64) {
+        let since = now.saturating_sub(Health::EVIDENCE);
+        let of = |z: usize| self.peers.iter().filter(move |p| usize::from(p.zone) == z).map(|p| &p.load);
+        for z in 0..self.zones.busy.len() {
+            // Cold servers look idle because they are held back, and would draw the other zones' calls.
+            let whole = self.peers.iter().filter(|p| usize::from(p.zone) == z && !p.ramp.cold);
+            let heard = whole.filter_map(|p| p.load.mean(since, |x| x.cpu));
+            self.zones.busy[z] = if self.zones.parts[z] < 1.0 { None } else { mean(heard) };
+        }
+        let met = |from: usize, to: usize| {
+            let samples = of(to).flat_map(|l| l.since(since)).filter(|x| usize::from(x.from) == from);
+            samples.fold([0.0; 3], |[t, a, w], x| {
+                [t + x.tries, a + x.answered(), w + x.answered() * x.wait.unwrap_or(0.0)]
+            })
+        };
+        self.zones.judge(now, slo, self.levels.throttled(), met);
+    }
+
+    /// What part of a zone's servers' weight may be used, by what is known of the zone as one thing.
+    pub fn hold(&mut self, now: Duration, zone: Zone, part: f64) {
+        self.zones.parts[usize::from(zone)] = part;
+        self.push(now);
+    }
+
+    /// At most so much of routes is let in; what only the former bound kept down rises with it at once.
+    pub fn bound(&mut self, now: Duration, most: &[f64]) {
+        let levels = &mut self.levels;
+        for (r, most) in most.iter().map(|m| *m as f32).enumerate().take(levels.wanted.len()) {
+            let bounded = levels.wanted[r] >= levels.most[r];
+            levels.wanted[r] = if bounded { most } else { levels.wanted[r].min(most) };
+            levels.most[r] = most;
+        }
+        self.push(now);
+    }
+
+    /// What each zone's servers are able to, in calls a second, and what came for each route in the zone.
+    pub fn rooms(&self, now: Duration) -> Vec<(f64, Vec<f64>)> {
+        let (from, span) = (now.saturating_sub(Peer::KEPT), Peer::KEPT.min(now).as_secs_f64().max(1.0));
+        let room = |z: Zone| {
+            let able = self.peers.iter().filter(|p| p.ready() && p.zone == z).map(|p| {
+                let busy = p.load.mean(from, |x| x.cpu).unwrap_or(0.7).clamp(0.05, 1.0);
+                p.load.sum(from, Sample::answered) / busy / span
+            });
+            let came = |a: &VecDeque<(Duration, f64, Option<Zone>)>| {
+                a.iter().filter(|a| a.0 > from && a.2 == Some(z)).map(|a| a.1).sum::<f64>() / span
+            };
+            (able.sum(), self.levels.arrived.iter().map(came).collect())
+        };
+        (0..self.zones.busy.len() as Zone).map(room).collect()
+    }
+}
--- a/src/host.rs
+++ b/src/host.rs
@@ -7,6 +7,7 @@
 pub type Proxy = u16;
 pub type Table = u16;
 pub type Zone = u16;
+pub type Kind = u16;
 /// A set of routes: the sum of 2^k over their positions k.
 pub type RouteSet = u16;
 
@@ -40,6 +41,8 @@
 pub struct Listed {
     pub server: Server,
     pub zone: Zone,
+    /// Servers of a kind are built alike; all of one where nothing tells them apart.
+    pub kind: Kind,
     pub phase: Phase,
     pub age: Option<Duration>,
 }
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -1,6 +1,7 @@
 //! What a planner keeps, as plain data, and means of what it measured. No decisions.
 
 use crate::host::*;
+use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -61,6 +62,7 @@
 /// One server: what the list says of it, and what each part below keeps.
 pub struct Peer {
     pub zone: Zone,
+    pub kind: Kind,
     pub phase: Phase,
     pub warm_at: Duration,
     /// Called gone where that does not bind: what is met there decides.
@@ -71,6 +73,13 @@
 }
 
 impl Peer {
+    /// Named before anything is known of it.
+    pub fn unlisted(health: Health, step: u32) -> Peer {
+        let ramp = Ramp { step, cold: false, since: Duration::ZERO };
+        let (zone, kind, phase, warm_at, doubted) = (0, 0, Phase::Draining, Duration::ZERO, false);
+        Peer { zone, kind, phase, warm_at, doubted, load: Samples::default(), health, ramp }
+    }
+
     pub fn ready(&self) -> bool {
         self.phase == Phase::Ready
     }
@@ -96,6 +105,16 @@
 }
 
 impl Pool {
+    pub fn new(table: Table, zone: Zone) -> Pool {
+        Pool { table, zone, lines: vec![], sent: VecDeque::new() }
+    }
+
+    /// A server's weight, as a multiple of the pool's mean.
+    pub fn enter(&mut self, server: Server, weight: f64) {
+        let learnt = weight * self.mean();
+        self.lines.push(Line { server, learnt, changed: Duration::ZERO, written: 0.0, leaving: false });
+    }
+
     pub fn mean(&self) -> f64 {
         mean(self.lines.iter().map(|l| l.learnt)).unwrap_or(1.0)
     }
@@ -155,6 +174,11 @@
 }
 
 impl Levels {
+    pub fn new(n: usize, pressure: f64) -> Levels {
+        let (arrived, written) = (vec![VecDeque::new(); n], vec![(-1.0, Tries::One); n]);
+        Levels { pressure, arrived, wanted: vec![1.0; n], most: vec![1.0; n], crowded: false, written }
+    }
+
     pub fn throttled(&self) -> bool {
         self.wanted.iter().any(|w| *w < 1.0)
     }
@@ -189,6 +213,16 @@
             urgent_set: false,
         }
     }
+
+    pub fn add(&mut self, lines: f64) {
+        (self.waiting, self.ordered) = (self.waiting + lines, self.ordered + lines);
+    }
+
+    pub fn mark(&mut self, ordered_before: f64) -> u16 {
+        self.marks = (self.marks + 1) % 50_000;
+        self.unanswered.push_back((self.marks, ordered_before));
+        self.marks
+    }
 }
 
 pub struct Joined {
@@ -198,3 +232,59 @@
     pub pool: Option<usize>,
     pub bound: bool,
 }
+
+/// One planner: see [`crate::decide`].
+pub struct Planner<H> {
+    pub(crate) host: H,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) routes: Vec<Route>,
+    pub(crate) plane: DataPlane,
+    pub(crate) graces: Graces,
+    pub(crate) sight: Sight,
+    pub(crate) peers: Vec<Peer>,
+    pub(crate) ask_at: Option<Duration>,
+    pub(crate) looks: u32,
+    pub(crate) levels: Levels,
+    pub(crate) channel: Channel,
+    pub(crate) pools: Vec<Pool>,
+    /// Near and far servers that a pool is to hold.
+    pub(crate) width: (usize, usize),
+    pub(crate) zones: Zones,
+    pub(crate) proxies: BTreeMap<Proxy, Joined>,
+    pub(crate) unbound: VecDeque<Proxy>,
+}
+
+/// Weights as multiples of their pool's mean, over the pools that hold the server.
+pub fn learnt(pools: &[Pool]) -> BTreeMap<Server, f64> {
+    let mut learnt: BTreeMap<Server, Vec<f64>> = BTreeMap::new();
+    for pool in pools {
+        pool.lines.iter().for_each(|l| learnt.entry(l.server).or_default().push(l.learnt / pool.mean()));
+    }
+    learnt.into_iter().filter_map(|(s, all)| Some((s, mean(all.into_iter())?))).collect()
+}
+
+/// The same by kinds of servers, over the lines that have been changed since they came.
+pub fn usual(pools: &[Pool], peers: &[Peer]) -> BTreeMap<Kind, f64> {
+    let mut of: BTreeMap<Kind, Vec<f64>> = BTreeMap::new();
+    for (pool, mean) in pools.iter().map(|p| (p, p.mean())) {
+        for line in pool.lines.iter().filter(|l| l.changed > Duration::ZERO) {
+            of.entry(peers[line.server].kind).or_default().push(line.learnt / mean);
+        }
+    }
+    of.into_iter().filter_map(|(kind, all)| Some((kind, mean(all.into_iter())?))).collect()
+}
+
+/// What each pool holds, and which one each bound proxy has: those that left are not handed on for ever.
+pub fn dealt(pools: &[Pool], proxies: &BTreeMap<Proxy, Joined>) -> (Vec<DealtPool>, BTreeMap<Proxy, usize>) {
+    let held = |p: &Pool| p.lines.iter().filter(|l| !l.leaving).map(|l| l.server).collect();
+    let pools = pools.iter().map(|p| (p.zone, held(p))).collect();
+    let bound = proxies.iter().filter(|p| p.1.bound);
+    (pools, bound.filter_map(|(p, j)| Some((*p, j.pool?))).collect())
+}
+
+/// The part of the ready servers that are cold.
+pub fn fresh(peers: &[Peer]) -> f64 {
+    let ready = peers.iter().filter(|p| p.ready());
+    let [cold, all] = ready.fold([0.0; 2], |[c, n], p| [c + f64::from(u8::from(p.ramp.cold)), n + 1.0]);
+    cold / f64::max(all, 1.0)
+}
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -508,6 +508,7 @@
 #[rstest]
 #[case::heard_and_well(Some((6, 0, [0.4, 0.0])), 200, 0.45, 0.55)]
 #[case::unheard(None, 200, 0.2, 0.3)]
+#[case::busy_already(Some((6, 0, [0.9, 0.0])), 200, 0.2, 0.3)]
 #[case::slow(Some((6, 0, [0.9, 0.0])), 1000, 0.2, 0.3)]
 #[case::answers_in_part(Some((6, 3, [0.9, 0.0])), 200, 0.0, 0.3)]
 fn a_cold_server_steps_up_by_what_is_heard_of_it(
@@ -670,3 +671,57 @@
     odd.planner.joined(odd.now, 0, 0, false, 1.0);
     assert_eq!(odd.planner.dealt().1[&0], 0);
 }
+
+#[rstest]
+#[case::of_a_slow_kind(2, 0.25, 0.75)]
+#[case::of_a_kind_not_seen_before(7, 0.9, 1.1)]
+fn a_fresh_server_begins_with_what_its_kind_has_earned(
+    #[case] kind: Kind,
+    #[case] least: f32,
+    #[case] most: f32,
+) {
+    // Found on releases: servers of a slow kind came back at the mean of their pool, twice what they are able to.
+    let mut rig = Rig::with_servers(0, 1);
+    let of = |s: Server| if s % 2 == 0 { 1 } else { 2 };
+    let entries: Vec<Listed> =
+        (0..6).map(|s| Listed { kind: of(s), ..listed(s, 0, Phase::Ready, None) }).collect();
+    rig.list(true, &entries);
+    rig.planner.joined(rig.now, 0, 0, true, 1.0);
+    let told = |s: Server| (s < 6).then_some((5, 0, [if s % 2 == 0 { 0.3 } else { 0.9 }, 0.0]));
+    rig.run(Duration::from_secs(12), told);
+    let mean = (0..6).map(|s| rig.weight(0, s)).sum::<f32>() / 6.0;
+    rig.list(false, &[Listed { kind, ..listed(6, 0, Phase::Ready, Some(ms(500))) }]);
+    rig.run(Duration::from_secs(3), told);
+    let fresh = 4.0 * rig.weight(0, 6) / mean;
+    assert!((least..most).contains(&fresh), "a quarter of {fresh} of the mean");
+}
+
+#[rstest]
+fn a_cold_server_is_given_its_part_in_one_pool_of_its_zone() {
+    // Found on releases: pools that had lost servers all took the same fresh ones, each for a quarter.
+    let mut rig = Rig::grown(40, 80, PACE, true);
+    rig.run(Duration::from_secs(12), |s| QUIET.filter(|_| s < 40));
+    let fresh: Vec<Listed> = (40..44).map(|s| listed(2 * s, 0, Phase::Ready, Some(ms(500)))).collect();
+    rig.list(false, &fresh);
+    let gone: Vec<Listed> = (0..15).map(|s| listed(2 * s, 0, Phase::Draining, None)).collect();
+    rig.list(false, &gone);
+    rig.run(Duration::from_secs(3), |s| QUIET.filter(|_| s < 40));
+    let tables: BTreeSet<Table> = rig.kept.borrow().bound.values().flatten().copied().collect();
+    for s in (40..44).map(|s| 2 * s) {
+        let holders = tables.iter().take(tables.len() / 2).filter(|t| rig.held(**t).contains(&s)).count();
+        assert!(holders <= 1, "server {s} is in {holders} tables");
+    }
+}
+
+#[rstest]
+#[case::one_of_five_cold(1, Tries::AfterProof)]
+#[case::two_of_five_cold(2, Tries::One)]
+fn no_second_tries_while_many_servers_are_cold(#[case] cold: usize, #[case] tries: Tries) {
+    let mut rig = Rig::with_servers(5, 1);
+    rig.run(Duration::from_secs(5), |s| QUIET.filter(|_| s < 5));
+    let fresh: Vec<Listed> = (0..cold).map(|s| listed(s, 0, Phase::Ready, Some(ms(500)))).collect();
+    rig.list(false, &fresh);
+    rig.run(Duration::from_secs(2), |s| QUIET.filter(|_| s < 5));
+    let kept = rig.kept.borrow();
+    assert_eq!(kept.levels.get(&2).map(|l| l.1), Some(tries));
+}
