Write up editions, and raise cold servers only where a report shows room for the next step

Change: a step up needs a report that leaves room for it (busy share times the next step over this one below 0.85).

--- a/crates/cli/tests/fleet/editions.rs
+++ b/crates/cli/tests/fleet/editions.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -127,7 +127,7 @@
     proposes: bool,
     seen: &Mutex<Vec<Seen>>,
     stop: &AtomicBool,
-    key_file: &PathBuf,
+    key_file: &Path,
 ) {
     let keys = Keys::read(key_file).unwrap();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -12,7 +12,6 @@
     pub(super) const NEW: Health =
         Health { allowed: Ramp::STEPS, fresh_from: Duration::ZERO, answers: 0, misses: 0, hold: Self::HOLD };
 
-    /// Evidence starts anew.
     pub(super) fn clear(&mut self, from: Duration, allowed: u32) {
         *self = Health { allowed, fresh_from: from, hold: self.hold, ..Self::NEW };
     }
--- a/src/decide/ramp.rs
+++ b/src/decide/ramp.rs
@@ -33,7 +33,8 @@
         for p in &mut self.peers {
             let by_age = Ramp::allowed(now, p.warm_at, self.graces.warm_up);
             // Against a planner that hears little, or a pool that presses hard: it would raise what is full.
-            let eases = |x: &Sample| x.at > p.ramp.since && x.cpu.is_none_or(|busy| busy < Zones::EASY);
+            let room = Levels::FULL * f64::from(p.ramp.step) / f64::from(p.ramp.step + 1);
+            let eases = |x: &Sample| x.at > p.ramp.since && x.cpu.is_none_or(|busy| busy < room);
             let shown = by_age == Ramp::STEPS || p.load.0.back().is_some_and(eases);
             if p.ramp.step > 0 && p.ramp.step < by_age.min(p.health.allowed) && shown {
                 (p.ramp.step, p.ramp.since) = (p.ramp.step + 1, now + self.channel.pace.worst_transit);
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -682,12 +682,12 @@
 ) {
     // Found on releases: servers of a slow kind came back at the mean of their pool, twice what they are able to.
     let mut rig = Rig::with_servers(0, 1);
-    let of = |s: Server| if s % 2 == 0 { 1 } else { 2 };
+    let of = |s: Server| if s.is_multiple_of(2) { 1 } else { 2 };
     let entries: Vec<Listed> =
         (0..6).map(|s| Listed { kind: of(s), ..listed(s, 0, Phase::Ready, None) }).collect();
     rig.list(true, &entries);
     rig.planner.joined(rig.now, 0, 0, true, 1.0);
-    let told = |s: Server| (s < 6).then_some((5, 0, [if s % 2 == 0 { 0.3 } else { 0.9 }, 0.0]));
+    let told = |s: Server| (s < 6).then_some((5, 0, [if s.is_multiple_of(2) { 0.3 } else { 0.9 }, 0.0]));
     rig.run(Duration::from_secs(12), told);
     let mean = (0..6).map(|s| rig.weight(0, s)).sum::<f32>() / 6.0;
     rig.list(false, &[Listed { kind, ..listed(6, 0, Phase::Ready, Some(ms(500))) }]);
