--- a/crates/accord/src/convene/mod.rs
+++ b/crates/accord/src/convene/mod.rs
@@ -165,7 +165,11 @@
         match &mut self.phase {
             Phase::Seeking(fetch, ..) => {
                 let word = fetch.ask();
-                seats.iter().for_each(|id| host.say(*id, word.clone()));
+                for id in seats {
+                    host.say(*id, word.clone());
+                    // So that they renew, and tell what they act by: it may be what is sought, held by a former convener.
+                    host.say(*id, Word::Call { token, standing });
+                }
             }
             Phase::Under(under) => {
                 for id in seats.iter().filter(|id| !under.prepared.contains(id)) {
