Start the task of editions only where editions are agreed on

Seen: "the member has ended" in the rehearsals with three controllers whose settings name no editions: the task returned at once, and a member ends with any of its tasks. Line at fault: `accord::run` in members.

--- a/crates/members/src/accord.rs
+++ b/crates/members/src/accord.rs
@@ -202,5 +202,8 @@
 }
 
 pub(crate) fn run(shared: &Rc<Shared>, tasks: &mut JoinSet<()>) {
-    tasks.spawn_local(tick(shared.clone()));
+    // A task that ends ends the member.
+    if shared.editions.is_some() {
+        tasks.spawn_local(tick(shared.clone()));
+    }
 }
