Take out of editions what stood twice, and forget refusals that are known

Found by reading the whole change. - One `Hash::of` in place of four, one bound for what goes in a word in place of two, `Under::new`, `Edition::done`; `Bench::write` says whether it wrote. `Word::Late` moved nobody and `until` was asked by nobody. - A start counted two lives, with two commits to the disk: the duties' and the editions' are one now. - Refused proposals were remembered in every later edition for ever; those that their member does not ask for any more are forgotten. - The test of two histories ended without looking whether they are named: it could not fail on that.

No other behaviour is meant to differ.

--- a/crates/accord/src/convene/mod.rs
+++ b/crates/accord/src/convene/mod.rs
@@ -6,16 +6,13 @@
 use crate::edition::{Done, Edition, Hash, Kept};
 use crate::fetch::Fetch;
 use crate::terms::{Host, Terms};
-use crate::word::{Manifest, Name, Proposal, Ticket, Word};
+use crate::word::{MOST_INLINE, Manifest, Name, Proposal, Ticket, Word};
 use grebespool_duties::{Record, Token};
 use grebespool_succession::Id;
 use queue::{Queue, Taken};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Changes of so many bytes go in one word, and in the journal's record.
-const MOST_INLINE: usize = 96 << 10;
-
 /// An edition under way.
 #[derive(Debug, Clone)]
 struct Under {
@@ -30,6 +27,14 @@
     tickets: Vec<(Id, Ticket)>,
 }
 
+impl Under {
+    /// `fixed`: found in the journal, and not begun here.
+    fn new(edition: Edition, manifest: Manifest, fixed: bool, tickets: Vec<(Id, Ticket)>) -> Box<Under> {
+        let (prepared, begun) = (BTreeSet::new(), fixed);
+        Box::new(Under { edition, manifest, prepared, begun, fixed, held: false, tickets })
+    }
+}
+
 #[derive(Debug, Clone)]
 enum Phase {
     /// What the journal tells of is not here: somebody of the majority that has it is asked.
@@ -121,16 +126,7 @@
             }
             (Some(edition), Some(base)) => {
                 self.standing = base;
-                let under = Under {
-                    edition,
-                    manifest: manifest.clone(),
-                    prepared: BTreeSet::new(),
-                    begun: true,
-                    fixed: true,
-                    held: false,
-                    tickets: vec![],
-                };
-                self.phase = Phase::Under(Box::new(under));
+                self.phase = Phase::Under(Under::new(edition, manifest.clone(), true, vec![]));
             }
             // The one before it is asked for first: what follows may be made out of it.
             (_, None) if !*ended && fetch.hash != manifest.base => *fetch = Fetch::new(manifest.base),
@@ -254,12 +250,11 @@
                 Ok(next) => {
                     (content, changes) = (next, [changes, more.clone()].concat());
                     tickets.push((*from, *ticket));
-                    done.entry(*from).or_insert_with(|| self.queue.done(&self.standing, *from)).last =
-                        *ticket;
+                    done.entry(*from).or_insert_with(|| self.standing.done(*from)).last = *ticket;
                 }
                 Err(_) if !changes.is_empty() && judge(self.standing.content()).is_ok() => waits.push(taken),
                 Err(why) => {
-                    let known = done.entry(*from).or_insert_with(|| self.queue.done(&self.standing, *from));
+                    let known = done.entry(*from).or_insert_with(|| self.standing.done(*from));
                     known.last = *ticket;
                     known.refused.insert(*ticket);
                     self.queue.refuse(*from, *ticket, why.clone());
@@ -268,6 +263,10 @@
             }
         }
         self.queue.put_back(waits);
+        // What a member knows to be refused need not go from edition to edition for ever.
+        for (from, known) in &mut done {
+            known.refused.retain(|ticket| self.queue.asks(*from, *ticket));
+        }
         if changes.is_empty() {
             return;
         }
@@ -282,16 +281,8 @@
         };
         let token = self.token;
         seats.iter().for_each(|id| host.say(*id, Word::Prepare { token, manifest: manifest.clone() }));
-        let under = Under {
-            edition,
-            manifest,
-            prepared: BTreeSet::new(),
-            begun: false,
-            fixed: false,
-            held: false,
-            tickets,
-        };
-        (self.phase, self.may_begin) = (Phase::Under(Box::new(under)), false);
+        let under = Under::new(edition, manifest, false, tickets);
+        (self.phase, self.may_begin) = (Phase::Under(under), false);
     }
 
     /// A majority has the step that was begun.
@@ -385,7 +376,7 @@
         proposals: Vec<Proposal>,
         seats: &[Id],
     ) {
-        let known = self.queue.done(&self.standing, from);
+        let known = self.standing.done(from);
         let mut proposals = proposals;
         if let Phase::Under(under) = &mut self.phase
             && let Some(done) = under.manifest.done.get(&from)
--- a/crates/accord/src/convene/queue.rs
+++ b/crates/accord/src/convene/queue.rs
@@ -1,7 +1,7 @@
 //! Proposals that wait for an edition.
 
 use crate::content::Change;
-use crate::edition::{Done, Edition, Hash};
+use crate::edition::{Done, Hash};
 use crate::fetch::Fetch;
 use crate::terms::Host;
 use crate::word::{Body, Proposal, Ticket, Word};
@@ -29,6 +29,8 @@
     waiting: Vec<(Id, Ticket, bool, Waits)>,
     /// Those that came to nothing, each with why: said again where the answer was lost.
     refused: BTreeMap<(Id, Ticket), Vec<String>>,
+    /// The first that each member has not been answered, as it last said.
+    asks: BTreeMap<Id, Ticket>,
 }
 
 impl Queue {
@@ -39,9 +41,9 @@
         !self.waiting.iter().any(|w| matches!(w.3, Waits::Here(_)))
     }
 
-    /// What is known of a member's proposals beyond what stands.
-    pub fn done(&self, standing: &Edition, from: Id) -> Done {
-        standing.blob.done.get(&from).cloned().unwrap_or_default()
+    /// Whether a member may not know yet what became of this one.
+    pub fn asks(&self, from: Id, ticket: Ticket) -> bool {
+        self.asks.get(&from).is_none_or(|first| ticket >= *first)
     }
 
     pub fn refuse(&mut self, from: Id, ticket: Ticket, why: Vec<String>) {
@@ -60,6 +62,7 @@
         // What it does not ask for any more, it knows.
         let first = proposals.first().map_or(Ticket::MAX, |p| p.ticket);
         self.refused.retain(|(id, ticket), _| *id != from || *ticket >= first);
+        self.asks.insert(from, first);
         for Proposal { ticket, body, forced } in proposals {
             if let Some(why) = self.refused.get(&(from, ticket)) {
                 host.say(from, Word::Proposed { ticket, done: Err(why.clone()) });
@@ -99,7 +102,7 @@
             let word = fetch.ask();
             return host.say(from, word);
         };
-        let sound = Hash(*blake3::hash(&whole).as_bytes()) == hash;
+        let sound = Hash::of(&whole) == hash;
         let changes = postcard::from_bytes::<Vec<Change>>(&whole).ok().filter(|_| sound);
         let at = self.waiting.iter().position(|w| (w.0, w.1) == (from, ticket));
         match (changes, at) {
--- a/crates/accord/src/edition.rs
+++ b/crates/accord/src/edition.rs
@@ -15,6 +15,12 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Hash(pub [u8; 32]);
 
+impl Hash {
+    pub fn of(bytes: &[u8]) -> Hash {
+        Hash(*blake3::hash(bytes).as_bytes())
+    }
+}
+
 impl fmt::Debug for Hash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         fmt::Display::fmt(self, f)
@@ -60,7 +66,7 @@
 
 impl Edition {
     pub fn new(blob: Blob) -> Edition {
-        let hash = Hash(*blake3::hash(&blob.bytes()).as_bytes());
+        let hash = Hash::of(&blob.bytes());
         Edition { blob, hash }
     }
 
@@ -70,7 +76,7 @@
     ///
     /// They are not those of the hash, or no edition.
     pub fn read(bytes: &[u8], hash: Hash) -> Result<Edition, String> {
-        let found = Hash(*blake3::hash(bytes).as_bytes());
+        let found = Hash::of(bytes);
         if found != hash {
             return Err(format!("bytes of {found} came as {hash}"));
         }
@@ -90,6 +96,11 @@
         (self.blob.number, self.hash)
     }
 
+    /// What became of a member's proposals.
+    pub fn done(&self, id: Id) -> Done {
+        self.blob.done.get(&id).cloned().unwrap_or_default()
+    }
+
     /// The next one.
     pub fn next(&self, changes: &[Change], done: &BTreeMap<Id, Done>) -> Edition {
         let mut blob = self.blob.clone();
--- a/crates/accord/src/holder.rs
+++ b/crates/accord/src/holder.rs
@@ -118,10 +118,6 @@
         }
     }
 
-    pub fn until(&self) -> Duration {
-        self.until
-    }
-
     pub fn view(&self) -> View {
         let standing = self.kept.standing.content();
         self.kept
@@ -164,11 +160,10 @@
         }
     }
 
-    /// Whether a word is of the newest convener. An older one is told, and learns that it is over.
+    /// Whether a word is of the newest convener; the fence of the journal's duty ends an older one.
     fn heeds(&mut self, host: &mut impl Host, now: Duration, from: Id, token: Token) -> bool {
         let seen = self.kept.seen;
         if token < seen {
-            host.say(from, Word::Late { seen });
             return false;
         }
         if token > seen {
@@ -186,16 +181,16 @@
 
     /// Another content under a number that is taken here: two histories, which no rule can make one.
     fn other_history(&mut self, host: &mut impl Host, told: Name) -> bool {
-        let known = [Some(self.kept.standing.name()), None];
-        let other = known.into_iter().flatten().find(|k| k.0 == told.0 && k.1 != told.1);
-        if let Some((number, hash)) = other {
+        let (number, hash) = self.kept.standing.name();
+        let other = number == told.0 && hash != told.1;
+        if other {
             let text = format!(
                 "edition {number} is {hash} here and {} at the convener: two histories; this member acts by none",
                 told.1
             );
             self.note(host, text);
         }
-        other.is_some()
+        other
     }
 
     pub fn woken(&mut self, host: &mut impl Host, now: Duration) {
--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -6,7 +6,7 @@
 use crate::fetch;
 use crate::holder::{Acts, Holder};
 use crate::terms::{Host, Terms};
-use crate::word::{Body, Name, Proposal, Ticket, Word};
+use crate::word::{Body, MOST_INLINE, Name, Proposal, Ticket, Word};
 use grebespool_duties::{Record, Token};
 use grebespool_succession::Id;
 use std::collections::{BTreeMap, VecDeque};
@@ -88,8 +88,6 @@
 impl<H: Host> Member<H> {
     /// Proposals that wait for an answer.
     const MOST_WAITING: usize = 1024;
-    /// Of changes in one word.
-    const MOST_SAID: usize = 96 << 10;
 
     /// `life` rises with each start, whatever else is lost.
     pub fn start(host: H, own: Id, terms: Terms, kept: Kept, life: u32) -> Member<H> {
@@ -125,11 +123,6 @@
         self.holder.acts(now)
     }
 
-    /// Until when its lease runs.
-    pub fn until(&self) -> Duration {
-        self.holder.until()
-    }
-
     /// What it goes by. Without a lease, only what stands of it is gone on with.
     pub fn view(&self) -> View {
         let mut view = self.holder.view();
@@ -180,10 +173,10 @@
         }
         let closes = changes.iter().filter_map(Change::closes).cloned().collect();
         self.ticket += 1;
-        let (body, bytes) = if bytes.len() <= Self::MOST_SAID {
+        let (body, bytes) = if bytes.len() <= MOST_INLINE {
             (Body::Changes(changes), vec![])
         } else {
-            (Body::Bytes(Hash(*blake3::hash(&bytes).as_bytes())), bytes)
+            (Body::Bytes(Hash::of(&bytes)), bytes)
         };
         let proposal = Proposal { ticket: self.ticket, body, forced };
         self.waiting.insert(self.ticket, Waiting { proposal, bytes, closes });
@@ -198,7 +191,7 @@
         let (mut proposals, mut bytes) = (vec![], 0);
         for waiting in self.waiting.values() {
             bytes += postcard::to_stdvec(&waiting.proposal).map_or(0, |b| b.len());
-            if bytes > Self::MOST_SAID && !proposals.is_empty() {
+            if bytes > MOST_INLINE && !proposals.is_empty() {
                 break;
             }
             proposals.push(waiting.proposal.clone());
@@ -326,8 +319,6 @@
                 }
                 self.holder.part(local!(self), now, (hash, part, parts, bytes));
             }
-            // Whoever is newer calls; the duty's own fence ends this one.
-            Word::Late { .. } => {}
         }
     }
 
--- a/crates/accord/src/word.rs
+++ b/crates/accord/src/word.rs
@@ -7,6 +7,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// Changes of so many bytes go in one word, and in the journal's record.
+pub(crate) const MOST_INLINE: usize = 96 << 10;
+
 /// A member's proposal: a later one has a higher number, over all starts of the member.
 pub type Ticket = u64;
 
@@ -96,8 +99,4 @@
         ticket: Ticket,
         done: Result<u64, Vec<String>>,
     },
-    /// A newer convener has been here.
-    Late {
-        seen: Token,
-    },
 }
--- a/crates/members/src/accord.rs
+++ b/crates/members/src/accord.rs
@@ -73,12 +73,12 @@
     /// # Errors
     ///
     /// The disk's.
-    pub fn open(store: &Store, own: Id, terms: Terms) -> io::Result<Editions> {
+    pub fn open(store: &Store, own: Id, life: u32, terms: Terms) -> io::Result<Editions> {
         let damaged = |why: &str| {
             warn!(why, "what was held of editions is damaged; the convener is asked for all of it")
         };
         let kept = store.editions(damaged)?;
-        let member = Member::start(Slate::default(), own, terms, kept, store.live()?);
+        let member = Member::start(Slate::default(), own, terms, kept, life);
         Ok(Editions { member: RefCell::new(member), called: Notify::new(), asking: RefCell::default() })
     }
 }
@@ -116,14 +116,7 @@
             }
         }
         if let Some((token, content)) = asked.fix {
-            let begun = self.duty(|d, now| {
-                let mut begun = false;
-                Bench::write(d, duty, |d| {
-                    begun = d.begin(now, duty, content);
-                    begun
-                });
-                begun
-            });
+            let begun = self.duty(|d, now| Bench::write(d, duty, |d| d.begin(now, duty, content)));
             if begun != Some(true) {
                 self.agree(|m, now| m.unfixed(now, token));
             }
--- a/crates/members/src/duties.rs
+++ b/crates/members/src/duties.rs
@@ -125,7 +125,7 @@
     /// # Errors
     ///
     /// The disk's.
-    pub fn open(store: &Store, own: Id, work: Fleetwork) -> io::Result<Bench> {
+    pub fn open(store: &Store, own: Id, life: u32, work: Fleetwork) -> io::Result<Bench> {
         let names = work.names();
         let damaged = |name: &str, why: &str| {
             warn!(
@@ -135,7 +135,7 @@
         };
         let (cells, copied) = store.cells(&names, damaged)?;
         let stands_for = number("grebespool 2026 duties", names.join("\n").as_bytes());
-        let (life, tally) = (store.live()?, store.tally()?);
+        let tally = store.tally()?;
         let known = (stands_for, names.len());
         let duties = Duties::start(Slate::default(), own, work.terms, known, life, cells, copied, tally);
         Ok(Bench {
@@ -163,12 +163,18 @@
         self.duties.borrow().may(now, duty)
     }
 
-    /// Has the work rest until what `what` writes stands; as it was where it writes nothing.
-    pub fn write(duties: &mut Duties<Slate>, duty: Duty, what: impl FnOnce(&mut Duties<Slate>) -> bool) {
-        let Some(before) = duties.host().go_on.remove(&duty) else { return };
-        if !what(duties) {
+    /// Has the work rest until what `what` writes stands; as it was where it writes nothing. Whether it wrote.
+    pub fn write(
+        duties: &mut Duties<Slate>,
+        duty: Duty,
+        what: impl FnOnce(&mut Duties<Slate>) -> bool,
+    ) -> bool {
+        let Some(before) = duties.host().go_on.remove(&duty) else { return false };
+        let written = what(duties);
+        if !written {
             duties.host().go_on.entry(duty).or_insert(before);
         }
+        written
     }
 
     /// Which period it is, by the clock on the wall: all members have to agree on that.
--- a/crates/members/src/run.rs
+++ b/crates/members/src/run.rs
@@ -367,16 +367,14 @@
         .map_err(|why| Unrunnable::Key { path: key_file.display().to_string(), why })?;
     let damaged = |order: (u64, u64), why| warn!(?order, %why, "a damaged memory is set aside");
     let memory = store.memory(damaged).map_err(|why| Unrunnable::Memory(why.to_string()))?;
-    let work = work
-        .map(|w| Bench::open(&store, kept.id, w))
+    let duties = |why: io::Error| Unrunnable::Duties(why.to_string());
+    let life = if work.is_some() { store.live().map_err(duties)? } else { 0 };
+    let work = work.map(|w| Bench::open(&store, kept.id, life, w)).transpose().map_err(duties)?;
+    let agree = work.as_ref().and_then(|w| w.work.agree.clone());
+    let editions = agree
+        .map(|terms| Editions::open(&store, kept.id, life, terms))
         .transpose()
-        .map_err(|why| Unrunnable::Duties(why.to_string()))?;
-    let editions = match work.as_ref().and_then(|w| w.work.agree.clone()) {
-        Some(terms) => Some(
-            Editions::open(&store, kept.id, terms).map_err(|why| Unrunnable::Editions(why.to_string()))?,
-        ),
-        None => None,
-    };
+        .map_err(|why| Unrunnable::Editions(why.to_string()))?;
     let (told, written) = mpsc::unbounded_channel();
     let (change, changes) = watch::channel(Change::Follow);
     let own = Own { fleet: kept.fleet, id: kept.id };
