Tell proxies that count levels as rates a rate, and not a share of one call a second

Cause: `push_levels` (src/decide/orders.rs) wrote `if self.plane.levels { wanted } else { 1.0 }`. 1.0 is all as a share; as a rate it is one call a second of each route at each proxy, of which the busy ones are asked for several. Ruled out: discovery (no call failed in the planners' logs), reports (all tables learnt), a crowd (used spread 1.5 to 1.8). Change: `throttle_by` (share, rate, off) in place of a flag; all of a route is a rate that no proxy comes near; less of it is the rate that lets in as much of what came to each proxy as the share would, what the quiet ones leave going to the others, in steps of a tenth. Where levels are off, a crowd writes none any more. A kind that is not known is refused by name. `rooms`, a plain view, moved to kept.rs.

--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -468,7 +468,7 @@
         host::DataPlane {
             zones: self.zones.len(),
             slices: self.slices,
-            levels: self.proxies.levels,
+            throttle_by: if self.proxies.levels { host::ThrottleBy::Share } else { host::ThrottleBy::Off },
             try_factor: self.proxies.try_factor,
             proxies: self.proxies.expected,
             least_conns: self.servers.least_connections,
--- a/crates/stated/src/lib.rs
+++ b/crates/stated/src/lib.rs
@@ -99,11 +99,18 @@
     }
 
     pub fn plane(&self) -> Result<DataPlane, Malformed> {
-        let throttle: Option<String> = self.optional("familyInfo.throttleBy")?;
+        let throttle_by: Option<String> = self.optional("familyInfo.throttleBy")?;
+        let throttle_by = match throttle_by.as_deref() {
+            Some("share") => ThrottleBy::Share,
+            Some("rate") => ThrottleBy::Rate,
+            None | Some("off") => ThrottleBy::Off,
+            // A level of one of them means something else to each.
+            Some(other) => return malformed(format!("setting familyInfo.throttleBy is unknown: {other}")),
+        };
         Ok(DataPlane {
             zones: self.list("zones").count(),
             slices: self.optional("familyInfo.slices")?.unwrap_or(0),
-            levels: throttle.as_deref() == Some("share"),
+            throttle_by,
             try_factor: self.optional("familyInfo.tryFactor")?.unwrap_or(1.0),
             proxies: self.optional("familyInfo.dataPlaneSize")?.unwrap_or(0),
             least_conns: self.optional("familyInfo.connsLeast")?.unwrap_or(f64::INFINITY),
--- a/crates/stated/tests/stated.rs
+++ b/crates/stated/tests/stated.rs
@@ -1,5 +1,6 @@
 //! The same deployment as pairs of text and as nested JSON.
 
+use grebespool::host::ThrottleBy;
 use grebespool_stated::Stated;
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -57,3 +58,16 @@
     *settings.pointer_mut(at).unwrap() = value;
     assert_eq!(Stated::json(&settings).pace().unwrap_err().0, says);
 }
+
+/// What a level means to proxies is stated, and a kind that is not known is no guess.
+#[rstest]
+#[case::shares(json!("share"), Ok(ThrottleBy::Share))]
+#[case::rates(json!("rate"), Ok(ThrottleBy::Rate))]
+#[case::off(json!("off"), Ok(ThrottleBy::Off))]
+#[case::left_out(Value::Null, Ok(ThrottleBy::Off))]
+#[case::unknown(json!("tokens"), Err("setting familyInfo.throttleBy is unknown: tokens".to_string()))]
+fn what_levels_are_is_stated(#[case] stated: Value, #[case] is: Result<ThrottleBy, String>) {
+    let mut settings = nested();
+    settings["familyInfo"]["throttleBy"] = stated;
+    assert_eq!(Stated::json(&settings).plane().map(|p| p.throttle_by).map_err(|m| m.0), is);
+}
--- a/src/decide/levels.rs
+++ b/src/decide/levels.rs
@@ -70,8 +70,7 @@
         if pressure < 1.1 && !late && !self.throttled() {
             return;
         }
-        let came =
-            |a: &VecDeque<(Duration, f64, Option<Zone>)>| a.iter().filter(|a| a.0 > from).map(|a| a.1).sum();
+        let came = |a: &VecDeque<Arrived>| a.iter().filter(|a| a.0 > from).map(|a| a.1).sum();
         let calls: Vec<f64> = self.arrived.iter().map(came).collect();
         let let_in: f64 = calls.iter().zip(&self.wanted).map(|(c, w)| c * f64::from(*w)).sum();
         // Those that left have done less than their part of the window already: what stays counts by itself.
@@ -96,13 +95,27 @@
 
 impl<H: Host> Planner<H> {
     pub fn came(&mut self, now: Duration, proxy: Proxy, route: usize, calls: u32) {
-        let zone = self.proxies.get(&proxy).map(|p| p.zone);
         if let Some(list) = self.levels.arrived.get_mut(route) {
-            list.push_back((now, f64::from(calls), zone));
+            list.push_back((now, f64::from(calls), proxy));
             drop_old(list, now, Peer::KEPT, |a| a.0);
         }
     }
 
+    /// What is wanted of a route, as proxies count it. As a rate, which none reaches where all is let in: what
+    /// those that are asked for little leave goes to the others; in coarse steps, so that noise writes none.
+    pub(super) fn level(&self, now: Duration, r: usize) -> f32 {
+        match (self.plane.throttle_by, self.levels.wanted[r]) {
+            (ThrottleBy::Off, _) => 1.0,
+            (ThrottleBy::Share, wanted) => wanted,
+            (ThrottleBy::Rate, wanted) if wanted >= 1.0 => 1e9,
+            (ThrottleBy::Rate, wanted) => {
+                let rates = rates(&self.levels.arrived[r], Peer::KEPT, now);
+                let even = evenly(&rates, f64::from(wanted) * rates.iter().sum::<f64>());
+                (Levels::GAIN.ln() * (even.ln() / Levels::GAIN.ln()).round()).exp() as f32
+            }
+        }
+    }
+
     /// What part of the calls that came the sums tell of. Against a zone whose sums are cut off while usage
     /// still comes: its calls would count and what servers do for them would not. Harm: where nothing that a
     /// zone lets in finds a server, as much too many are let in at the others.
@@ -116,8 +129,9 @@
         let window = Levels::window(self.sight.cycle);
         let heard = |z: Zone| newest.get(usize::from(z)).is_none_or(|at| *at + window >= last);
         let came = self.levels.arrived.iter().flatten().filter(|a| a.0 > now.saturating_sub(window));
-        let add = |[told, all]: [f64; 2], a: &(Duration, f64, Option<Zone>)| {
-            [told + if a.2.is_none_or(heard) { a.1 } else { 0.0 }, all + a.1]
+        let add = |[told, all]: [f64; 2], a: &Arrived| {
+            let heard = self.proxies.get(&a.2).is_none_or(|p| heard(p.zone));
+            [told + if heard { a.1 } else { 0.0 }, all + a.1]
         };
         let [told, all] = came.fold([0.0; 2], add);
         if all > 0.0 { (told / all).max(Levels::TOLD) } else { 1.0 }
--- a/src/decide/lists.rs
+++ b/src/decide/lists.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 impl Peer {
-    pub(super) const KEPT: Duration = Duration::from_secs(8);
+    pub(crate) const KEPT: Duration = Duration::from_secs(8);
     pub(super) const STILL: Duration = Duration::from_secs(3);
 
     pub(super) fn open(&self) -> bool {
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -119,9 +119,8 @@
     /// Whether levels were sent; they go to every proxy, so all else may go with them. One pool that is
     /// often written would otherwise keep them from all, so they may use more than an ordinary push.
     pub(super) fn push_levels(&mut self, now: Duration, bound: f64, head: f64) -> bool {
-        let tries: Vec<Tries> = (0..self.routes.len()).map(|r| self.tries(r)).collect();
-        let changed = |r: &usize| self.levels.written[*r] != (self.levels.wanted[*r], tries[*r]);
-        let levels: Vec<usize> = (0..tries.len()).filter(changed).collect();
+        let told: Vec<_> = (0..self.routes.len()).map(|r| (self.level(now, r), self.tries(r))).collect();
+        let levels: Vec<usize> = (0..told.len()).filter(|r| told[*r] != self.levels.written[*r]).collect();
         let cost = bound * (levels.len() as f64 + head);
         let may = |p: &mut Pool| self.channel.may_message(now, &mut p.sent, Channel::CROWDED);
         let may = !levels.is_empty() && !self.pools.is_empty() && self.pools.iter_mut().all(may);
@@ -129,9 +128,8 @@
             return false;
         }
         for r in levels {
-            self.levels.written[r] = (self.levels.wanted[r], tries[r]);
-            let share = if self.plane.levels { self.levels.wanted[r] } else { 1.0 };
-            self.host.admit(1 << r, share, tries[r]);
+            self.levels.written[r] = told[r];
+            self.host.admit(1 << r, told[r].0, told[r].1);
         }
         self.channel.add(cost);
         self.pools.iter_mut().for_each(|p| p.sent.extend((bound > 0.0).then_some(now)));
--- a/src/decide/zones.rs
+++ b/src/decide/zones.rs
@@ -87,20 +87,4 @@
         }
         self.push(now);
     }
-
-    /// What each zone's servers are able to, in calls a second, and what came for each route in the zone.
-    pub fn rooms(&self, now: Duration) -> Vec<(f64, Vec<f64>)> {
-        let (from, span) = (now.saturating_sub(Peer::KEPT), Peer::KEPT.min(now).as_secs_f64().max(1.0));
-        let room = |z: Zone| {
-            let able = self.peers.iter().filter(|p| p.ready() && p.zone == z).map(|p| {
-                let busy = p.load.mean(from, |x| x.cpu).unwrap_or(0.7).clamp(0.05, 1.0);
-                p.load.sum(from, Sample::answered) / busy / span
-            });
-            let came = |a: &VecDeque<(Duration, f64, Option<Zone>)>| {
-                a.iter().filter(|a| a.0 > from && a.2 == Some(z)).map(|a| a.1).sum::<f64>() / span
-            };
-            (able.sum(), self.levels.arrived.iter().map(came).collect())
-        };
-        (0..self.zones.busy.len() as Zone).map(room).collect()
-    }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -15,7 +15,8 @@
     fn wake(&mut self, at: Duration, token: u32);
     fn set_line(&mut self, table: Table, server: Server, weight: f32);
     fn bind(&mut self, proxy: Proxy, table: Table, routes: RouteSet);
-    /// Sets what share of the routes' calls all joined proxies let in, and when they try again.
+    /// Sets how much of the routes' calls all joined proxies let in, as their levels count it ([`ThrottleBy`]), and when they
+    /// try again.
     fn admit(&mut self, routes: RouteSet, level: f32, tries: Tries);
     fn mark(&mut self, number: u16);
     fn probe(&mut self, server: Server);
@@ -103,13 +104,23 @@
     pub ask_within: Option<Duration>,
 }
 
+/// What a level is at the proxies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ThrottleBy {
+    /// The share of a route's calls that is let in; 1 for all of them.
+    Share,
+    /// Calls a second of each route at each proxy.
+    Rate,
+    /// Nothing: proxies go only by when to try again.
+    Off,
+}
+
 /// How the proxies behave on their own.
 #[derive(Clone, Copy, Debug)]
 pub struct DataPlane {
     pub zones: usize,
     pub slices: usize,
-    /// Levels are shares of a route's calls; otherwise none are set.
-    pub levels: bool,
+    pub throttle_by: ThrottleBy,
     /// A try that may be followed by another waits this multiple of the SLO time.
     pub try_factor: f64,
     /// All there are, whoever they are joined to.
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -160,12 +160,14 @@
     pub since: Duration,
 }
 
+/// When calls of a route came, how many, and to which proxy.
+pub type Arrived = (Duration, f64, Proxy);
+
 /// How full the pool is, how much of each route is let in, and when proxies try again.
 pub struct Levels {
     /// What servers are sent as a part of what they could answer.
     pub pressure: f64,
-    /// When calls came, how many, and the zone of their proxy.
-    pub arrived: Vec<VecDeque<(Duration, f64, Option<Zone>)>>,
+    pub arrived: Vec<VecDeque<Arrived>>,
     pub wanted: Vec<f32>,
     /// What no route is let in beyond, whatever is measured.
     pub most: Vec<f32>,
@@ -288,3 +290,42 @@
     let [cold, all] = ready.fold([0.0; 2], |[c, n], p| [c + f64::from(u8::from(p.ramp.cold)), n + 1.0]);
     cold / f64::max(all, 1.0)
 }
+
+impl<H> Planner<H> {
+    /// What each zone's servers are able to, in calls a second, and what came for each route in the zone.
+    pub fn rooms(&self, now: Duration) -> Vec<(f64, Vec<f64>)> {
+        let (from, span) = (now.saturating_sub(Peer::KEPT), Peer::KEPT.min(now).as_secs_f64().max(1.0));
+        let room = |zone: Zone| {
+            let able = self.peers.iter().filter(|p| p.ready() && p.zone == zone).map(|p| {
+                let busy = p.load.mean(from, |x| x.cpu).unwrap_or(0.7).clamp(0.05, 1.0);
+                p.load.sum(from, Sample::answered) / busy / span
+            });
+            let here = |a: &&Arrived| a.0 > from && self.proxies.get(&a.2).is_some_and(|p| p.zone == zone);
+            let came = |a: &VecDeque<Arrived>| a.iter().filter(here).map(|a| a.1).sum::<f64>() / span;
+            (able.sum(), self.levels.arrived.iter().map(came).collect())
+        };
+        (0..self.zones.busy.len() as Zone).map(room).collect()
+    }
+}
+
+/// Calls a second that came to each proxy, over as long as they are kept.
+pub fn rates(arrived: &VecDeque<Arrived>, kept: Duration, now: Duration) -> Vec<f64> {
+    let (from, span) = (now.saturating_sub(kept), kept.min(now).as_secs_f64().max(1.0));
+    let mut rates: BTreeMap<Proxy, f64> = BTreeMap::new();
+    arrived.iter().filter(|a| a.0 > from).for_each(|a| *rates.entry(a.2).or_default() += a.1 / span);
+    rates.into_values().collect()
+}
+
+/// The most that each may have where `sum` is shared out evenly and nobody gets more than it asks for.
+pub fn evenly(asked: &[f64], sum: f64) -> f64 {
+    let mut asked = asked.to_vec();
+    asked.sort_by(f64::total_cmp);
+    let (mut left, mut others) = (sum, asked.len() as f64);
+    for own in asked {
+        if own * others >= left {
+            return left / others;
+        }
+        (left, others) = (left - own, others - 1.0);
+    }
+    f64::INFINITY
+}
