Owe nothing to anybody when something ends: moves of discovery, last words, joinings at once

The call that was left is now heard out beside the new one, until that has given its whole list. What is asked next is now crates/platform/src/watch.rs, free of I/O. - The same, `follow`: a task that ended by a fault was begun anew and waited to be asked, the decisions believing in a watch. `under_way` stays set and is told as a failure. What waits is now written, for half a second at most; the proxy counts as left at once. - stream.rs, `accept`: up to 128 are accepted before any is read, and those too many went unread: of 120 proxies that came in one instant with their joinings 110 were turned away.

--- a/crates/outgoing/src/lib.rs
+++ b/crates/outgoing/src/lib.rs
@@ -29,6 +29,8 @@
     patience: RefCell<Patience>,
     /// Nothing more is taken; what waits is written if that goes in time.
     closing: Cell<bool>,
+    /// It was cut because it did not take its bytes.
+    slow: Cell<bool>,
     changed: Notify,
     cut: Notify,
 }
@@ -39,17 +41,26 @@
             bytes: RefCell::default(),
             patience: RefCell::new(patience),
             closing: Cell::new(false),
+            slow: Cell::new(false),
             changed: Notify::new(),
             cut: Notify::new(),
         }
     }
 
+    /// Against one who goes on asking and takes no answer: until its oldest byte has waited for too long, what waits
+    /// would grow as fast as it can ask. Where more waits already than may, it is too slow. Harm: a reader that is
+    /// handed all that in one turn, before any of it could be written, goes with the next message.
     pub fn put(&self, now: Duration, bytes: &[u8]) {
-        if !self.closing.get() {
-            self.patience.borrow_mut().handed(now, bytes.len());
-            self.bytes.borrow_mut().extend(bytes);
-            self.changed.notify_one();
+        if self.closing.get() {
+            return;
         }
+        if self.patience.borrow().full() {
+            self.slow.set(true);
+            return self.cut();
+        }
+        self.patience.borrow_mut().handed(now, bytes.len());
+        self.bytes.borrow_mut().extend(bytes);
+        self.changed.notify_one();
     }
 
     pub fn close(&self) {
@@ -72,7 +83,7 @@
     pub async fn write(&self, to: OwnedWriteHalf, began: Instant) -> Ended {
         tokio::select! {
             ended = self.write_all(to, began) => ended,
-            () = self.cut.notified() => Ended::Closed,
+            () = self.cut.notified() => if self.slow.get() { Ended::Slow } else { Ended::Closed },
         }
     }
 
--- a/crates/outgoing/src/patience.rs
+++ b/crates/outgoing/src/patience.rs
@@ -46,10 +46,15 @@
         self.waiting.front().map(|w| w.0 + self.longest)
     }
 
+    /// More waits than may.
+    pub fn full(&self) -> bool {
+        self.handed - self.taken > self.most as u64
+    }
+
     pub fn judge(&self, now: Duration) -> Verdict {
         match self.due() {
             Some(due) if now >= due => Verdict::Stalled,
-            _ if self.handed - self.taken > self.most as u64 => Verdict::Full,
+            _ if self.full() => Verdict::Full,
             _ => Verdict::Keep,
         }
     }
--- a/crates/outgoing/tests/outgoing.rs
+++ b/crates/outgoing/tests/outgoing.rs
@@ -59,3 +59,23 @@
         assert_eq!(got, b"abc");
     }
 }
+
+/// One who goes on asking and takes no answer: what waits for it stays bounded, whatever it asks, and it is let go.
+#[rstest]
+#[tokio::test]
+async fn a_reader_that_takes_nothing_holds_no_more_than_it_may() {
+    let (near, _far) = pair().await;
+    let out = Outgoing::new(Patience::new(ms(20_000), 96 << 10));
+    let (_from, to) = near.into_split();
+    let mut most = 0;
+    let asking = async {
+        for _ in 0..4000 {
+            out.put(ms(0), &[7; 8 << 10]);
+            most = most.max(out.waiting());
+            tokio::task::yield_now().await;
+        }
+    };
+    let (ended, ()) = tokio::join!(out.write(to, Instant::now()), asking);
+    assert_eq!(ended, Ended::Slow);
+    assert!(most <= (96 << 10) + (8 << 10), "{most}");
+}
--- a/crates/platform-run/src/discovery.rs
+++ b/crates/platform-run/src/discovery.rs
@@ -2,80 +2,108 @@
 
 use crate::http::{Client, get};
 use crate::{Shared, unix_ms};
-use std::net::SocketAddr;
+use bytes::Bytes;
+use grebespool_platform::Call;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 use tracing::info;
 
-/// How long a call of a watch waits for news. What happens while a call hangs counts as told soon after its wait is
-/// over, so a longer wait would leave drains unknown for longer.
-const WAIT: Duration = Duration::from_secs(4);
-/// Beyond the wait: the way there and back, and a service that is slow.
-const ANSWERS_WITHIN: Duration = Duration::from_millis(700);
-/// The service handles calls one after another; it gives up by itself before this.
-const CALL_LIMIT: Duration = Duration::from_millis(2200);
 /// A watch goes on only if its next call comes soon after the last answer; this is well within.
 const BREATH: Duration = Duration::from_millis(60);
 
+/// A connection to be used again, and the answer's status and body.
+type Answer = Result<(Option<Client>, u16, Bytes), String>;
+
+/// The call to the address that was left last, up to its answer's end. What the answer brings counts as told, whether
+/// or not the new address answers. Harm: one more connection, for as long as one call may take.
+type Left = Pin<Box<dyn Future<Output = ()>>>;
+
+fn none_left() -> Left {
+    Box::pin(std::future::pending())
+}
+
 /// Watches the list whenever that is asked, until it fails: then it is for the decisions to ask again.
 pub async fn follow(shared: Rc<Shared>) {
-    let mut kept: Option<Client> = None;
-    let mut place = shared.watch.address.get();
+    if shared.watch.state.borrow().under_way() {
+        // The decisions believe that a watch is on, and would never ask again.
+        end(&shared, "the part that asks for it has ended and is begun anew");
+    }
+    let mut left = none_left();
     loop {
-        while !shared.watch.asked.take() {
-            shared.watch.come.notified().await;
+        while !shared.watch.state.borrow_mut().begin() {
+            tokio::select! {
+                () = shared.watch.come.notified() => {}
+                () = &mut left => left = none_left(),
+            }
+        }
+        let why = watch(&shared, &mut left).await;
+        end(&shared, &why);
+    }
+}
+
+fn end(shared: &Shared, why: &str) {
+    shared.watch.state.borrow_mut().ended();
+    shared.call(|station, now| station.list_failed(now, why));
+}
+
+async fn ask(call: Call, mut kept: Option<Client>) -> Answer {
+    let (status, body) = get(&mut kept, call.address, &call.path, call.limit).await?;
+    Ok((kept, status, body))
+}
+
+fn take(shared: &Shared, call: &Call, answer: Answer) -> Result<Option<Client>, String> {
+    match answer? {
+        (client, 200, body) => {
+            shared.call(|station, now| station.list(now, unix_ms(), call.since, &body))?;
+            shared.watch.state.borrow_mut().answered(call);
+            Ok(client)
         }
-        let why = watch(&shared, &mut kept, &mut place).await;
-        kept = None;
-        shared.call(|station, now| station.list_failed(now, &why));
+        (_, status, _) => Err(format!("the call for the list was answered with status {status}")),
     }
 }
 
 /// Gives why it ended.
-async fn watch(shared: &Rc<Shared>, kept: &mut Option<Client>, place: &mut SocketAddr) -> String {
-    let mut first = true;
+async fn watch(shared: &Rc<Shared>, left: &mut Left) -> String {
+    let mut kept = None;
     loop {
-        let address = shared.watch.address.get();
-        if std::mem::replace(place, address) != address {
-            info!(%address, "the list is asked at another address");
-            // The versions of another service need not go on from here.
-            shared.watch.whole.set(true);
-            first = true;
-        }
-        let since = shared.station.borrow().list_version();
-        let since = since.filter(|_| !shared.watch.whole.take());
-        let (path, limit) = match (since, first) {
-            (None, _) => ("/v1/endpoints".to_string(), CALL_LIMIT),
-            // What was missed comes first, so that the decisions soon know that they were answered.
-            (Some(since), true) => (format!("/v1/endpoints?since={since}&timeout_ms=1"), CALL_LIMIT),
-            (Some(since), false) => {
-                let path = format!("/v1/endpoints?since={since}&timeout_ms={}", WAIT.as_millis());
-                (path, WAIT + ANSWERS_WITHIN)
-            }
-        };
+        let known = shared.station.borrow().list_version();
+        let call = shared.watch.state.borrow().call(known);
         let began = Instant::now();
-        let answer = tokio::select! {
-            answer = get(kept, address, &path, limit) => answer,
-            () = shared.watch.moved.notified() => {
-                *kept = None;
-                continue;
+        let mut asking = Box::pin(ask(call.clone(), kept.take()));
+        let answer = loop {
+            tokio::select! {
+                answer = &mut asking => break Some(answer),
+                () = &mut *left => *left = none_left(),
+                () = shared.watch.moved.notified() => {
+                    // A move from before this call was made is no news to it.
+                    if shared.watch.state.borrow().address() != call.address {
+                        break None;
+                    }
+                }
             }
         };
-        match answer {
-            Ok((200, body)) => {
-                let taken = shared.call(|station, now| station.list(now, unix_ms(), since, &body));
-                if let Err(why) = taken {
-                    return why;
+        let Some(answer) = answer else {
+            info!(address = %shared.watch.state.borrow().address(), "the list is asked at another address");
+            let shared = shared.clone();
+            *left = Box::pin(async move {
+                let answer = asking.await;
+                if let Err(why) = take(&shared, &call, answer) {
+                    info!(address = %call.address, why, "the address that was left has no more to tell");
                 }
-            }
-            Ok((status, _)) => return format!("the call for the list was answered with status {status}"),
+            });
+            continue;
+        };
+        match take(shared, &call, answer) {
+            Ok(client) => kept = client,
             Err(why) => return why,
         }
+        // This list is newer, and what its address calls its versions is not what the other did.
+        *left = none_left();
         // Against a service that answers at once, again and again: it would be asked without pause.
-        if began.elapsed() < BREATH && !first {
+        if began.elapsed() < BREATH && call.waits {
             sleep(BREATH).await;
         }
-        first = false;
     }
 }
--- a/crates/platform-run/src/lib.rs
+++ b/crates/platform-run/src/lib.rs
@@ -11,7 +11,7 @@
 use grebespool::host::Probed;
 use grebespool_outgoing::Outgoing;
 use grebespool_platform::{Conn, Outlet, Station, Terms};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -40,9 +40,7 @@
 
 /// What discovery's task is to do.
 struct Watch {
-    address: Cell<SocketAddr>,
-    asked: Cell<bool>,
-    whole: Cell<bool>,
+    state: RefCell<grebespool_platform::Watch>,
     come: Notify,
     moved: Notify,
 }
@@ -50,7 +48,7 @@
 #[derive(Default)]
 struct Probes {
     waiting: RefCell<VecDeque<(String, SocketAddr)>>,
-    named: RefCell<BTreeSet<String>>,
+    named: RefCell<BTreeSet<(String, SocketAddr)>>,
     come: Notify,
 }
 
@@ -75,17 +73,17 @@
         }
     }
     fn probe(&mut self, server: &str, address: SocketAddr) {
-        if self.probes.named.borrow_mut().insert(server.into()) {
+        if self.probes.named.borrow_mut().insert((server.into(), address)) {
             self.probes.waiting.borrow_mut().push_back((server.into(), address));
             self.probes.come.notify_one();
         }
     }
     fn watch(&mut self) {
-        self.watch.asked.set(true);
+        self.watch.state.borrow_mut().ask();
         self.watch.come.notify_one();
     }
     fn ask_whole(&mut self) {
-        self.watch.whole.set(true);
+        self.watch.state.borrow_mut().ask_whole();
     }
     fn say(&mut self, text: &str) {
         warn!("{text}");
@@ -104,9 +102,10 @@
         done
     }
 
-    fn probed(&self, server: &str, result: Probed) {
-        self.probes.named.borrow_mut().remove(server);
-        self.call(|station, _| station.probed(server, result));
+    fn probed(&self, server: String, address: SocketAddr, result: Probed) {
+        let probe = (server, address);
+        self.probes.named.borrow_mut().remove(&probe);
+        self.call(|station, _| station.probed(&probe.0, address, result));
     }
 }
 
@@ -180,9 +179,7 @@
     let began = Instant::now();
     let streams = Rc::new(RefCell::new(BTreeMap::new()));
     let watch = Rc::new(Watch {
-        address: Cell::new(terms.discovery),
-        asked: Cell::new(false),
-        whole: Cell::new(false),
+        state: RefCell::new(grebespool_platform::Watch::new(terms.discovery)),
         come: Notify::new(),
         moved: Notify::new(),
     });
@@ -256,7 +253,7 @@
             match read(&file) {
                 Ok(terms) => {
                     info!(discovery = %terms.discovery, "the configuration was read again");
-                    if shared.watch.address.replace(terms.discovery) != terms.discovery {
+                    if shared.watch.state.borrow_mut().moved(terms.discovery) {
                         shared.watch.moved.notify_one();
                     }
                     break;
--- a/crates/platform-run/src/probe.rs
+++ b/crates/platform-run/src/probe.rs
@@ -14,6 +14,8 @@
 
 pub async fn run(shared: Rc<Shared>) {
     let mut under_way = JoinSet::new();
+    // Those under way when this part last ended have no answer to come, and could never be asked for again.
+    shared.probes.named.replace(shared.probes.waiting.borrow().iter().cloned().collect());
     loop {
         let waiting =
             if under_way.len() < AT_ONCE { shared.probes.waiting.borrow_mut().pop_front() } else { None };
@@ -25,7 +27,7 @@
                     Ok((503, _)) => Probed::Rejected,
                     Ok(_) | Err(_) => Probed::Failed,
                 };
-                shared.probed(&server, result);
+                shared.probed(server, address, result);
             });
             continue;
         }
--- a/crates/platform-run/src/stream.rs
+++ b/crates/platform-run/src/stream.rs
@@ -3,6 +3,8 @@
 use crate::Shared;
 use grebespool_outgoing::{Ended, Outgoing, Patience};
 use grebespool_platform::Conn;
+use std::io::ErrorKind;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::tcp::OwnedReadHalf;
@@ -15,9 +17,16 @@
 /// So many bytes may wait for it: some dozens of messages.
 const MOST_WAITING: usize = 96 << 10;
 
+/// Who says no more is written what waits for it for so long at the most.
+const LAST_WORDS: Duration = Duration::from_millis(500);
+
 pub async fn accept(shared: Rc<Shared>, listener: TcpListener, mut tasks: JoinSet<()>) {
     let mut conn: Conn = 0;
     loop {
+        let full = shared.station.borrow().full_until(shared.now());
+        if let Some(until) = full {
+            tokio::time::sleep_until(shared.began + until).await;
+        }
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((socket, _)) => {
@@ -29,11 +38,11 @@
                     tasks.spawn_local(run(shared.clone(), socket, conn, out));
                 }
                 Err(fault) => {
-                    // Out of descriptors, say: those who have not joined make room.
+                    // Out of descriptors, say: those who have not joined make room, once what they said was read.
+                    tokio::time::sleep(Duration::from_millis(10)).await;
                     if !shared.call(|station, now| station.shed(now)) {
                         warn!(%fault, "a connection could not be accepted");
                     }
-                    tokio::time::sleep(Duration::from_millis(10)).await;
                 }
             },
             Some(ended) = tasks.join_next() => if let Err(fault) = ended {
@@ -59,27 +68,45 @@
 async fn run(shared: Rc<Shared>, socket: TcpStream, conn: Conn, out: Rc<Outgoing>) {
     let held = Held(shared.clone(), conn);
     let (reader, writer) = socket.into_split();
+    let mut writing = pin!(out.write(writer, shared.began));
     tokio::select! {
-        () = read(&shared, conn, reader) => {}
-        ended = out.write(writer, shared.began) => if ended == Ended::Slow {
-            warn!(conn, "closed: its bytes were not taken");
+        end = read(&shared, conn, &reader) => {
+            drop(held);
+            if end == End::Said {
+                // It may still listen: what it asked for in its last words is owed to it.
+                out.close();
+                let _ = tokio::time::timeout(LAST_WORDS, writing).await;
+            }
+        }
+        ended = &mut writing => {
+            if ended == Ended::Slow {
+                warn!(conn, "closed: its bytes were not taken");
+            }
+            drop(held);
         }
     }
     debug!(conn, "connection ended");
-    drop(held);
 }
 
-async fn read(shared: &Rc<Shared>, conn: Conn, from: OwnedReadHalf) {
+/// How the peer's words ended.
+#[derive(PartialEq)]
+enum End {
+    /// It says no more.
+    Said,
+    Broken,
+}
+
+async fn read(shared: &Rc<Shared>, conn: Conn, from: &OwnedReadHalf) -> End {
     loop {
         if from.readable().await.is_err() {
-            return;
+            return End::Broken;
         }
         let mut scratch = shared.scratch.borrow_mut();
         match from.try_read(&mut scratch) {
-            Ok(0) => return,
+            Ok(0) => return End::Said,
             Ok(n) => shared.call(|station, now| station.came(now, conn, &scratch[..n])),
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
-            Err(_) => return,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return End::Broken,
         }
     }
 }
--- a/crates/platform/src/frames.rs
+++ b/crates/platform/src/frames.rs
@@ -2,9 +2,6 @@
 
 use thiserror::Error;
 
-/// No message is larger.
-pub const MOST_BODY: usize = 1 << 20;
-
 /// What comes cannot be frames. Nothing after it can be found again, so the connection is of no use.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum NotFrames {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,9 +13,11 @@
 mod roster;
 mod station;
 mod terms;
+mod watch;
 
 pub use frames::{Frames, NotFrames};
 pub use lives::Conn;
 pub use message::{Came, Message, Met, Spoilt, Unread, read};
 pub use station::{Outlet, Station};
 pub use terms::{BadTerms, Limits, Terms};
+pub use watch::{Call, Watch};
--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -151,6 +151,8 @@
             };
             if !named.insert(entry.id.to_string()) {
                 judged.faults.push(format!("server {:?} twice", entry.id));
+                // Which word came last, only the whole list tells: gone and back, it would be missed for good.
+                judged.ask_whole = true;
                 // Of two words the one that takes calls away is the one that must not be lost.
                 if entry.phase == Phase::Ready {
                     continue;
--- a/crates/platform/src/station.rs
+++ b/crates/platform/src/station.rs
@@ -1,6 +1,5 @@
 //! The station: messages in, the decisions' orders out.
 
-use crate::frames::MOST_BODY;
 use crate::lives::{Conn, Lives, Role};
 use crate::log::Gathered;
 use crate::message::{self, Message, Met, Unread};
@@ -114,6 +113,11 @@
         }
     }
 
+    /// When the next connection may be accepted; unset for at once.
+    pub fn full_until(&self, now: Duration) -> Option<Duration> {
+        self.lives.full_until(now)
+    }
+
     /// There are no descriptors left: lets go who has not joined. Whether there was anyone.
     pub fn shed(&mut self, now: Duration) -> bool {
         let first = self.lives.first_unjoined();
@@ -244,7 +248,7 @@
     fn collector(&mut self, now: Duration, conn: Conn, zone: Zone) {
         if let Some(life) = self.lives.of.get_mut(&conn) {
             life.role = Role::Collector(zone);
-            life.frames.allow(MOST_BODY);
+            life.frames.allow(Lives::MOST_JOINED_BODY);
         }
         if let Some(spare) = self.lives.spare_collector(zone) {
             self.turn_away(now, spare, "newer collectors of its zone have come");
@@ -253,13 +257,17 @@
 
     fn join(&mut self, now: Duration, conn: Conn, proxy: Proxy, zone: Zone, rate: f64, bare: bool) {
         if let Some(old) = self.joined.get(&proxy).copied() {
+            if old > conn {
+                // It came first and was read last: the proxy has given it up and dialled again.
+                return self.turn_away(now, conn, "a newer stream of its proxy has joined");
+            }
             // The newer holds; the old one's end is not missed any more.
             self.outlet.close(old);
             self.closed(old);
         }
         if let Some(life) = self.lives.of.get_mut(&conn) {
             life.role = Role::Proxy(proxy);
-            life.frames.allow(MOST_BODY);
+            life.frames.allow(Lives::MOST_JOINED_BODY);
         }
         self.joined.insert(proxy, conn);
         self.desk.joined(proxy);
@@ -351,7 +359,11 @@
         self.settle();
     }
 
-    pub fn probed(&mut self, server: &str, result: Probed) {
+    /// The answer of `address`, which may be a former life's of the server: that one tells nothing of it now.
+    pub fn probed(&mut self, server: &str, address: SocketAddr, result: Probed) {
+        if self.roster.address(server) != Some(address) {
+            return;
+        }
         if let Some(server) = self.servers.find(&server.to_string()) {
             self.planner.probed(server, result);
             self.settle();
--- a/crates/platform/src/terms.rs
+++ b/crates/platform/src/terms.rs
@@ -4,6 +4,7 @@
 use grebespool_stated::Stated;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::time::Duration;
 use thiserror::Error;
 
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -44,6 +45,9 @@
 }
 
 impl Terms {
+    /// Where none is stated: an asking that nobody answers is repeated after half of it. Calls fail long before.
+    const ASK_WITHIN: Duration = Duration::from_secs(10);
+
     /// # Errors
     ///
     /// What cannot be used, and why. Unknown fields are passed over.
@@ -82,7 +86,9 @@
             _ => return bad("settings.classes", "is missing or no list"),
         };
         let report = settings.get("report").and_then(|r| r.get("fields"));
-        let (routes, sight) = (stated.routes().map_err(within)?, stated.sight().map_err(within)?);
+        let (routes, mut sight) = (stated.routes().map_err(within)?, stated.sight().map_err(within)?);
+        // Where the simulator pushes the list, the platform still tells it only to who asks and goes on asking.
+        sight.ask_within.get_or_insert(Self::ASK_WITHIN);
         let plane = stated.plane().map_err(within)?;
         if routes.is_empty() {
             return bad("settings.classes", "is empty");
--- a/crates/scripted/src/conn.rs
+++ b/crates/scripted/src/conn.rs
@@ -2,10 +2,10 @@
 
 use serde_json::Value;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-pub(crate) fn frame(message: &Value) -> Vec<u8> {
+pub fn frame(message: &Value) -> Vec<u8> {
     let body = message.to_string();
     [&(body.len() as u32).to_be_bytes()[..], body.as_bytes()].concat()
 }
@@ -18,6 +18,10 @@
         let _ = self.0.write_all(&frame(message));
     }
 
+    pub fn dial(to: SocketAddr) -> Conn {
+        Conn(TcpStream::connect(to).unwrap())
+    }
+
     pub fn hear(&mut self) -> Option<Value> {
         let mut head = [0; 4];
         self.0.read_exact(&mut head).ok()?;
--- a/crates/scripted/src/discovery.rs
+++ b/crates/scripted/src/discovery.rs
@@ -21,7 +21,7 @@
            "weight": 1.0, "started_ms": started_ms})
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Mood {
     Answers,
     /// Takes calls and says nothing.
@@ -30,6 +30,14 @@
     Trickles,
     Unavailable,
     Resets,
+    /// Gives half of an answer, and the rest once its mood is another.
+    Halves,
+    /// Gives so many bytes of an answer and ends the connection.
+    BreaksOff(usize),
+    /// Gives the whole list, whatever was asked.
+    Wholes,
+    /// Gives changes up to a version before the one that was asked since.
+    GoesBack,
 }
 
 pub struct World {
@@ -37,6 +45,10 @@
     /// What changed with each version.
     changes: Vec<(u64, Value)>,
     pub calls: usize,
+    /// What was asked, the last few hundred calls.
+    pub asked: Vec<String>,
+    /// Answers of which half was given.
+    pub halves: usize,
 }
 
 /// The service, through one of its doors.
@@ -50,7 +62,7 @@
 impl Discovery {
     pub fn new(servers: usize) -> Discovery {
         let changes = (0..servers).map(|k| (5, server(k, "SERVING"))).collect();
-        Self::open(Arc::new(Mutex::new(World { version: 5, changes, calls: 0 })))
+        Self::open(Arc::new(Mutex::new(World { version: 5, changes, calls: 0, asked: vec![], halves: 0 })))
     }
 
     /// Another door to the same list.
@@ -89,7 +101,7 @@
     path.split(['?', '&']).find_map(|p| p.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
 }
 
-fn answer(socket: TcpStream, world: &Mutex<World>, mood: &Mutex<Mood>) -> std::io::Result<()> {
+fn answer(socket: TcpStream, world: &Mutex<World>, now: &Mutex<Mood>) -> std::io::Result<()> {
     let (mut reader, mut writer) = (BufReader::new(socket.try_clone()?), socket);
     loop {
         let mut path = String::new();
@@ -102,33 +114,57 @@
             return Ok(());
         }
         let (since, wait) = (query(&path, "since"), ms(query(&path, "timeout_ms").unwrap_or(0)));
-        world.lock().unwrap().calls += 1;
+        {
+            let mut world = world.lock().unwrap();
+            world.calls += 1;
+            if world.asked.len() < 500 {
+                world.asked.push(path.clone());
+            }
+        }
         let began = Instant::now();
         let (mood, body) = loop {
-            let mood = *mood.lock().unwrap();
+            let mood = *now.lock().unwrap();
             let world = world.lock().unwrap();
             let over = since.is_none_or(|s| world.version > s) || began.elapsed() >= wait;
-            if over || mood != Mood::Answers {
+            // Some moods show in an answer only.
+            let waits = matches!(mood, Mood::Answers | Mood::Halves | Mood::BreaksOff(_));
+            let since = since.filter(|_| mood != Mood::Wholes);
+            if over || !waits {
                 let mut entries = BTreeMap::new();
                 for (_, e) in world.changes.iter().filter(|c| since.is_none_or(|s| c.0 > s)) {
                     entries.insert(e["id"].to_string(), e.clone());
                 }
                 let listed = |e: &&Value| since.is_some() || e["state"] != "DELETED";
                 let servers: Vec<&Value> = entries.values().filter(listed).collect();
-                let list = json!({"version": world.version, "full": since.is_none(), "servers": servers});
+                let version = if mood == Mood::GoesBack { since.unwrap_or(1) - 1 } else { world.version };
+                let list = json!({"version": version, "full": since.is_none(), "servers": servers});
                 break (mood, list.to_string());
             }
             drop(world);
             thread::sleep(ms(3));
         };
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        let answer = format!("{head}{body}");
         match mood {
-            Mood::Answers => writer.write_all(format!("{head}{body}").as_bytes())?,
+            Mood::Answers | Mood::Wholes | Mood::GoesBack => writer.write_all(answer.as_bytes())?,
+            Mood::BreaksOff(bytes) => {
+                writer.write_all(&answer.as_bytes()[..bytes.min(answer.len() - 1)])?;
+                return writer.shutdown(Shutdown::Both);
+            }
+            Mood::Halves => {
+                let (first, rest) = answer.as_bytes().split_at(head.len() + body.len() / 2);
+                writer.write_all(first)?;
+                world.lock().unwrap().halves += 1;
+                while *now.lock().unwrap() == Mood::Halves {
+                    thread::sleep(ms(3));
+                }
+                writer.write_all(rest)?;
+            }
             Mood::Unavailable => writer.write_all(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n")?,
             Mood::Resets => return writer.shutdown(Shutdown::Both),
             Mood::Hangs => thread::sleep(ms(60_000)),
             Mood::Trickles => {
-                for byte in format!("{head}{body}").as_bytes() {
+                for byte in answer.as_bytes() {
                     writer.write_all(&[*byte])?;
                     thread::sleep(ms(100));
                 }
--- a/crates/scripted/src/lib.rs
+++ b/crates/scripted/src/lib.rs
@@ -8,7 +8,7 @@
 mod program;
 mod proxy;
 
-pub use conn::Conn;
+pub use conn::{Conn, frame};
 pub use discovery::{Discovery, Mood, World, server, started};
 pub use fleet::{Fleet, Limits, Machine, Rover, strangers};
 pub use program::{Program, config, settings};
--- a/crates/scripted/src/program.rs
+++ b/crates/scripted/src/program.rs
@@ -9,6 +9,8 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
 
 pub struct Program {
     pub child: Child,
@@ -28,15 +30,20 @@
 
     /// Starts `program` (a path) with the settings that a deployment states, and waits until it answers.
     pub fn start(program: &str, discovery: &Discovery, sockets: usize, settings: &Value) -> Program {
+        let program = Program::begin(program, discovery, sockets, settings);
+        program.ready();
+        program
+    }
+
+    /// Starts it and waits for nothing.
+    pub fn begin(program: &str, discovery: &Discovery, sockets: usize, settings: &Value) -> Program {
         let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
         let folder = tempfile::tempdir().unwrap();
         let file = folder.path().join("config.json");
         fs::write(&file, config(listen, discovery.address, sockets, settings)).unwrap();
         let child = spawn(program, &file, sockets);
         let (program, settings) = (program.to_string(), settings.clone());
-        let program = Program { child, listen, file, _folder: folder, program, sockets, settings };
-        program.ready();
-        program
+        Program { child, listen, file, _folder: folder, program, sockets, settings }
     }
 
     /// Killed outright, if it still runs, and started again under its address.
@@ -65,6 +72,38 @@
         assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
     }
 
+    fn status(&self, field: &str) -> String {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        status.lines().find_map(|l| l.strip_prefix(field)).unwrap_or("").trim().to_string()
+    }
+
+    /// Holds it still, so that what comes to it meanwhile has all come in one instant.
+    pub fn pause(&self) {
+        self.signal("STOP");
+        until("it stands still", ms(2000), || self.status("State:").starts_with('T'));
+    }
+
+    pub fn resume(&self) {
+        self.signal("CONT");
+    }
+
+    /// The most memory that it ever held, in KiB.
+    pub fn most_memory(&self) -> usize {
+        self.status("VmHWM:").trim_end_matches(" kB").parse().unwrap()
+    }
+
+    /// Its exit code, once it has ended within the limit. Unset where a signal ended it.
+    pub fn ended(&mut self, limit: Duration) -> Option<i32> {
+        let began = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            assert!(began.elapsed() < limit, "it did not end within {limit:?}");
+            thread::sleep(ms(2));
+        }
+    }
+
     pub fn runs(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
