Read who has just come before it goes for newer ones, by turns and not by a clock; note who, where, which list

A test at a fleet's size (600 proxies in one instant at one planner, 300 strangers, 60 places for who has not joined) still had 72 of 600 let in: a slow planner takes longer than that to accept 60. Counting turns of the runtime in its place let in 20. Cause, by the planner's log and what the proxies heard (460 NACK "too many have not joined"): accepting was awaited by the LocalSet's own future (lib.rs, `serve`), which is polled before any of the tasks that read, whatever woke first. Change: accepting is a task among the others, and before somebody goes who came since the last look at the sockets, it lets one pass. All 600 are let in, a PING is answered amid it, no more descriptors are held than may be. Ruled out: the system's queue (901 of 1,024 connections), the channel (6,600 lines of 9,000). Now it has a line for each answer of the list that changes something (version, since which, who drains, is gone, is ready), and each 200 ms at the most one each for proxies that joined, left, were closed or replaced, and for servers taken out of tables and put back; 96 names a line, the rest counted.

--- a/crates/platform-run/src/lib.rs
+++ b/crates/platform-run/src/lib.rs
@@ -88,6 +88,9 @@
     fn say(&mut self, text: &str) {
         warn!("{text}");
     }
+    fn note(&mut self, text: &str) {
+        info!("{text}");
+    }
 }
 
 impl Shared {
@@ -201,7 +204,14 @@
     tasks.spawn_local(again(shared.clone(), "probes", probe::run));
     tasks.spawn_local(reload(shared.clone(), file, hangups));
     tasks.spawn_local(tell(shared.clone()));
-    stream::accept(shared, listener, tasks).await;
+    // A task among the others, that they have their turns before it: what is awaited here goes before all of them.
+    let mut accepting = JoinSet::new();
+    accepting.spawn_local(stream::accept(shared, listener, tasks));
+    if let Some(Err(fault)) = accepting.join_next().await
+        && let Ok(fault) = fault.try_into_panic()
+    {
+        std::panic::resume_unwind(fault);
+    }
 }
 
 /// Against a fault in one part that would end the planner, and with it service: the part is begun anew. Harm: a fault
--- a/crates/platform-run/src/stream.rs
+++ b/crates/platform-run/src/stream.rs
@@ -17,15 +17,20 @@
 /// So many bytes may wait for it: some dozens of messages.
 const MOST_WAITING: usize = 96 << 10;
 
+/// In so long the runtime has looked at its sockets.
+const A_LOOK: Duration = Duration::from_millis(1);
 /// Who says no more is written what waits for it for so long at the most.
 const LAST_WORDS: Duration = Duration::from_millis(500);
 
 pub async fn accept(shared: Rc<Shared>, listener: TcpListener, mut tasks: JoinSet<()>) {
-    let mut conn: Conn = 0;
+    let (mut conn, mut read): (Conn, Conn) = (0, 0);
     loop {
-        let full = shared.station.borrow().full_until(shared.now());
-        if let Some(until) = full {
-            tokio::time::sleep_until(shared.began + until).await;
+        let goes = shared.station.borrow().next_to_go();
+        if goes.is_some_and(|first| first > read) {
+            // The clock is no measure of it: the runtime has to look at its sockets once, and then whatever has come is
+            // read before this task goes on.
+            tokio::time::sleep(A_LOOK).await;
+            read = conn;
         }
         tokio::select! {
             accepted = listener.accept() => match accepted {
@@ -40,6 +45,7 @@
                 Err(fault) => {
                     // Out of descriptors, say: those who have not joined make room, once what they said was read.
                     tokio::time::sleep(Duration::from_millis(10)).await;
+                    read = conn;
                     if !shared.call(|station, now| station.shed(now)) {
                         warn!(%fault, "a connection could not be accepted");
                     }
--- a/crates/platform/src/lives.rs
+++ b/crates/platform/src/lives.rs
@@ -39,8 +39,6 @@
     /// The longest message after it: reports and usage are a few names and figures. Against memory taken by streams
     /// that go on with what cannot be read, each holding a message as long as the longest that the protocol allows.
     pub const MOST_JOINED_BODY: usize = 64 << 10;
-    /// Who has just come may have said its joining already: it is not let go for newer ones before it was read.
-    const READ_WITHIN: Duration = Duration::from_millis(5);
     /// A joining that comes in pieces over a slow way is still let in; who is not done by then is owed a close.
     const JOINS_WITHIN: Duration = Duration::from_millis(1900);
     /// Against a joined connection that stops amid a message: the rest may come in pieces, but not for ever.
@@ -68,11 +66,10 @@
         if unjoined > self.most_unjoined { self.first_unjoined() } else { None }
     }
 
-    /// Until when nobody else is to be let in, where as many have not joined as may: then the first of them goes.
-    pub fn full_until(&self, now: Duration) -> Option<Duration> {
-        let unjoined = || self.of.values().filter(|l| l.role == Role::Unjoined);
-        let first = unjoined().next()?.since + Self::READ_WITHIN;
-        (first > now && unjoined().count() >= self.most_unjoined).then_some(first)
+    /// Who has to go for the next one that comes: where as many have not joined as may, the first of them.
+    pub fn next_to_go(&self) -> Option<Conn> {
+        let unjoined = self.of.values().filter(|l| l.role == Role::Unjoined).count();
+        if unjoined >= self.most_unjoined { self.first_unjoined() } else { None }
     }
 
     pub fn first_unjoined(&self) -> Option<Conn> {
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -1,8 +1,98 @@
-//! What is said of the same again and again.
+//! What is said of the same again and again, and what happened to whom.
 
-use std::collections::BTreeMap;
+use grebespool::host::{Listed, Phase, Proxy, Server};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Display;
 use std::time::Duration;
 
+/// The first few by name, and how many more there are: a line is no longer for a fleet of thousands.
+fn named<T: Display>(all: impl ExactSizeIterator<Item = T>) -> String {
+    const MOST: usize = 96;
+    let more = all.len().saturating_sub(MOST);
+    let names: Vec<String> = all.take(MOST).map(|name| name.to_string()).collect();
+    let more = if more > 0 { format!(" and {more} more") } else { String::new() };
+    names.join(" ") + &more
+}
+
+/// What happened to proxies and servers since the last lines: with the planners' logs beside one another, enough to
+/// follow one of them through a day. Lines are as many as looks, whatever happens.
+#[derive(Default)]
+pub struct Diary {
+    joined: Vec<Proxy>,
+    left: Vec<Proxy>,
+    closed: Vec<Proxy>,
+    replaced: Vec<Proxy>,
+    ordered: BTreeMap<Server, f32>,
+    out: BTreeSet<Server>,
+}
+
+/// How a proxy's stream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Left {
+    ByItself,
+    /// It was let go here.
+    Closed,
+    /// By a newer one of the same proxy.
+    Replaced,
+}
+
+impl Diary {
+    pub fn joined(&mut self, proxy: Proxy) {
+        self.joined.push(proxy);
+    }
+
+    pub fn left(&mut self, proxy: Proxy, how: Left) {
+        let of = match how {
+            Left::ByItself => &mut self.left,
+            Left::Closed => &mut self.closed,
+            Left::Replaced => &mut self.replaced,
+        };
+        of.push(proxy);
+    }
+
+    /// Of several tables the least weight counts: it is what a drain or a fault is seen by.
+    pub fn ordered(&mut self, lines: &[(Server, f32)]) {
+        for (server, weight) in lines {
+            let least = self.ordered.entry(*server).or_insert(f32::MAX);
+            *least = least.min(*weight);
+        }
+    }
+
+    /// A line for each kind of which there is anything. Weights are in none, only who was taken out of some table and
+    /// who is back in all that changed.
+    pub fn lines<'a>(&mut self, id: impl Fn(Server) -> &'a str) -> Vec<String> {
+        let fresh = Diary { out: std::mem::take(&mut self.out), ..Diary::default() };
+        let Diary { joined, left, closed, replaced, ordered, .. } = std::mem::replace(self, fresh);
+        let proxies = [("joined", joined), ("left", left), ("closed", closed), ("replaced", replaced)];
+        let proxies = proxies.into_iter().filter(|(_, of)| !of.is_empty());
+        let mut lines: Vec<String> =
+            proxies.map(|(how, of)| format!("proxies {how}: {}", named(of.iter()))).collect();
+        let (gone, kept): (Vec<_>, Vec<_>) = ordered.into_iter().partition(|(_, weight)| *weight <= 0.0);
+        let gone: Vec<Server> = gone.into_iter().map(|o| o.0).filter(|s| self.out.insert(*s)).collect();
+        let back: Vec<Server> = kept.into_iter().map(|o| o.0).filter(|s| self.out.remove(s)).collect();
+        for (how, of) in [("out", gone), ("back", back)] {
+            if !of.is_empty() {
+                lines.push(format!("servers {how}: {}", named(of.iter().map(|s| id(*s)))));
+            }
+        }
+        lines
+    }
+}
+
+/// What an answer of the list changed.
+pub fn list_line(version: Option<u64>, since: Option<u64>, entries: &[(String, Listed)]) -> String {
+    let version = version.map_or("none".into(), |v| v.to_string());
+    let since = since.map_or("the start".into(), |v| v.to_string());
+    let mut line = format!("list {version} since {since}:");
+    for (state, phase) in [("draining", Phase::Draining), ("gone", Phase::Gone), ("ready", Phase::Ready)] {
+        let of: Vec<&String> = entries.iter().filter(|e| e.1.phase == phase).map(|e| &e.0).collect();
+        if !of.is_empty() {
+            line += &format!(" {} {state} ({})", of.len(), named(of.into_iter()));
+        }
+    }
+    line
+}
+
 #[derive(Default)]
 struct Line {
     said_at: Option<Duration>,
--- a/crates/platform/src/station.rs
+++ b/crates/platform/src/station.rs
@@ -1,7 +1,7 @@
 //! The station: messages in, the decisions' orders out.
 
 use crate::lives::{Conn, Lives, Role};
-use crate::log::Gathered;
+use crate::log::{Diary, Gathered, Left, list_line};
 use crate::message::{self, Message, Met, Unread};
 use crate::orders::{self, Words, framed};
 use crate::roster::Roster;
@@ -25,6 +25,8 @@
     /// The whole list is needed.
     fn ask_whole(&mut self);
     fn say(&mut self, text: &str);
+    /// Ordinary news, some lines a second at the most.
+    fn note(&mut self, text: &str);
 }
 
 pub struct Station<O> {
@@ -40,6 +42,7 @@
     routes: Vec<String>,
     fields: Vec<String>,
     gathered: Gathered,
+    diary: Diary,
     /// The list was asked for and has not answered.
     asked: bool,
     /// When connections are looked through next: often enough, whatever their number, and not at each message.
@@ -74,6 +77,7 @@
             routes: terms.route_names,
             fields: terms.fields,
             gathered: Gathered::new(Self::SAID_EVERY),
+            diary: Diary::default(),
             asked: false,
             look_at: Duration::ZERO,
         };
@@ -113,9 +117,10 @@
         }
     }
 
-    /// When the next connection may be accepted; unset for at once.
-    pub fn full_until(&self, now: Duration) -> Option<Duration> {
-        self.lives.full_until(now)
+    /// Who has to go for the next connection that is opened. It may have said its joining already, so what it said is to
+    /// be handed in first.
+    pub fn next_to_go(&self) -> Option<Conn> {
+        self.lives.next_to_go()
     }
 
     /// There are no descriptors left: lets go who has not joined. Whether there was anyone.
@@ -138,16 +143,21 @@
         };
         self.say(now, kind, why);
         self.outlet.close(conn);
-        self.closed(conn);
+        self.ended(conn, Left::Closed);
     }
 
-    /// The connection ended, for whatever reason.
+    /// The connection ended, and not by a word of this station.
     pub fn closed(&mut self, conn: Conn) {
+        self.ended(conn, Left::ByItself);
+    }
+
+    fn ended(&mut self, conn: Conn, how: Left) {
         let Some(life) = self.lives.of.remove(&conn) else { return };
         if let Role::Proxy(proxy) = life.role
             && self.joined.get(&proxy) == Some(&conn)
         {
             self.joined.remove(&proxy);
+            self.diary.left(proxy, how);
             self.desk.left(proxy);
             self.planner.left(proxy);
             self.settle();
@@ -263,13 +273,14 @@
             }
             // The newer holds; the old one's end is not missed any more.
             self.outlet.close(old);
-            self.closed(old);
+            self.ended(old, Left::Replaced);
         }
         if let Some(life) = self.lives.of.get_mut(&conn) {
             life.role = Role::Proxy(proxy);
             life.frames.allow(Lives::MOST_JOINED_BODY);
         }
         self.joined.insert(proxy, conn);
+        self.diary.joined(proxy);
         self.desk.joined(proxy);
         self.planner.joined(now, proxy, zone, bare, rate);
         self.settle();
@@ -329,6 +340,9 @@
         for fault in &judged.faults {
             self.say(now, "the list is not believed in part", fault);
         }
+        if !judged.entries.is_empty() {
+            self.outlet.note(&list_line(self.roster.version(), asked, &judged.entries));
+        }
         let mut listed: Vec<Listed> = vec![];
         for (id, entry) in judged.entries {
             let desk = &self.desk;
@@ -377,6 +391,9 @@
             for conn in self.lives.overdue(now) {
                 self.turn_away(now, conn, "it did not join, or did not finish a message, in time");
             }
+            for line in self.diary.lines(|s| self.servers.id(s)) {
+                self.outlet.note(&line);
+            }
         }
         for token in self.desk.wakes(now) {
             self.planner.woken(now, token);
@@ -386,15 +403,18 @@
 
     /// Ends a turn: one message for each proxy that it concerns.
     fn settle(&mut self) {
-        let Station { desk, servers, outlet, planner, joined, lives, routes, roster, .. } = self;
+        let Station { desk, servers, outlet, planner, joined, lives, routes, roster, diary, .. } = self;
         let words = Words { routes, server: |s: Server| servers.id(s).as_str() };
         // Many proxies are told the same.
         let mut frames: BTreeMap<(Table, bool), Vec<u8>> = BTreeMap::new();
         desk.settle(|proxy, told| {
             let Some(&conn) = joined.get(&proxy) else { return };
-            let frame = frames
-                .entry((told.table, told.bound.is_some()))
-                .or_insert_with(|| orders::frame(told, &words));
+            let frame = frames.entry((told.table, told.bound.is_some())).or_insert_with(|| {
+                if told.bound.is_none() {
+                    diary.ordered(told.lines);
+                }
+                orders::frame(told, &words)
+            });
             outlet.write(conn, frame);
             if let (Some(mark), Some(life)) = (told.mark, lives.of.get_mut(&conn)) {
                 life.marks.push_back(mark);
--- a/crates/platform/tests/helpers/mod.rs
+++ b/crates/platform/tests/helpers/mod.rs
@@ -50,6 +50,7 @@
     pub watches: usize,
     pub wholes: usize,
     pub said: Vec<String>,
+    pub noted: Vec<String>,
 }
 
 #[derive(Clone, Default)]
@@ -74,6 +75,9 @@
     fn say(&mut self, text: &str) {
         self.0.borrow_mut().said.push(text.into());
     }
+    fn note(&mut self, text: &str) {
+        self.0.borrow_mut().noted.push(text.into());
+    }
 }
 
 pub fn framed(body: &[u8]) -> Vec<u8> {
--- a/crates/platform/tests/station.rs
+++ b/crates/platform/tests/station.rs
@@ -312,13 +312,16 @@
 fn who_has_just_come_is_read_before_it_goes_for_newer_ones() {
     let mut rig = Rig::new(2);
     rig.until(ms(1000));
-    (0..60).for_each(|conn| rig.open(conn));
-    assert_eq!(rig.station.full_until(rig.now), Some(ms(1005)));
+    (0..59).for_each(|conn| rig.open(conn));
+    assert_eq!(rig.station.next_to_go(), None);
+    rig.open(59);
+    assert_eq!(rig.station.next_to_go(), Some(0));
     rig.say(0, &subscribe(0, "north"));
-    assert_eq!(rig.station.full_until(rig.now), None);
+    assert_eq!(rig.station.next_to_go(), None);
     rig.open(60);
-    assert_eq!(rig.station.full_until(rig.now), Some(ms(1005)));
-    assert_eq!(rig.station.full_until(ms(1005)), None);
+    assert_eq!(rig.station.next_to_go(), Some(1));
+    rig.open(61);
+    assert!(rig.closed(1) && !rig.closed(2));
     assert_eq!(rig.station.counts()[..2], [1, 60]);
 }
 
@@ -350,3 +353,39 @@
     }
     assert_eq!(holds.contains_key("s0"), out, "{holds:?}");
 }
+
+/// One proxy, one server and one version of the list can be followed by the log, which does not grow with the fleet.
+#[rstest]
+fn what_happens_to_whom_is_noted_in_few_lines() {
+    let mut rig = Rig::new(300);
+    rig.until(ms(2500));
+    rig.join(1, 5);
+    rig.join(2, 5);
+    rig.join(3, 7);
+    rig.station.closed(3);
+    rig.join(4, 8);
+    (0..3).for_each(|_| rig.bytes(4, &framed(b"{x")));
+    rig.kept.borrow_mut().noted.clear();
+    rig.list(Some(3), &list(4, false, vec![server(0, "DRAINING", 0), server(1, "DELETED", 0)])).unwrap();
+    rig.until(ms(3000));
+    let noted = std::mem::take(&mut rig.kept.borrow_mut().noted);
+    assert_eq!(
+        noted[..5],
+        [
+            "list 4 since 3: 1 draining (s0) 1 gone (s1)",
+            "proxies joined: 5 5 7 8",
+            "proxies left: 7",
+            "proxies closed: 8",
+            "proxies replaced: 5",
+        ]
+    );
+    assert_eq!(noted[5..], ["servers out: s0 s1"]);
+    let all: Vec<Value> = (2..300).map(|k| server(k, "DRAINING", 0)).collect();
+    rig.list(Some(4), &list(5, false, all)).unwrap();
+    rig.until(ms(3500));
+    let noted = std::mem::take(&mut rig.kept.borrow_mut().noted);
+    assert!(noted.len() <= 3 && noted.iter().all(|l| l.len() < 1000), "{noted:?}");
+    assert!(
+        noted[0].starts_with("list 5 since 4: 298 draining (s2 s3 ") && noted[0].ends_with(" and 202 more)")
+    );
+}
--- a/crates/start/tests/crossings.rs
+++ b/crates/start/tests/crossings.rs
@@ -230,6 +230,35 @@
     assert_eq!(turned_away, 0, "of {PROXIES}");
 }
 
+/// The same at the size of a fleet, at the limit of descriptors, between strangers who say nothing; and a sign of life
+/// is answered amid it.
+#[rstest]
+fn a_fleet_that_comes_to_one_planner_amid_strangers_is_let_in() {
+    const PROXIES: usize = 600;
+    let discovery = Discovery::new(6);
+    let mut settings = settings();
+    settings["familyInfo"]["dataPlaneSize"] = json!(PROXIES);
+    let program = Program::start(PROGRAM, &discovery, PROXIES + 100, &settings);
+    until("the list", ms(3000), || discovery.world.lock().unwrap().calls > 1);
+    program.pause();
+    let mut strange = strangers(program.listen, 200);
+    let mut conns: Vec<Conn> = (0..PROXIES).map(|_| Conn::dial(program.listen)).collect();
+    conns.iter_mut().enumerate().for_each(|(node, conn)| conn.say(&joining(node)));
+    strange.extend(strangers(program.listen, 100));
+    let mut last = Conn::dial(program.listen);
+    last.say(&json!({"msg": "PING"}));
+    program.resume();
+    last.0.set_read_timeout(Some(ms(3000))).unwrap();
+    assert_eq!(last.hear().map(|m| m["msg"].clone()), Some(json!("PONG")));
+    let let_in = |conn: &mut Conn| {
+        conn.0.set_read_timeout(Some(ms(8000))).unwrap();
+        conn.hear().is_some_and(|m| m["msg"] == "CONFIG")
+    };
+    assert_eq!(conns.iter_mut().filter_map(|c| let_in(c).then_some(())).count(), PROXIES);
+    let held: usize = program.sockets().values().sum();
+    assert!(held <= PROXIES + 100, "{held}");
+}
+
 /// Streams that go on with what cannot be read, each with a message as long as the protocol allows, and never end it.
 #[rstest]
 fn long_messages_that_never_end_take_no_memory() {
