--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -335,8 +335,7 @@
     let [share, rate] = [ThrottleBy::Share, ThrottleBy::Rate].map(|by| {
         let mut rig = throttled_by(by);
         crowd(&mut rig, 10, dropped, [1.0, 6.0]);
-        let levels = [1, 2].map(|route| rig.kept.borrow().levels[&route].0);
-        levels
+        [1, 2].map(|route| rig.kept.borrow().levels[&route].0)
     });
     let let_in = |rate: f32| rate.min(12.0) + rate.min(48.0);
     assert!((0.1..0.8).contains(&share[1]) && share[0] == 0.0, "{share:?}");
