Write the log by a thread of its own, so that its reader may stop or be gone; note who was bound

Read: the log was written to standard error by the planner's one thread. Where whoever reads it stops, a pipe takes 64 KiB and then the planner stands still; where the reader is gone, the formatter's own complaint panics. Shown by it_serves_on_though_the_reader_of_its_log_has (a pipe that is full, a pipe without a reader, 300 changes of the list). Ruled out: making standard error non-blocking, which changes it for whoever shares it.

--- a/crates/platform-run/src/lib.rs
+++ b/crates/platform-run/src/lib.rs
@@ -5,9 +5,12 @@
 
 mod discovery;
 mod http;
+mod log;
 mod probe;
 mod stream;
 
+pub use log::Log;
+
 use grebespool::host::Probed;
 use grebespool_outgoing::Outgoing;
 use grebespool_platform::{Conn, Outlet, Station, Terms};
@@ -116,15 +119,6 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
 }
 
-/// Writes the log to standard error, where nobody else has set one up.
-pub fn log() {
-    let _ = tracing_subscriber::fmt()
-        .with_writer(std::io::stderr)
-        .with_ansi(false)
-        .with_max_level(tracing::Level::INFO)
-        .try_init();
-}
-
 /// Runs a planner as the platform starts it, until it is told to stop. Exit 2: it cannot be started as it was told.
 pub fn run() -> ExitCode {
     let Some(file) = std::env::var_os("GW_CONFIG").map(PathBuf::from) else {
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -19,6 +19,7 @@
 #[derive(Default)]
 pub struct Diary {
     joined: Vec<Proxy>,
+    bound: Vec<Proxy>,
     left: Vec<Proxy>,
     closed: Vec<Proxy>,
     replaced: Vec<Proxy>,
@@ -41,6 +42,11 @@
         self.joined.push(proxy);
     }
 
+    /// A whole table was written to it.
+    pub fn bound(&mut self, proxy: Proxy) {
+        self.bound.push(proxy);
+    }
+
     pub fn left(&mut self, proxy: Proxy, how: Left) {
         let of = match how {
             Left::ByItself => &mut self.left,
@@ -62,8 +68,14 @@
     /// who is back in all that changed.
     pub fn lines<'a>(&mut self, id: impl Fn(Server) -> &'a str) -> Vec<String> {
         let fresh = Diary { out: std::mem::take(&mut self.out), ..Diary::default() };
-        let Diary { joined, left, closed, replaced, ordered, .. } = std::mem::replace(self, fresh);
-        let proxies = [("joined", joined), ("left", left), ("closed", closed), ("replaced", replaced)];
+        let Diary { joined, bound, left, closed, replaced, ordered, .. } = std::mem::replace(self, fresh);
+        let proxies = [
+            ("joined", joined),
+            ("bound", bound),
+            ("left", left),
+            ("closed", closed),
+            ("replaced", replaced),
+        ];
         let proxies = proxies.into_iter().filter(|(_, of)| !of.is_empty());
         let mut lines: Vec<String> =
             proxies.map(|(how, of)| format!("proxies {how}: {}", named(of.iter()))).collect();
--- a/crates/platform/src/station.rs
+++ b/crates/platform/src/station.rs
@@ -409,6 +409,9 @@
         let mut frames: BTreeMap<(Table, bool), Vec<u8>> = BTreeMap::new();
         desk.settle(|proxy, told| {
             let Some(&conn) = joined.get(&proxy) else { return };
+            if told.bound.is_some() {
+                diary.bound(proxy);
+            }
             let frame = frames.entry((told.table, told.bound.is_some())).or_insert_with(|| {
                 if told.bound.is_none() {
                     diary.ordered(told.lines);
--- a/crates/platform/tests/station.rs
+++ b/crates/platform/tests/station.rs
@@ -370,16 +370,17 @@
     rig.until(ms(3000));
     let noted = std::mem::take(&mut rig.kept.borrow_mut().noted);
     assert_eq!(
-        noted[..5],
+        noted[..6],
         [
             "list 4 since 3: 1 draining (s0) 1 gone (s1)",
             "proxies joined: 5 5 7 8",
+            "proxies bound: 5 5 7 8",
             "proxies left: 7",
             "proxies closed: 8",
             "proxies replaced: 5",
         ]
     );
-    assert_eq!(noted[5..], ["servers out: s0 s1"]);
+    assert_eq!(noted[6..], ["servers out: s0 s1"]);
     let all: Vec<Value> = (2..300).map(|k| server(k, "DRAINING", 0)).collect();
     rig.list(Some(4), &list(5, false, all)).unwrap();
     rig.until(ms(3500));
--- a/crates/scripted/src/program.rs
+++ b/crates/scripted/src/program.rs
@@ -37,11 +37,22 @@
 
     /// Starts it and waits for nothing.
     pub fn begin(program: &str, discovery: &Discovery, sockets: usize, settings: &Value) -> Program {
+        Program::logging(program, discovery, sockets, settings, Stdio::null())
+    }
+
+    /// The same with its log written to somewhere.
+    pub fn logging(
+        program: &str,
+        discovery: &Discovery,
+        sockets: usize,
+        settings: &Value,
+        log: impl Into<Stdio>,
+    ) -> Program {
         let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
         let folder = tempfile::tempdir().unwrap();
         let file = folder.path().join("config.json");
         fs::write(&file, config(listen, discovery.address, sockets, settings)).unwrap();
-        let child = spawn(program, &file, sockets);
+        let child = spawn(program, &file, sockets, log);
         let (program, settings) = (program.to_string(), settings.clone());
         Program { child, listen, file, _folder: folder, program, sockets, settings }
     }
@@ -49,7 +60,7 @@
     /// Killed outright, if it still runs, and started again under its address.
     pub fn restart(&mut self) {
         self.kill();
-        self.child = spawn(&self.program, &self.file, self.sockets);
+        self.child = spawn(&self.program, &self.file, self.sockets, Stdio::null());
         self.ready();
     }
 
@@ -58,7 +69,8 @@
         let _ = self.child.wait();
     }
 
-    fn ready(&self) {
+    /// Waits until it answers.
+    pub fn ready(&self) {
         until("a sign of life", ms(5000), || {
             let Ok(socket) = TcpStream::connect(self.listen) else { return false };
             let mut conn = Conn(socket);
@@ -151,10 +163,10 @@
     }
 }
 
-fn spawn(program: &str, file: &Path, sockets: usize) -> Child {
+fn spawn(program: &str, file: &Path, sockets: usize, log: impl Into<Stdio>) -> Child {
     let run = format!("ulimit -n {sockets}; exec {program} platform");
     let mut command = Command::new("sh");
-    command.args(["-c", &run]).env("GW_CONFIG", file).stderr(Stdio::null()).stdout(Stdio::null());
+    command.args(["-c", &run]).env("GW_CONFIG", file).stderr(log).stdout(Stdio::null());
     command.spawn().unwrap()
 }
 
--- a/crates/start/src/main.rs
+++ b/crates/start/src/main.rs
@@ -10,8 +10,10 @@
 
 fn main() -> ExitCode {
     if std::env::args_os().skip(1).eq(["platform"]) {
-        grebespool_platform_run::log();
-        return grebespool_platform_run::run();
+        let log = grebespool_platform_run::Log::start();
+        let ended = grebespool_platform_run::run();
+        log.end();
+        return ended;
     }
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../Cargo.toml");
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
--- a/crates/start/tests/crossings.rs
+++ b/crates/start/tests/crossings.rs
@@ -328,3 +328,30 @@
         assert!(matches!(program.ended(ms(600)), None | Some(0)));
     }
 }
+
+/// Whoever reads the log has stopped reading, so that the pipe is full, or is gone.
+#[rstest]
+#[case::stopped(true)]
+#[case::gone(false)]
+fn it_serves_on_though_the_reader_of_its_log_has(#[case] stopped: bool) {
+    let discovery = Discovery::new(6);
+    let (reader, mut log) = std::io::pipe().unwrap();
+    let reader = if stopped {
+        // As much as a pipe holds.
+        log.write_all(&[b'.'; 64 << 10]).unwrap();
+        Some(reader)
+    } else {
+        drop(reader);
+        None
+    };
+    let program = Program::logging(PROGRAM, &discovery, 128, &settings(), log);
+    program.ready();
+    let proxies = join_all(&program, 6, true);
+    // Each change is a line of the log, and more of them than may wait.
+    for round in 0..300 {
+        let state = ["DRAINING", "SERVING"][round % 2];
+        discovery.change(&[server(1, state)]);
+        until("each change", ms(3000), || proxies.iter().all(|p| p.has("s1") == (state == "SERVING")));
+    }
+    drop(reader);
+}
