Keep tables so short that the channel takes them for all proxies at once

Cause: `lay_out` (src/decide/pools.rs) measured tables by the servers' connections alone. With few proxies for each server they are as long as those allow, and whoever comes last holds its old table for longer than the grace (3.4 s). Change: nor longer than seven tenths of the channel's cap hold for all proxies at once, heads counted; eight at the least, as before. Test seen to fail without it: tables_are_no_longer_than_the_channel_takes_for_all_at_once::slow (75 of 240 bound).

--- a/crates/scripted/src/program.rs
+++ b/crates/scripted/src/program.rs
@@ -73,6 +73,8 @@
     pub fn ready(&self) {
         until("a sign of life", ms(5000), || {
             let Ok(socket) = TcpStream::connect(self.listen) else { return false };
+            // One that stands still would be waited for without end.
+            socket.set_read_timeout(Some(ms(1000))).unwrap();
             let mut conn = Conn(socket);
             conn.say(&json!({"msg": "PING"}));
             conn.hear().is_some_and(|m| m["msg"] == "PONG")
--- a/src/decide/levels.rs
+++ b/src/decide/levels.rs
@@ -101,8 +101,8 @@
         }
     }
 
-    /// What is wanted of a route, as proxies count it. As a rate, which none reaches where all is let in: what
-    /// those that are asked for little leave goes to the others; in coarse steps, so that noise writes none.
+    /// What is wanted of a route as proxies count it. As a rate, which none reaches where all is let in, what
+    /// proxies asked for little leave goes to the others; in coarse steps, so that noise writes none.
     pub(super) fn level(&self, now: Duration, r: usize) -> f32 {
         match (self.plane.throttle_by, self.levels.wanted[r]) {
             (ThrottleBy::Off, _) => 1.0,
--- a/src/decide/pools.rs
+++ b/src/decide/pools.rs
@@ -35,14 +35,17 @@
 
 impl<H: Host> Planner<H> {
     /// One pool of all servers a zone, as long as these accept the connections; past that proxies pay a
-    /// handshake for nearly every call or are turned away, so the servers are dealt out to several pools.
+    /// handshake for nearly every call or are turned away, so the servers are dealt out to several pools. Nor
+    /// may tables be longer than the channel takes for all proxies together, which may come at once.
     pub(super) fn lay_out(&mut self) {
         let servers = self.peers.iter().filter(|p| p.ready()).count() as f64;
         if servers == 0.0 || self.plane.slices > 0 {
             return;
         }
-        let accepted = self.plane.least_conns * servers / self.plane.proxies.max(1) as f64;
-        let lines = (Pool::FILLED * accepted).max(8.0);
+        let proxies = self.plane.proxies.max(1) as f64;
+        let pace = &self.channel.pace;
+        let fits = Channel::USED * pace.most_waiting / proxies - pace.head - 2.0;
+        let lines = (Pool::FILLED * self.plane.least_conns * servers / proxies).min(fits).max(8.0);
         let near = servers / self.zones.busy.len() as f64;
         let pools = if lines < servers { (near / (Pool::NEAR * lines)).ceil().max(1.0) } else { 1.0 };
         if lines < servers {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -448,6 +448,28 @@
     assert_eq!(held.len(), servers, "every server has a pool");
 }
 
+/// Found at another customer, whose channel is slow beside its servers: tables of 45 lines for 240 proxies that came to
+/// one planner took the channel four seconds, and they kept servers that had drained for longer than the grace.
+#[rstest]
+#[case::slow(3000.0, 8)]
+#[case::ample(90_000.0, 40)]
+fn tables_are_no_longer_than_the_channel_takes_for_all_at_once(
+    #[case] lines_per_s: f64,
+    #[case] lines: usize,
+) {
+    let pace = Pace { lines_per_s, most_waiting: 2.0 * lines_per_s, most_messages: 0, ..PACE };
+    let (throttle_by, try_factor) = (ThrottleBy::Share, 1.0);
+    let plane = DataPlane { zones: 3, slices: 0, throttle_by, try_factor, proxies: 240, least_conns: 186.0 };
+    let mut rig = Rig::on(plane, pace, vec![route(1.0, Effect::Repeatable)], true);
+    let entries: Vec<Listed> = (0..200).map(|s| listed(s, (s % 3) as Zone, Phase::Ready, None)).collect();
+    rig.list(true, &entries);
+    (0..240).for_each(|p| rig.planner.joined(rig.now, p, p % 3, true, 1.0));
+    let bound = rig.kept.borrow().bound.clone();
+    assert_eq!(bound.len(), 240, "all are bound at once");
+    let least = bound.values().flatten().map(|t| rig.held(*t).len()).min();
+    assert!(least.is_some_and(|least| least >= lines), "{least:?} lines");
+}
+
 #[rstest]
 fn a_pool_that_loses_its_servers_gets_others_and_gives_them_back() {
     // Found by a hunt: the first servers to come back were put into every pool, and stayed there.
