--- a/src/decide/levels.rs
+++ b/src/decide/levels.rs
@@ -110,7 +110,7 @@
             (ThrottleBy::Rate, wanted) if wanted >= 1.0 => 1e9,
             (ThrottleBy::Rate, wanted) => {
                 let rates = rates(&self.levels.arrived[r], Peer::KEPT, now);
-                let even = evenly(&rates, f64::from(wanted) * rates.iter().sum::<f64>());
+                let even = evenly(&rates, f64::from(wanted) * rates.iter().sum::<f64>()).min(1e9);
                 (Levels::GAIN.ln() * (even.ln() / Levels::GAIN.ln()).round()).exp() as f32
             }
         }
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -316,13 +316,14 @@
     rates.into_values().collect()
 }
 
-/// The most that each may have where `sum` is shared out evenly and nobody gets more than it asks for.
+/// The most that each may have where `sum` is shared out evenly and nobody gets more than it asks for. No bound where that
+/// is all that is asked for.
 pub fn evenly(asked: &[f64], sum: f64) -> f64 {
     let mut asked = asked.to_vec();
     asked.sort_by(f64::total_cmp);
     let (mut left, mut others) = (sum, asked.len() as f64);
     for own in asked {
-        if own * others >= left {
+        if own * others > left {
             return left / others;
         }
         (left, others) = (left - own, others - 1.0);
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -342,6 +342,24 @@
     assert!((let_in(rate[1]) / (60.0 * share[1]) - 1.0).abs() < 0.15 && rate[0] == 0.0, "{share:?} {rate:?}");
 }
 
+/// Throttled when its calls stop: the next ones are let in, and are counted anew. A share of nothing is no rate, and what
+/// is no figure ends every stream that it is written to.
+#[rstest]
+#[case::told_of_none(None)]
+#[case::told_of_nought(Some(0))]
+fn a_route_that_is_not_asked_for_any_more_is_let_in(#[case] told: Option<u32>) {
+    let mut rig = throttled_by(ThrottleBy::Rate);
+    crowd(&mut rig, 10, 4, [1.0, 6.0]);
+    assert!(rig.kept.borrow().levels[&2].0 < 48.0);
+    for _ in 0..12 {
+        rig.planner.came(rig.now, 1, 0, 200);
+        told.into_iter().for_each(|calls| rig.planner.came(rig.now, 1, 1, calls));
+        rig.run(Duration::from_secs(1), |s| (s < 4).then_some((10, 4, [1.0, 6.0])));
+    }
+    let levels = [1, 2].map(|route| rig.kept.borrow().levels[&route].0);
+    assert!(levels[0] < 200.0 && levels[1] > 1e6 && levels[1].is_finite(), "{levels:?}");
+}
+
 /// Where levels are nothing to the proxies, a crowd is no reason to write them.
 #[rstest]
 fn levels_that_nobody_goes_by_stay_as_they_are() {
