--- a/crates/platform-run/src/stream.rs
+++ b/crates/platform-run/src/stream.rs
@@ -46,9 +46,7 @@
                     // Out of descriptors, say: those who have not joined make room, once what they said was read.
                     tokio::time::sleep(Duration::from_millis(10)).await;
                     read = conn;
-                    if !shared.call(|station, now| station.shed(now)) {
-                        warn!(%fault, "a connection could not be accepted");
-                    }
+                    shared.call(|station, now| station.shed(now, &fault.to_string()));
                 }
             },
             Some(ended) = tasks.join_next() => if let Err(fault) = ended {
--- a/crates/platform/src/station.rs
+++ b/crates/platform/src/station.rs
@@ -123,11 +123,12 @@
         self.lives.next_to_go()
     }
 
-    /// There are no descriptors left: lets go who has not joined. Whether there was anyone.
-    pub fn shed(&mut self, now: Duration) -> bool {
-        let first = self.lives.first_unjoined();
-        first.into_iter().for_each(|conn| self.turn_away(now, conn, "descriptors run out"));
-        first.is_some()
+    /// A connection could not be accepted, for want of descriptors say: lets go the first who has not joined.
+    pub fn shed(&mut self, now: Duration, why: &str) {
+        match self.lives.first_unjoined() {
+            Some(first) => self.turn_away(now, first, "descriptors run out"),
+            None => self.say(now, "a connection could not be accepted", why),
+        }
     }
 
     /// Someone who has not joined, or is of no further use.
--- a/crates/platform/tests/station.rs
+++ b/crates/platform/tests/station.rs
@@ -117,7 +117,13 @@
     // 100 descriptors less 20 kept free, 12 proxies and 8 collectors.
     assert_eq!(rig.station.counts()[..2], [12, 60]);
     assert!((100..840).all(|c| rig.closed(c)) && (840..900).all(|c| !rig.closed(c)));
-    assert!(rig.station.shed(rig.now) && rig.closed(840));
+    rig.station.shed(rig.now, "no descriptors");
+    assert!(rig.closed(840));
+    (841..900).for_each(|c| rig.station.closed(c));
+    (0..100).for_each(|_| rig.station.shed(rig.now, "no descriptors"));
+    let kept = rig.kept.borrow();
+    assert_eq!(kept.said.last().unwrap(), "a connection could not be accepted: no descriptors");
+    assert!(kept.said.len() <= 3, "{:?}", kept.said);
 }
 
 #[rstest]
