--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -183,7 +183,9 @@
         if matches!(cli.command, Command::Serve { .. } | Command::Platform) { "info" } else { "error" };
     let text = cli.log.as_deref().unwrap_or(usual);
     let filter = EnvFilter::try_new(text).map_err(|e| format!("--log {text:?}: {e}"))?;
+    // Where the log's reader is gone, the formatter's own complaint could only end what serves.
     let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let logs = logs.log_internal_errors(false);
     match cli.log_format {
         LogFormat::Json => logs.json().init(),
         LogFormat::Text => logs.with_ansi(std::io::stderr().is_terminal()).init(),
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -12,6 +12,7 @@
         let near: Vec<&Line> = pool.lines.iter().filter(|l| peer(l).zone == pool.zone).collect();
         let sum = |of: &dyn Fn(&Line) -> f64| near.iter().map(|l| of(l)).sum::<f64>();
         let (full, left) = (sum(&|l| l.learnt), sum(&|l| l.learnt * part(l)));
+        let stays = self.routes.iter().any(|r| r.stays_local) && near.iter().any(|l| peer(l).ready());
         // What a zone has lost, far servers make up for at once, before its cold ones are swamped; and these
         // are pushed over by what only they are left to take.
         let lost = 1.0 - if full > 0.0 { left / full } else { 0.0 };
@@ -22,7 +23,7 @@
             _ if l.leaving => 0.0,
             zone if zone == pool.zone => 1.0,
             // A route that may not leave the zone shares its table with the others.
-            _ if left > 0.0 && self.routes.iter().any(|r| r.stays_local) => 0.0,
+            _ if stays => 0.0,
             zone if self.zones.bad.contains_key(&(pool.zone, zone)) => Zones::FAR.2.max(far * lost.powi(2)),
             _ => far,
         };
@@ -39,7 +40,8 @@
             return weights;
         }
         // A table is never emptied by what is believed of servers' health.
-        pool.lines.iter().map(|l| if peer(l).ready() { 1.0 } else { 0.0 }).collect()
+        let may = |l: &Line| peer(l).ready() && (!stays || peer(l).zone == pool.zone);
+        pool.lines.iter().map(|l| f32::from(u8::from(may(l)))).collect()
     }
 
     /// When proxies may try a call again without its effect taking place twice, and where that helps: a
--- a/src/decide/pools.rs
+++ b/src/decide/pools.rs
@@ -42,8 +42,7 @@
         if servers == 0.0 || self.plane.slices > 0 {
             return;
         }
-        let proxies = self.plane.proxies.max(1) as f64;
-        let pace = &self.channel.pace;
+        let (proxies, pace) = (self.plane.proxies.max(1) as f64, &self.channel.pace);
         let fits = Channel::USED * pace.most_waiting / proxies - pace.head - 2.0;
         let lines = (Pool::FILLED * self.plane.least_conns * servers / proxies).min(fits).max(8.0);
         let near = servers / self.zones.busy.len() as f64;
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -488,6 +488,35 @@
     assert!(least.is_some_and(|least| least >= lines), "{least:?} lines");
 }
 
+/// Found in a deployment of our own: when all of a zone's servers were out, those of another came into the table that a
+/// route which keeps to its zone shares with the rest, and its calls went there.
+#[rstest]
+#[case::silent_and_dropping(10, 10)]
+#[case::out_one_after_another(10, 7)]
+fn no_far_server_is_in_a_table_of_a_route_that_keeps_to_its_zone(#[case] tries: u32, #[case] dropped: u32) {
+    let local = Route { stays_local: true, ..route(2.0, Effect::Repeatable) };
+    let mut rig = Rig::new(2, PACE, vec![route(1.0, Effect::Repeatable), local], 1.2);
+    let entries: Vec<Listed> = (0..8).map(|s| listed(s, (s % 2) as Zone, Phase::Ready, None)).collect();
+    rig.list(true, &entries);
+    (0..2).for_each(|p| rig.planner.joined(rig.now, p, p, true, 1.0));
+    rig.answers = false;
+    let table = |rig: &Rig, p: Proxy| *rig.kept.borrow().bound[&p].iter().next().unwrap();
+    for second in 0..40 {
+        rig.run(Duration::from_secs(1), |s| match s {
+            0 | 2 | 4 | 6 => Some((tries, dropped, [0.9, 3.0])),
+            _ => QUIET.filter(|_| s < 8),
+        });
+        for zone in 0..2 {
+            let held = rig.held(table(&rig, zone));
+            assert!(!held.is_empty(), "zone {zone} after {second} s");
+            assert!(
+                held.iter().all(|s| s % 2 == usize::from(zone)),
+                "zone {zone} after {second} s: {held:?}"
+            );
+        }
+    }
+}
+
 #[rstest]
 fn a_pool_that_loses_its_servers_gets_others_and_gives_them_back() {
     // Found by a hunt: the first servers to come back were put into every pool, and stayed there.
