Ask in one place who goes for the next connection; share what three crossings set up

Lives::opened counted those who have not joined again, beside next_to_go; it asks that before the new one is entered, which is the same one. The tests of many proxies at once shared their set-up and counting by copy. Behaviour and assertions as they were.

--- a/crates/platform/src/lives.rs
+++ b/crates/platform/src/lives.rs
@@ -61,9 +61,9 @@
             unread: 0,
             marks: VecDeque::new(),
         };
+        let goes = self.next_to_go();
         self.of.insert(conn, life);
-        let unjoined = self.of.values().filter(|l| l.role == Role::Unjoined).count();
-        if unjoined > self.most_unjoined { self.first_unjoined() } else { None }
+        goes
     }
 
     /// Who has to go for the next one that comes: where as many have not joined as may, the first of them.
--- a/crates/start/tests/crossings.rs
+++ b/crates/start/tests/crossings.rs
@@ -13,6 +13,30 @@
     Program::start(PROGRAM, discovery, sockets, &settings())
 }
 
+/// The same for so many proxies, with a discovery of its own.
+fn start_for(proxies: usize, sockets: usize) -> (Discovery, Program) {
+    let (discovery, mut settings) = (Discovery::new(6), settings());
+    settings["familyInfo"]["dataPlaneSize"] = json!(proxies);
+    let program = Program::start(PROGRAM, &discovery, sockets, &settings);
+    (discovery, program)
+}
+
+/// So many proxies come and say their joining.
+fn come(program: &Program, proxies: usize) -> Vec<Conn> {
+    let mut conns: Vec<Conn> = (0..proxies).map(|_| Conn::dial(program.listen)).collect();
+    conns.iter_mut().enumerate().for_each(|(node, conn)| conn.say(&joining(node)));
+    conns
+}
+
+/// How many of them are told a table, each within the limit.
+fn let_in(conns: &mut [Conn], limit: std::time::Duration) -> usize {
+    let told = |conn: &mut Conn| {
+        conn.0.set_read_timeout(Some(limit)).unwrap();
+        conn.hear().is_some_and(|m| m["msg"] == "CONFIG")
+    };
+    conns.iter_mut().map(|conn| usize::from(told(conn))).sum()
+}
+
 fn joining(node: usize) -> Value {
     json!({"msg": "SUBSCRIBE", "node": node, "locality": (["north", "south"][node % 2]), "w": 2.5, "cold": true})
 }
@@ -209,25 +233,13 @@
 #[rstest]
 fn proxies_that_come_all_at_once_are_all_let_in() {
     const PROXIES: usize = 120;
-    let discovery = Discovery::new(6);
-    let mut settings = settings();
-    settings["familyInfo"]["dataPlaneSize"] = json!(PROXIES);
     // 32 descriptors are held back, and 8 for collectors: ten are left for those who have not joined.
-    let program = Program::start(PROGRAM, &discovery, PROXIES + 50, &settings);
+    let (discovery, program) = start_for(PROXIES, PROXIES + 50);
     until("the list", ms(3000), || discovery.world.lock().unwrap().calls > 1);
     program.pause();
-    let mut conns: Vec<Conn> = (0..PROXIES).map(|_| Conn::dial(program.listen)).collect();
-    conns.iter_mut().enumerate().for_each(|(node, conn)| conn.say(&joining(node)));
+    let mut conns = come(&program, PROXIES);
     program.resume();
-    let told: Vec<Option<Value>> = conns
-        .iter_mut()
-        .map(|conn| {
-            conn.0.set_read_timeout(Some(ms(5000))).unwrap();
-            conn.hear().map(|m| m["msg"].clone())
-        })
-        .collect();
-    let turned_away = told.iter().filter(|m| **m != Some(json!("CONFIG"))).count();
-    assert_eq!(turned_away, 0, "of {PROXIES}");
+    assert_eq!(let_in(&mut conns, ms(5000)), PROXIES);
 }
 
 /// The same at the size of a fleet, at the limit of descriptors, between strangers who say nothing; and a sign of life
@@ -235,26 +247,18 @@
 #[rstest]
 fn a_fleet_that_comes_to_one_planner_amid_strangers_is_let_in() {
     const PROXIES: usize = 600;
-    let discovery = Discovery::new(6);
-    let mut settings = settings();
-    settings["familyInfo"]["dataPlaneSize"] = json!(PROXIES);
-    let program = Program::start(PROGRAM, &discovery, PROXIES + 100, &settings);
+    let (discovery, program) = start_for(PROXIES, PROXIES + 100);
     until("the list", ms(3000), || discovery.world.lock().unwrap().calls > 1);
     program.pause();
     let mut strange = strangers(program.listen, 200);
-    let mut conns: Vec<Conn> = (0..PROXIES).map(|_| Conn::dial(program.listen)).collect();
-    conns.iter_mut().enumerate().for_each(|(node, conn)| conn.say(&joining(node)));
+    let mut conns = come(&program, PROXIES);
     strange.extend(strangers(program.listen, 100));
     let mut last = Conn::dial(program.listen);
     last.say(&json!({"msg": "PING"}));
     program.resume();
     last.0.set_read_timeout(Some(ms(3000))).unwrap();
     assert_eq!(last.hear().map(|m| m["msg"].clone()), Some(json!("PONG")));
-    let let_in = |conn: &mut Conn| {
-        conn.0.set_read_timeout(Some(ms(8000))).unwrap();
-        conn.hear().is_some_and(|m| m["msg"] == "CONFIG")
-    };
-    assert_eq!(conns.iter_mut().filter_map(|c| let_in(c).then_some(())).count(), PROXIES);
+    assert_eq!(let_in(&mut conns, ms(8000)), PROXIES);
     let held: usize = program.sockets().values().sum();
     assert!(held <= PROXIES + 100, "{held}");
 }
@@ -263,14 +267,10 @@
 #[rstest]
 fn long_messages_that_never_end_take_no_memory() {
     const PROXIES: usize = 60;
-    let discovery = Discovery::new(6);
-    let mut settings = settings();
-    settings["familyInfo"]["dataPlaneSize"] = json!(PROXIES);
-    let program = Program::start(PROGRAM, &discovery, 256, &settings);
+    let (_discovery, program) = start_for(PROXIES, 256);
     let before = program.most_memory();
-    let mut conns: Vec<Conn> = (0..PROXIES).map(|_| Conn::dial(program.listen)).collect();
-    for (node, conn) in conns.iter_mut().enumerate() {
-        conn.say(&joining(node));
+    let mut conns = come(&program, PROXIES);
+    for conn in &mut conns {
         conn.0.set_write_timeout(Some(ms(2000))).unwrap();
         let _ = conn.0.write_all(&[&(1_000_000u32).to_be_bytes()[..], b"{", &[b' '; 900_000][..]].concat());
     }
