Log every table's weights and holders where GREBESPOOL_LOG=debug asks for it

Change: crates/platform/src/weight_log.rs keeps the tables as written and tells each changed one at the next look: proxies that hold it, the sum of its weights, and the servers whose weight changed. 32 tables a look, 64 servers a line, off unless GREBESPOOL_LOG names the level debug; memory is bounded by the tables.

--- a/crates/platform-run/src/lib.rs
+++ b/crates/platform-run/src/lib.rs
@@ -26,7 +26,7 @@
 use tokio::sync::Notify;
 use tokio::task::{JoinSet, LocalSet};
 use tokio::time::{Instant, sleep};
-use tracing::{error, info, warn};
+use tracing::{Level, debug, error, info, warn};
 
 /// What the tasks of one planner share. All of it is on one thread, and no borrow lives over an await.
 struct Shared {
@@ -94,6 +94,9 @@
     fn note(&mut self, text: &str) {
         info!("{text}");
     }
+    fn debug(&mut self, text: &str) {
+        debug!("{text}");
+    }
 }
 
 impl Shared {
@@ -182,7 +185,10 @@
     });
     let probes = Rc::new(Probes::default());
     let shell = Shell { began, streams: streams.clone(), watch: watch.clone(), probes: probes.clone() };
-    let station = Station::start(shell, terms, KEPT_FREE, unix_ms());
+    let mut station = Station::start(shell, terms, KEPT_FREE, unix_ms());
+    if tracing::enabled!(Level::DEBUG) {
+        station.log_weights();
+    }
     let shared = Rc::new(Shared {
         began,
         station: RefCell::new(station),
--- a/crates/platform-run/src/log.rs
+++ b/crates/platform-run/src/log.rs
@@ -7,9 +7,12 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
 use std::time::Duration;
+use tracing::Level;
 
 /// Lines that may wait for their reader; more are counted and left out.
 const MOST_WAITING: usize = 256;
+/// Names the least important level that is logged, such as `debug`; `info` where it is not set.
+const LEVEL: &str = "GREBESPOOL_LOG";
 /// How long the last lines are waited for at the end.
 const LAST_LINES: Duration = Duration::from_millis(100);
 
@@ -50,7 +53,7 @@
         let begun = tracing_subscriber::fmt()
             .with_writer(move || Line { to: line.to.clone(), left_out: line.left_out.clone() })
             .with_ansi(false)
-            .with_max_level(tracing::Level::INFO)
+            .with_max_level(level())
             .try_init();
         if begun.is_err() {
             return Log(None);
@@ -69,6 +72,11 @@
     }
 }
 
+fn level() -> Level {
+    let told = std::env::var(LEVEL).ok();
+    told.and_then(|name| name.parse().ok()).unwrap_or(Level::INFO)
+}
+
 fn write(lines: &Receiver<Entry>, left_out: &AtomicU64) {
     let mut to = std::io::stderr();
     for entry in lines {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,6 +14,7 @@
 mod station;
 mod terms;
 mod watch;
+mod weight_log;
 
 pub use frames::{Frames, NotFrames};
 pub use lives::Conn;
--- a/crates/platform/src/station.rs
+++ b/crates/platform/src/station.rs
@@ -6,6 +6,7 @@
 use crate::orders::{self, Words, framed};
 use crate::roster::Roster;
 use crate::terms::Terms;
+use crate::weight_log::WeightLog;
 use grebespool::decide::Planner;
 use grebespool::host::{self, Listed, Phase, Probed, Proxy, Server, Table, Zone};
 use grebespool_books::{Desk, Servers};
@@ -27,6 +28,8 @@
     fn say(&mut self, text: &str);
     /// Ordinary news, some lines a second at the most.
     fn note(&mut self, text: &str);
+    /// Details for following a server through a day; asked for by [`Station::log_weights`].
+    fn debug(&mut self, text: &str);
 }
 
 pub struct Station<O> {
@@ -43,6 +46,8 @@
     fields: Vec<String>,
     gathered: Gathered,
     diary: Diary,
+    /// Set where every weight that is written is to be logged.
+    weight_log: Option<WeightLog>,
     /// The list was asked for and has not answered.
     asked: bool,
     /// When connections are looked through next: often enough, whatever their number, and not at each message.
@@ -78,6 +83,7 @@
             fields: terms.fields,
             gathered: Gathered::new(Self::SAID_EVERY),
             diary: Diary::default(),
+            weight_log: None,
             asked: false,
             look_at: Duration::ZERO,
         };
@@ -89,6 +95,11 @@
         station
     }
 
+    /// From now on the weights of all tables are told to [`Outlet::debug`]. To be called before any proxy has joined.
+    pub fn log_weights(&mut self) {
+        self.weight_log = Some(WeightLog::default());
+    }
+
     /// When [`Station::woken`] is to be called next.
     pub fn due(&self) -> Duration {
         self.desk.due().map_or(self.look_at, |due| due.min(self.look_at))
@@ -159,6 +170,9 @@
         {
             self.joined.remove(&proxy);
             self.diary.left(proxy, how);
+            if let Some(log) = &mut self.weight_log {
+                log.left(proxy);
+            }
             self.desk.left(proxy);
             self.planner.left(proxy);
             self.settle();
@@ -395,6 +409,10 @@
             for line in self.diary.lines(|s| self.servers.id(s)) {
                 self.outlet.note(&line);
             }
+            let weights = self.weight_log.as_mut().map(|log| log.lines(|s| self.servers.id(s)));
+            for line in weights.into_iter().flatten() {
+                self.outlet.debug(&line);
+            }
         }
         for token in self.desk.wakes(now) {
             self.planner.woken(now, token);
@@ -404,7 +422,9 @@
 
     /// Ends a turn: one message for each proxy that it concerns.
     fn settle(&mut self) {
-        let Station { desk, servers, outlet, planner, joined, lives, routes, roster, diary, .. } = self;
+        let Station {
+            desk, servers, outlet, planner, joined, lives, routes, roster, diary, weight_log, ..
+        } = self;
         let words = Words { routes, server: |s: Server| servers.id(s).as_str() };
         // Many proxies are told the same.
         let mut frames: BTreeMap<(Table, bool), Vec<u8>> = BTreeMap::new();
@@ -412,11 +432,17 @@
             let Some(&conn) = joined.get(&proxy) else { return };
             if told.bound.is_some() {
                 diary.bound(proxy);
+                if let Some(log) = weight_log {
+                    log.bound(proxy, told.table);
+                }
             }
             let frame = frames.entry((told.table, told.bound.is_some())).or_insert_with(|| {
                 if told.bound.is_none() {
                     diary.ordered(told.lines);
                 }
+                if let Some(log) = weight_log {
+                    log.written(told.table, told.lines);
+                }
                 orders::frame(told, &words)
             });
             outlet.write(conn, frame);
--- a/crates/platform/tests/helpers/mod.rs
+++ b/crates/platform/tests/helpers/mod.rs
@@ -51,6 +51,7 @@
     pub wholes: usize,
     pub said: Vec<String>,
     pub noted: Vec<String>,
+    pub debugged: Vec<String>,
 }
 
 #[derive(Clone, Default)]
@@ -78,6 +79,9 @@
     fn note(&mut self, text: &str) {
         self.0.borrow_mut().noted.push(text.into());
     }
+    fn debug(&mut self, text: &str) {
+        self.0.borrow_mut().debugged.push(text.into());
+    }
 }
 
 pub fn framed(body: &[u8]) -> Vec<u8> {
--- a/crates/platform/tests/station.rs
+++ b/crates/platform/tests/station.rs
@@ -396,3 +396,40 @@
         noted[0].starts_with("list 5 since 4: 298 draining (s2 s3 ") && noted[0].ends_with(" and 202 more)")
     );
 }
+
+fn debug_lines(rig: &Rig) -> Vec<String> {
+    std::mem::take(&mut rig.kept.borrow_mut().debugged)
+}
+
+#[rstest]
+fn every_weight_that_is_written_can_be_logged() {
+    let mut rig = Rig::new(4);
+    rig.station.log_weights();
+    rig.until(ms(2500));
+    rig.join(1, 5);
+    rig.until(ms(3000));
+    let holds = table(&rig.written(1), BTreeMap::new());
+    let weights: Vec<f64> = holds.values().copied().collect();
+    let named: Vec<String> = holds.iter().map(|(id, weight)| format!(" {id} {weight:.3}")).collect();
+    let tail = format!(", 1 proxies, sum {:.3}:{}", weights.iter().sum::<f64>(), named.concat());
+    let first = debug_lines(&rig);
+    assert!(first.len() == 1 && first[0].ends_with(&tail), "{first:?} {tail}");
+    rig.until(ms(3400));
+    assert_eq!(debug_lines(&rig), Vec::<String>::new(), "nothing has changed");
+    rig.list(Some(3), &list(4, false, vec![server(2, "DRAINING", 0)])).unwrap();
+    rig.until(ms(3700));
+    let drained = debug_lines(&rig);
+    assert!(drained[0].contains(", 1 proxies, sum ") && drained[0].contains(" s2 0.000"), "{drained:?}");
+    rig.station.closed(1);
+    rig.until(ms(4000));
+    assert!(debug_lines(&rig)[0].contains(", 0 proxies, sum "));
+}
+
+#[rstest]
+fn weights_are_logged_only_where_asked() {
+    let mut rig = Rig::new(4);
+    rig.until(ms(2500));
+    rig.join(1, 5);
+    rig.until(ms(3000));
+    assert_eq!(debug_lines(&rig), Vec::<String>::new());
+}
