--- /dev/null
+++ b/crates/scale/src/chart.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/scale/src/hollow/planner.rs
@@ -0,0 +1,390 @@
+//! One hollow planner: three state machines, joined as `grebespool-members` joins them on sockets.
+
+use crate::resources::timed;
+use grebespool_accord as consensus;
+use grebespool_duties::{self as tasks, Cell, Duties, Duty, Lost, Record, Rows, Tally, Token};
+use grebespool_members::seal::Packet;
+use grebespool_succession::{self as election, Id, Seat};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The only singleton task of a hollow planner: it owns the journal of configuration versions.
+const CONFIGURATION: Duty = 0;
+const TASK_NAMES: (u64, usize) = (7, 1);
+
+/// The three state machines of a planner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Component {
+    /// Who leads.
+    Election,
+    /// Which planner does which task.
+    Tasks,
+    /// What configuration is in force.
+    Consensus,
+}
+
+impl Component {
+    /// As it is written in tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Component::Election => "election",
+            Component::Tasks => "tasks",
+            Component::Consensus => "consensus",
+        }
+    }
+}
+
+/// Something that a disk has written, to be told to the planner that asked for it.
+#[derive(Debug, Clone)]
+pub enum Written {
+    /// The state of the election.
+    Election(election::Kept),
+    /// Cells of the journal, and the stamp of the last.
+    Cells(BTreeMap<Duty, Cell>, u64),
+    /// The configuration that is held, and its stamp.
+    Configuration(Box<consensus::Kept>, u64),
+}
+
+impl Written {
+    /// Whose file it is.
+    pub fn component(&self) -> Component {
+        match self {
+            Written::Election(_) => Component::Election,
+            Written::Cells(..) => Component::Tasks,
+            Written::Configuration(..) => Component::Consensus,
+        }
+    }
+}
+
+/// What a planner asked for while it was called.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    /// Packets, and for whom.
+    pub packets: Vec<(Id, Packet)>,
+    /// What is to be written; the newest of a file replaces one that has not begun.
+    pub writes: Vec<Written>,
+    /// Proposals that were answered.
+    pub answered: Vec<(consensus::Ticket, Result<u64, Vec<String>>)>,
+}
+
+#[derive(Debug, Default)]
+struct Asked {
+    outbox: Outbox,
+    cells: BTreeMap<Duty, Cell>,
+    cells_stamp: u64,
+    /// Journal steps that became durable, and whether each is the first of an ownership.
+    durable: Vec<(Token, Option<Record>, bool)>,
+    lost: bool,
+    fix: Option<(Token, Vec<u8>)>,
+    end: bool,
+    may_write: bool,
+    copied: bool,
+}
+
+/// Keeps what the state machines ask of their host.
+#[derive(Debug, Default)]
+pub struct Host(Asked);
+
+impl election::Host for Host {
+    fn keep(&mut self, kept: &election::Kept) {
+        self.0.outbox.writes.push(Written::Election(kept.clone()));
+    }
+    fn say(&mut self, to: Id, word: election::Word) {
+        self.0.outbox.packets.push((to, Packet::Word(word)));
+    }
+    fn lead(&mut self, _: u64) {}
+    fn stand_down(&mut self, _: u64, _: election::Why) {}
+    fn note(&mut self, _: &str) {}
+}
+
+impl tasks::Host for Host {
+    fn say(&mut self, to: Id, word: tasks::Word) {
+        self.0.outbox.packets.push((to, Packet::Duty(word)));
+    }
+    fn keep(&mut self, duty: Duty, cell: &Cell, stamp: u64) {
+        self.0.cells.insert(duty, cell.clone());
+        self.0.cells_stamp = stamp;
+    }
+    fn copied(&mut self) {
+        self.0.copied = true;
+    }
+    fn take(&mut self, _: Duty, _: Token) {}
+    fn lose(&mut self, _: Duty, _: Token, _: Lost) {
+        self.0.may_write = false;
+        self.0.lost = true;
+    }
+    fn ready(&mut self, _: Duty, token: Token, last: Option<&Record>) {
+        self.0.may_write = true;
+        self.0.durable.push((token, last.cloned(), true));
+    }
+    fn stands(&mut self, _: Duty, token: Token, record: &Record) {
+        self.0.may_write = true;
+        self.0.durable.push((token, Some(record.clone()), false));
+    }
+    fn counted(&mut self, _: Id, _: Vec<(u64, Rows)>) {}
+    fn note(&mut self, _: &str) {}
+}
+
+impl consensus::Host for Host {
+    fn say(&mut self, to: Id, word: consensus::Word) {
+        self.0.outbox.packets.push((to, Packet::Accord(word)));
+    }
+    fn keep(&mut self, kept: &consensus::Kept, stamp: u64) {
+        self.0.outbox.writes.push(Written::Configuration(Box::new(kept.clone()), stamp));
+    }
+    fn fix(&mut self, token: Token, content: Vec<u8>) {
+        self.0.fix = Some((token, content));
+    }
+    fn end(&mut self, _: Token) {
+        self.0.end = true;
+    }
+    fn acts(&mut self, _: consensus::Acts) {}
+    fn proposed(&mut self, ticket: consensus::Ticket, done: Result<u64, Vec<String>>) {
+        self.0.outbox.answered.push((ticket, done));
+    }
+    fn note(&mut self, _: &str) {}
+}
+
+/// The lease and heartbeat settings of all members, by default those that the program states as defaults.
+#[derive(Debug, Clone)]
+pub struct Timing {
+    /// Of the leader election.
+    pub election: election::Terms,
+    /// Of singleton tasks.
+    pub tasks: tasks::Terms,
+    /// Of configuration versions.
+    pub consensus: consensus::Terms,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        let (ms, drift) = (Duration::from_millis, 0.01);
+        Timing {
+            election: election::Terms { beat: ms(250), lease: ms(1500), drift },
+            tasks: tasks::Terms { lease: ms(5000), renew: ms(1000), drift },
+            consensus: consensus::Terms {
+                lease: ms(3000),
+                renew: ms(500),
+                drift,
+                most_withdrawn: 0.5,
+                limits: grebespool_members::LIMITS.to_vec(),
+            },
+        }
+    }
+}
+
+/// What a planner's disk holds.
+#[derive(Debug, Clone)]
+pub struct Disk {
+    pub(crate) election: election::Kept,
+    pub(crate) cells: BTreeMap<Duty, Cell>,
+    pub(crate) configuration: consensus::Kept,
+    pub(crate) starts: u32,
+}
+
+impl Disk {
+    /// Of a planner that has never run.
+    pub fn new(id: Id, seats: &BTreeMap<Id, Seat>) -> Disk {
+        let roster = election::Roster { epoch: 0, number: 0, seats: seats.clone() };
+        let election = election::Kept { id, fleet: 1, epoch: 0, vote: None, roster, stamp: 0 };
+        Disk { election, cells: BTreeMap::new(), configuration: consensus::Kept::default(), starts: 0 }
+    }
+
+    pub(crate) fn take(&mut self, written: Written) {
+        match written {
+            Written::Election(kept) => self.election = kept,
+            Written::Cells(cells, _) => self.cells.extend(cells),
+            Written::Configuration(kept, _) => self.configuration = *kept,
+        }
+    }
+}
+
+/// One call of a state machine; boxed, since calls of one lead to calls of another.
+type Call<'a, T> = Box<dyn FnOnce(&mut T) + 'a>;
+
+/// A hollow planner.
+pub struct Planner {
+    election: election::Member<Host>,
+    tasks: Duties<Host>,
+    consensus: consensus::Member<Host>,
+    may_write: bool,
+    outbox: Outbox,
+    /// Processor time of each state machine since the start.
+    pub processor: BTreeMap<Component, Duration>,
+}
+
+impl Planner {
+    /// Starts from what the disk has, with the clock at `now`.
+    pub fn start(disk: &Disk, timing: &Timing, seed: u64, now: Duration) -> Planner {
+        let id = disk.election.id;
+        let election =
+            election::Member::start(Host::default(), disk.election.clone(), timing.election, seed, now);
+        let cells = disk.cells.clone();
+        let tasks =
+            Duties::start(Host::default(), id, timing.tasks, TASK_NAMES, disk.starts, cells, true, Tally::default());
+        let configuration = disk.configuration.clone();
+        let consensus =
+            consensus::Member::start(Host::default(), id, timing.consensus.clone(), configuration, disk.starts);
+        let mut planner = Planner {
+            election,
+            tasks,
+            consensus,
+            may_write: false,
+            outbox: Outbox::default(),
+            processor: BTreeMap::new(),
+        };
+        planner.place(now);
+        planner
+    }
+
+    /// What was asked for since this was called last.
+    pub fn take_outbox(&mut self) -> Outbox {
+        std::mem::take(&mut self.outbox)
+    }
+
+    /// When [`Planner::woken`] is to be called next.
+    pub fn due(&self) -> Duration {
+        self.election.due().min(self.tasks.due()).min(self.consensus.due())
+    }
+
+    /// Time has passed.
+    pub fn woken(&mut self, now: Duration) {
+        if now >= self.election.due() {
+            self.call_election(now, |member| member.woken(now));
+        }
+        if now >= self.tasks.due() {
+            self.call_tasks(now, Box::new(|tasks| tasks.woken(now)));
+        }
+        if now >= self.consensus.due() {
+            self.call_consensus(now, Box::new(|member| member.woken(now)));
+        }
+    }
+
+    /// A packet came from another planner.
+    pub fn heard(&mut self, now: Duration, from: Id, packet: Packet) {
+        match packet {
+            Packet::Word(word) => self.call_election(now, |member| member.heard(now, from, word)),
+            Packet::Duty(word) => self.call_tasks(now, Box::new(|tasks| tasks.heard(now, from, word))),
+            Packet::Accord(word) => self.call_consensus(now, Box::new(|member| member.heard(now, from, word))),
+            _ => {}
+        }
+    }
+
+    /// The disk has written something that was asked for.
+    pub fn written(&mut self, now: Duration, written: &Written) {
+        match written {
+            Written::Election(kept) => self.call_election(now, |member| member.kept(now, kept.stamp)),
+            Written::Cells(_, stamp) => self.call_tasks(now, Box::new(|tasks| tasks.kept(now, *stamp))),
+            Written::Configuration(_, stamp) => self.call_consensus(now, Box::new(|member| member.kept(now, *stamp))),
+        }
+    }
+
+    /// Proposes a change of the configuration. Refused where too many wait.
+    pub fn propose(&mut self, now: Duration, changes: Vec<consensus::Change>) -> Option<consensus::Ticket> {
+        let mut ticket = None;
+        self.call_consensus(now, Box::new(|member| ticket = member.propose(now, changes, false).ok()));
+        ticket
+    }
+
+    /// Whether this planner leads.
+    pub fn leads(&self) -> bool {
+        self.election.leads()
+    }
+
+    /// By which configuration it may act.
+    pub fn acts(&self, now: Duration) -> consensus::Acts {
+        self.consensus.acts(now)
+    }
+
+    /// The configuration that it holds.
+    pub fn configuration(&self) -> &consensus::Kept {
+        self.consensus.held()
+    }
+
+    fn charge(&mut self, component: Component, took: Duration) {
+        *self.processor.entry(component).or_default() += took;
+    }
+
+    fn call_election(&mut self, now: Duration, what: impl FnOnce(&mut election::Member<Host>)) {
+        let ((), took) = timed(|| what(&mut self.election));
+        self.charge(Component::Election, took);
+        let asked = std::mem::take(&mut self.election.host().0);
+        self.take_asked(asked.outbox);
+        self.place(now);
+    }
+
+    /// Tells the other state machines who takes part and who leads, after every call of the election.
+    fn place(&mut self, now: Duration) {
+        let (seats, took) = timed(|| {
+            let kept = self.election.kept_state();
+            kept.roster.seats.keys().copied().collect::<Vec<Id>>()
+        });
+        self.charge(Component::Election, took);
+        let leader = self.election.leader().map(|id| (self.election.epoch(), id));
+        let until = self.election.leads_until();
+        let taking_part = seats.clone();
+        self.call_tasks(now, Box::new(|tasks| tasks.roster(now, seats, leader, until)));
+        self.call_consensus(now, Box::new(|member| member.seats(now, taking_part)));
+    }
+
+    fn call_tasks(&mut self, now: Duration, what: Call<'_, Duties<Host>>) {
+        self.tasks.host().0.may_write = self.may_write;
+        let ((), took) = timed(|| what(&mut self.tasks));
+        self.charge(Component::Tasks, took);
+        let mut asked = std::mem::take(&mut self.tasks.host().0);
+        self.may_write = asked.may_write;
+        if !asked.cells.is_empty() || asked.copied {
+            let cells = std::mem::take(&mut asked.cells);
+            asked.outbox.writes.push(Written::Cells(cells, asked.cells_stamp));
+        }
+        self.take_asked(asked.outbox);
+        if asked.lost {
+            self.call_consensus(now, Box::new(|member| member.cease(now)));
+        }
+        for (token, record, first) in asked.durable {
+            let tell = |member: &mut consensus::Member<Host>| match &record {
+                last if first => member.convene(now, token, last.as_ref()),
+                Some(record) if record.ended => member.ended(now, token),
+                _ => member.fixed(now, token),
+            };
+            self.call_consensus(now, Box::new(tell));
+        }
+    }
+
+    fn call_consensus(&mut self, now: Duration, what: Call<'_, consensus::Member<Host>>) {
+        let owned = self.tasks.may(now, CONFIGURATION);
+        let ((), took) = timed(|| {
+            self.consensus.owns(owned);
+            what(&mut self.consensus);
+        });
+        self.charge(Component::Consensus, took);
+        let asked = std::mem::take(&mut self.consensus.host().0);
+        self.take_asked(asked.outbox);
+        if let Some((token, content)) = asked.fix {
+            let begun = self.journal(now, |tasks| tasks.begin(now, CONFIGURATION, content));
+            if !begun {
+                self.call_consensus(now, Box::new(|member| member.unfixed(now, token)));
+            }
+        }
+        if asked.end {
+            self.journal(now, |tasks| tasks.end(now, CONFIGURATION));
+        }
+    }
+
+    /// Writes a step of the journal, where the step before it is durable.
+    fn journal(&mut self, now: Duration, what: impl FnOnce(&mut Duties<Host>) -> bool) -> bool {
+        if !std::mem::take(&mut self.may_write) {
+            return false;
+        }
+        let mut written = false;
+        self.call_tasks(now, Box::new(|tasks| written = what(tasks)));
+        self.may_write |= !written;
+        written
+    }
+
+    fn take_asked(&mut self, asked: Outbox) {
+        self.outbox.packets.extend(asked.packets);
+        self.outbox.writes.extend(asked.writes);
+        self.outbox.answered.extend(asked.answered);
+    }
+}
--- /dev/null
+++ b/crates/scale/src/hollow/traffic.rs
@@ -0,0 +1,92 @@
+//! Messages and bytes by type and direction.
+
+use grebespool_members::seal::Packet;
+use std::collections::BTreeMap;
+
+/// Bytes that a frame costs beyond its body on a sealed stream: its length, and the message authentication code.
+pub const FRAME: usize = 4 + 16;
+
+/// The types of messages that are counted apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum TrafficClass {
+    /// Heartbeats, votes and rosters of the leader election.
+    Election,
+    /// Leases of singleton tasks.
+    TaskLeases,
+    /// The replicated journal.
+    Journal,
+    /// Leases of configuration versions.
+    ConfigurationLeases,
+    /// Proposals, preparations and commits of configuration versions.
+    ConfigurationChanges,
+    /// Bytes of configuration versions, in parts.
+    ConfigurationContent,
+}
+
+impl TrafficClass {
+    /// As it is written in tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            TrafficClass::Election => "election",
+            TrafficClass::TaskLeases => "task_leases",
+            TrafficClass::Journal => "journal",
+            TrafficClass::ConfigurationLeases => "configuration_leases",
+            TrafficClass::ConfigurationChanges => "configuration_changes",
+            TrafficClass::ConfigurationContent => "configuration_content",
+        }
+    }
+
+    /// The type of a packet.
+    pub fn of(packet: &Packet) -> TrafficClass {
+        use grebespool_accord::Word as Consensus;
+        use grebespool_duties::Word as Tasks;
+        match packet {
+            Packet::Duty(Tasks::Open { .. } | Tasks::Opened { .. } | Tasks::Write { .. } | Tasks::Written { .. }) => {
+                TrafficClass::Journal
+            }
+            Packet::Duty(_) => TrafficClass::TaskLeases,
+            Packet::Accord(Consensus::Renew { .. } | Consensus::Renewed { .. } | Consensus::Call { .. }) => {
+                TrafficClass::ConfigurationLeases
+            }
+            Packet::Accord(Consensus::Want { .. } | Consensus::Part { .. }) => TrafficClass::ConfigurationContent,
+            Packet::Accord(_) => TrafficClass::ConfigurationChanges,
+            _ => TrafficClass::Election,
+        }
+    }
+}
+
+/// How many packets, and how many bytes they were on the wire.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Packets {
+    /// Packets.
+    pub count: u64,
+    /// Bytes, with length and authentication code, without the transport's own headers.
+    pub bytes: u64,
+}
+
+impl Packets {
+    /// One more, whose body has so many bytes.
+    pub fn add(&mut self, body: usize) {
+        self.count += 1;
+        self.bytes += (body + FRAME) as u64;
+    }
+}
+
+/// What one planner sent and received.
+#[derive(Debug, Clone, Default)]
+pub struct Traffic {
+    /// Sent, by type.
+    pub sent: BTreeMap<TrafficClass, Packets>,
+    /// Received, by type.
+    pub received: BTreeMap<TrafficClass, Packets>,
+}
+
+impl Traffic {
+    /// All types of one direction together.
+    pub fn total(of: &BTreeMap<TrafficClass, Packets>) -> Packets {
+        of.values().fold(Packets::default(), |sum, p| Packets {
+            count: sum.count + p.count,
+            bytes: sum.bytes + p.bytes,
+        })
+    }
+}
--- /dev/null
+++ b/crates/scale/tests/hollow.rs
@@ -0,0 +1,81 @@
+//! Hollow planners agree as the program's members do.
+
+use grebespool_accord::{Change, Content, Rack, Server, State};
+use grebespool_scale::hollow::*;
+use rstest::rstest;
+use std::time::Duration;
+
+fn fleet(planners: usize, links: Links) -> Fleet {
+    let topology = Topology::even(3, 6).unwrap();
+    Fleet::start(FleetSettings { planners, topology, links, timing: Timing::default(), seed: 5 })
+}
+
+pub fn content(servers: usize) -> Content {
+    let mut content = Content::default();
+    content.racks.insert("rack".into(), Rack { site: "site".into(), feed: "feed".into(), cap: 1000.0 });
+    for k in 0..servers {
+        let server = Server { rack: "rack".into(), capacity: 10.0, state: State::Ready };
+        content.servers.insert(format!("server-{k}"), server);
+    }
+    content
+}
+
+#[rstest]
+#[case::three(3, Links::local())]
+#[case::ten(10, Links::local())]
+#[case::between_regions(10, Links::regions())]
+fn they_elect_one_leader_and_agree_on_a_configuration(#[case] planners: usize, #[case] links: Links) {
+    let mut fleet = fleet(planners, links);
+    fleet.run(Duration::from_secs(20));
+    assert_eq!(fleet.leaders(), 1);
+    fleet.propose(1, vec![Change::Whole(Box::new(content(8)))]);
+    fleet.run(Duration::from_secs(5));
+    assert_eq!(fleet.acting_by(1), planners);
+    let faults = Faults { change_every: Some(Duration::from_secs(2)), ..Faults::default() };
+    let costs = fleet.measure(Duration::from_secs(20), &faults);
+    assert!(costs.in_force.len() >= 8, "{costs:?}");
+    assert!(costs.in_force_within(1.0).unwrap() < Duration::from_secs(3), "{costs:?}");
+    assert_eq!(fleet.contradictions(), 0);
+}
+
+#[rstest]
+fn a_killed_leader_is_replaced_and_restarts_are_survived() {
+    let mut fleet = fleet(5, Links::local());
+    fleet.run(Duration::from_secs(20));
+    fleet.propose(1, vec![Change::Whole(Box::new(content(8)))]);
+    fleet.run(Duration::from_secs(5));
+    let faults = Faults {
+        change_every: Some(Duration::from_secs(3)),
+        restart_every: Some(Duration::from_secs(7)),
+        kill_leader_at: Some(Duration::from_secs(10)),
+        cut_region: Some((Duration::from_secs(20), Duration::from_secs(30))),
+    };
+    let costs = fleet.measure(Duration::from_secs(60), &faults);
+    assert!(costs.restarts >= 8 && costs.in_force.len() >= 10, "{costs:?}");
+    fleet.run(Duration::from_secs(15));
+    assert_eq!((fleet.leaders(), fleet.leased(), fleet.contradictions()), (1, 5, 0));
+}
+
+#[rstest]
+#[case::none(vec![], TopologyError::NoRegions)]
+#[case::no_zones(vec![("a", vec![])], TopologyError::NoZones("a".into()))]
+#[case::twice(
+    vec![("a", vec!["z1", "z2"]), ("b", vec!["z2"])],
+    TopologyError::ZoneInTwoRegions { zone: "z2".into(), first: "a".into(), second: "b".into() }
+)]
+fn a_topology_that_cannot_be_is_refused(#[case] regions: Vec<(&str, Vec<&str>)>, #[case] why: TopologyError) {
+    let region = |(name, zones): (&str, Vec<&str>)| Region {
+        name: name.into(),
+        zones: zones.into_iter().map(String::from).collect(),
+    };
+    assert_eq!(Topology::new(regions.into_iter().map(region).collect()), Err(why));
+}
+
+#[rstest]
+fn a_zone_is_found_by_its_name_or_refused() {
+    let topology = Topology::even(54, 147).unwrap();
+    assert_eq!((topology.regions(), topology.zones()), (54, 147));
+    assert_eq!(topology.region(topology.zone("zone-54").unwrap()), 0);
+    assert_eq!(topology.zone("zone-147"), Err(TopologyError::UnknownZone("zone-147".into())));
+    assert_eq!(Topology::even(3, 2), Err(TopologyError::NoZones("region-2".into())));
+}
