Measure and fit today's costs by one command: cargo bench -p grebespool-scale

Need: slopes from the program as it is. Groups: hollow fleets, a configuration's content, the platform's planner by servers, routes, zones and proxies, and real processes.

--- /dev/null
+++ b/crates/scale/benches/scale/args.rs
@@ -0,0 +1,52 @@
+//! What the benchmark is told.
+
+use clap::{Parser, ValueEnum};
+use std::path::PathBuf;
+
+/// Groups of curves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Group {
+    /// Hollow planners: election, tasks and configuration consensus.
+    Fleet,
+    /// The configuration's content, by its entries.
+    Content,
+    /// The platform's planner, hollow, by servers, routes, zones and proxies.
+    Station,
+    /// Real planners as processes.
+    Processes,
+}
+
+/// Measures how the cost of a fleet grows with its size.
+#[derive(Debug, Parser)]
+pub struct Arguments {
+    /// Measure only this group, and print what it gave.
+    #[arg(long)]
+    pub only: Option<Group>,
+    /// How many hollow planners.
+    #[arg(long, value_delimiter = ',', default_values_t = [3, 10, 30, 100, 300, 1000])]
+    pub planners: Vec<usize>,
+    /// How many real members of one fleet.
+    #[arg(long, value_delimiter = ',', default_values_t = [3, 6, 12, 24])]
+    pub members: Vec<usize>,
+    /// How many real planners that share nothing.
+    #[arg(long, value_delimiter = ',', default_values_t = [3, 10, 30, 100])]
+    pub processes: Vec<usize>,
+    /// How many servers a planner's list has.
+    #[arg(long, value_delimiter = ',', default_values_t = [30, 100, 300, 1000, 3000])]
+    pub servers: Vec<usize>,
+    /// How many entries a configuration has.
+    #[arg(long, value_delimiter = ',', default_values_t = [100, 1000, 10_000, 50_000])]
+    pub entries: Vec<usize>,
+    /// Changes of the configuration a day.
+    #[arg(long, value_delimiter = ',', default_values_t = [4000.0, 16_000.0, 64_000.0, 256_000.0])]
+    pub changes_a_day: Vec<f64>,
+    /// Restarts a day.
+    #[arg(long, value_delimiter = ',', default_values_t = [1000.0, 11_000.0, 44_000.0, 110_000.0])]
+    pub restarts_a_day: Vec<f64>,
+    /// Where the data and the chart go.
+    #[arg(long, default_value = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/capacity"))]
+    pub folder: PathBuf,
+    /// Passed by cargo.
+    #[arg(long, hide = true)]
+    pub bench: bool,
+}
--- /dev/null
+++ b/crates/scale/benches/scale/series.rs
@@ -0,0 +1,303 @@
+//! The curves that are measured.
+
+use crate::args::{Arguments, Group};
+use grebespool_accord::{Blob, Change, Content, Edition, Rack, Route, Server, State};
+use grebespool_scale::hollow::{Faults, Fleet, FleetCosts, FleetSettings, Links, Timing, Topology};
+use grebespool_scale::process::{MemberFleet, ProcessCosts, measure_platform};
+use grebespool_scale::resources::{thread_time, timed};
+use grebespool_scale::sample::{PlannerKind, Sample, rounded};
+use grebespool_scale::station::{self, StationSize};
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::Duration;
+
+/// Regions and zones of the plan.
+const REGIONS: usize = 54;
+const ZONES: usize = 147;
+const DAY: f64 = 86_400.0;
+/// The plan's changes and restarts a day, where something else is swept.
+const CHANGES_A_DAY: f64 = 16_000.0;
+const RESTARTS_A_DAY: f64 = 11_000.0;
+/// Planners of a fleet where something else is swept.
+const USUAL_PLANNERS: usize = 30;
+
+struct Series<'a> {
+    name: &'a str,
+    kind: PlannerKind,
+    swept: &'a str,
+    size: f64,
+    samples: &'a mut Vec<Sample>,
+}
+
+impl Series<'_> {
+    fn add(&mut self, cost: &str, unit: &str, value: f64) {
+        self.samples.push(Sample {
+            series: self.name.into(),
+            kind: self.kind,
+            swept: self.swept.into(),
+            size: self.size,
+            cost: cost.into(),
+            unit: unit.into(),
+            value: rounded(value),
+        });
+    }
+}
+
+pub fn measure(arguments: &Arguments, allocated: &dyn Fn() -> u64) -> Result<Vec<Sample>, Box<dyn Error>> {
+    let mut samples = vec![];
+    let asked = |group| arguments.only.is_none_or(|only| only == group);
+    if asked(Group::Fleet) {
+        fleets(arguments, allocated, &mut samples)?;
+    }
+    if asked(Group::Content) {
+        contents(arguments, allocated, &mut samples);
+    }
+    if asked(Group::Station) {
+        stations(arguments, allocated, &mut samples);
+    }
+    if asked(Group::Processes) {
+        processes(arguments, &mut samples)?;
+    }
+    Ok(samples)
+}
+
+fn content(servers: usize, routes: usize) -> Content {
+    let mut content = Content::default();
+    content.racks.insert("rack".into(), Rack { site: "site".into(), feed: "feed".into(), cap: 1000.0 });
+    for k in 0..servers {
+        let server = Server { rack: "rack".into(), capacity: 10.0, state: State::Ready };
+        content.servers.insert(format!("server-{k}"), server);
+    }
+    for k in 0..routes {
+        content.routes.insert(format!("route-{k}"), Route { importance: 1.0, most: 1.0 });
+    }
+    content
+}
+
+/// A fleet that has elected a leader and agreed on a first configuration.
+fn settled(planners: usize, links: Links) -> Result<Fleet, Box<dyn Error>> {
+    let topology = Topology::even(REGIONS, ZONES)?;
+    let settings = FleetSettings { planners, topology, links, timing: Timing::default(), seed: 11 };
+    let mut fleet = Fleet::start(settings);
+    fleet.run(Duration::from_secs(30));
+    fleet.propose(1, vec![Change::Whole(Box::new(content(8, 0)))]);
+    fleet.run(Duration::from_secs(10));
+    Ok(fleet)
+}
+
+fn every(a_day: f64) -> Option<Duration> {
+    Some(Duration::from_secs_f64(DAY / a_day))
+}
+
+fn fleets(
+    arguments: &Arguments,
+    allocated: &dyn Fn() -> u64,
+    samples: &mut Vec<Sample>,
+) -> Result<(), Box<dyn Error>> {
+    let plan = Faults {
+        change_every: every(CHANGES_A_DAY),
+        restart_every: every(RESTARTS_A_DAY),
+        ..Faults::default()
+    };
+    let changes = Faults { change_every: every(CHANGES_A_DAY), ..Faults::default() };
+    let faults = [
+        ("fleet_idle", Faults::default(), Links::local(), 30),
+        ("fleet_changes", changes, Links::local(), 900),
+        ("fleet_plan", plan.clone(), Links::local(), 900),
+        ("fleet_plan_regions", plan.clone(), Links::regions(), 900),
+        (
+            "fleet_leader_killed",
+            Faults { kill_leader_at: Some(Duration::from_secs(10)), ..plan.clone() },
+            Links::local(),
+            60,
+        ),
+        (
+            "fleet_region_cut",
+            Faults { cut_region: Some((Duration::from_secs(10), Duration::from_secs(50))), ..plan },
+            Links::regions(),
+            90,
+        ),
+    ];
+    for (name, faults, links, seconds) in faults {
+        for planners in arguments.planners.iter().copied() {
+            // A full mesh sends and handles so many packets that the largest sizes are measured for less long.
+            let seconds = (seconds as f64 * (30.0 / planners as f64).clamp(0.02, 1.0)).max(30.0);
+            let before = allocated();
+            let mut fleet = settled(planners, links.clone())?;
+            let held = allocated().saturating_sub(before);
+            let leaders = fleet.leaders();
+            let costs = fleet.measure(Duration::from_secs_f64(seconds), &faults);
+            eprintln!(
+                "{name}, {planners} planners: {leaders} leading, {} in force, {} not",
+                costs.in_force.len(),
+                costs.unanswered
+            );
+            let mut series =
+                Series { name, kind: PlannerKind::Hollow, swept: "planners", size: planners as f64, samples };
+            fleet_samples(&mut series, planners, &costs);
+            if name == "fleet_idle" {
+                series.add("allocated_per_planner", "bytes", held as f64 / planners as f64);
+            }
+        }
+    }
+    rates(arguments, samples)
+}
+
+/// Rates of changes and of restarts, at one size of the fleet.
+fn rates(arguments: &Arguments, samples: &mut Vec<Sample>) -> Result<(), Box<dyn Error>> {
+    const MEASURED: Duration = Duration::from_secs(600);
+    let by_changes = arguments.changes_a_day.iter().map(|rate| {
+        let faults = Faults { change_every: every(*rate), ..Faults::default() };
+        ("changes_a_day", *rate, faults)
+    });
+    let by_restarts = arguments.restarts_a_day.iter().map(|rate| {
+        let (change_every, restart_every) = (every(CHANGES_A_DAY), every(*rate));
+        ("restarts_a_day", *rate, Faults { change_every, restart_every, ..Faults::default() })
+    });
+    for (swept, size, faults) in by_changes.chain(by_restarts) {
+        let mut fleet = settled(USUAL_PLANNERS, Links::local())?;
+        let costs = fleet.measure(MEASURED, &faults);
+        let mut series = Series { name: "fleet_rates", kind: PlannerKind::Hollow, swept, size, samples };
+        fleet_samples(&mut series, USUAL_PLANNERS, &costs);
+    }
+    Ok(())
+}
+
+fn fleet_samples(series: &mut Series, planners: usize, costs: &FleetCosts) {
+    let (seconds, planners) = (costs.measured.as_secs_f64(), planners as f64);
+    let each = |total: f64| total / seconds / planners;
+    let processor: Duration = costs.processor.values().sum::<Duration>() + costs.codec;
+    series.add("processor_per_planner", "core", each(processor.as_secs_f64()));
+    series.add("processor_busiest", "core", costs.busiest.as_secs_f64() / seconds);
+    for (component, took) in &costs.processor {
+        let cost = format!("processor_{}_per_planner", component.name());
+        series.add(&cost, "core", each(took.as_secs_f64()));
+    }
+    series.add("processor_codec_per_planner", "core", each(costs.codec.as_secs_f64()));
+    let (count, bytes) = costs.sent.values().fold((0, 0), |(n, b), p| (n + p.count, b + p.bytes));
+    series.add("messages_all", "1/s", count as f64 / seconds);
+    series.add("bytes_per_planner", "bytes/s", each(bytes as f64));
+    series.add("bytes_busiest", "bytes/s", costs.most_sent as f64 / seconds);
+    for (class, packets) in &costs.sent {
+        series.add(&format!("messages_{}_all", class.name()), "1/s", packets.count as f64 / seconds);
+        series.add(&format!("bytes_{}_per_planner", class.name()), "bytes/s", each(packets.bytes as f64));
+    }
+    let syncs: u64 = costs.syncs.values().sum();
+    series.add("syncs_per_planner", "1/s", each(syncs as f64));
+    for (cost, part) in
+        [("in_force_p50", 0.5), ("in_force_p90", 0.9), ("in_force_p99", 0.99), ("in_force_worst", 1.0)]
+    {
+        if let Some(within) = costs.in_force_within(part) {
+            series.add(cost, "s", within.as_secs_f64());
+        }
+    }
+    series.add("changes_answered", "1", costs.in_force.len() as f64);
+    series.add("changes_unanswered", "1", (costs.unanswered + costs.refused) as f64);
+}
+
+/// What a whole configuration costs by its entries: every change makes, hashes and keeps all of it anew.
+fn contents(arguments: &Arguments, allocated: &dyn Fn() -> u64, samples: &mut Vec<Sample>) {
+    const CHANGES: u32 = 5;
+    for (swept, servers) in [("servers", true), ("routes", false)] {
+        for entries in arguments.entries.iter().copied() {
+            let before = allocated();
+            let made = if servers { content(entries, 0) } else { content(1, entries) };
+            let mut edition = Edition::new(Blob { number: 1, content: made, ..Blob::default() });
+            let held = allocated().saturating_sub(before);
+            let began = thread_time();
+            let mut bytes = 0;
+            for _ in 0..CHANGES {
+                edition = edition.next(&[], &Default::default());
+                // What a disk is given, and what a member that fell behind is sent.
+                bytes = edition.blob.bytes().len();
+            }
+            let took = (thread_time() - began) / CHANGES;
+            let name = "configuration";
+            let mut series = Series { name, kind: PlannerKind::Hollow, swept, size: entries as f64, samples };
+            series.add("bytes_whole", "bytes", bytes as f64);
+            series.add("allocated", "bytes", held as f64);
+            series.add("processor_per_change", "s", took.as_secs_f64());
+        }
+    }
+}
+
+fn stations(arguments: &Arguments, allocated: &dyn Fn() -> u64, samples: &mut Vec<Sample>) {
+    let usual = StationSize { servers: 300, proxies: 0, routes: 2, zones: 3 };
+    let mut sizes: Vec<(&str, f64, StationSize)> = vec![];
+    sizes.extend(
+        arguments.servers.iter().map(|n| ("servers", *n as f64, StationSize { servers: *n, ..usual })),
+    );
+    sizes.extend([1, 2, 4, 8, 16, 17].map(|n| ("routes", n as f64, StationSize { routes: n, ..usual })));
+    sizes.extend([1, 3, 10, 30, 147].map(|n| ("zones", n as f64, StationSize { zones: n, ..usual })));
+    sizes.extend([30, 100, 300, 1000].map(|n| ("proxies", n as f64, StationSize { proxies: n, ..usual })));
+    for (swept, size, station) in sizes {
+        match station::measure(station, allocated) {
+            Ok(costs) => {
+                let mut series = Series {
+                    name: "station",
+                    kind: PlannerKind::Hollow,
+                    swept,
+                    size,
+                    samples: &mut *samples,
+                };
+                series.add("allocated", "bytes", costs.allocated as f64);
+                series.add("processor_idle", "core", costs.idle);
+                series.add("processor_per_change", "s", costs.per_change.as_secs_f64());
+                if station.proxies > 0 {
+                    series.add("written_per_change", "bytes", costs.written_per_change);
+                }
+            }
+            Err(why) => eprintln!("station stops: {why}"),
+        }
+    }
+}
+
+/// Builds a program of this repository and gives its path.
+fn program(package: &str, name: &str) -> Result<PathBuf, Box<dyn Error>> {
+    let root = PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."));
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut build = Command::new(cargo);
+    build.args(["build", "--release", "--locked", "--quiet", "-p", package]).current_dir(&root);
+    if !build.status()?.success() {
+        return Err(format!("{package} cannot be built").into());
+    }
+    Ok(root.join("target/release").join(name))
+}
+
+fn processes(arguments: &Arguments, samples: &mut Vec<Sample>) -> Result<(), Box<dyn Error>> {
+    const SPAN: Duration = Duration::from_secs(10);
+    let platform = program("grebespool-start", "grebespool")?;
+    let members = program("grebespool-cli", "grebespool-cli")?;
+    for planners in arguments.processes.iter().copied() {
+        let costs = measure_platform(&platform, planners, 200, SPAN)?;
+        process_samples(("platform", "planners", planners), &costs, samples);
+    }
+    for servers in arguments.servers.iter().copied() {
+        let costs = measure_platform(&platform, 3, servers, SPAN)?;
+        process_samples(("platform", "servers", servers), &costs, samples);
+    }
+    let base = include_str!("../../../../examples/serve.ncl");
+    for planners in arguments.members.iter().copied() {
+        let (fleet, _) = timed(|| MemberFleet::start(&members, base, "7400", planners));
+        let costs = fleet?.measure(SPAN)?;
+        process_samples(("members", "planners", planners), &costs, samples);
+    }
+    Ok(())
+}
+
+fn process_samples(
+    (name, swept, size): (&str, &str, usize),
+    costs: &ProcessCosts,
+    samples: &mut Vec<Sample>,
+) {
+    eprintln!("{name}, {size} {swept}: {costs:?}");
+    let mut series = Series { name, kind: PlannerKind::Real, swept, size: size as f64, samples };
+    series.add("processor_per_planner", "core", costs.processor);
+    series.add("resident_per_planner", "bytes", costs.resident);
+    series.add("descriptors_per_planner", "1", costs.descriptors);
+    if let Some(worst) = costs.in_force.last() {
+        series.add("in_force_worst", "s", worst.as_secs_f64());
+        series.add("in_force_p50", "s", costs.in_force[costs.in_force.len() / 2].as_secs_f64());
+    }
+}
--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -20,7 +20,9 @@
     #[error("{0} sizes; a fit needs {MOST_FEWEST} or more that differ")]
     TooFewSizes(usize),
     /// A logarithm of it, or a relative error, does not exist.
-    #[error("size {size} with cost {cost}: both have to be finite, the size above zero and the cost not below it")]
+    #[error(
+        "size {size} with cost {cost}: both have to be finite, the size above zero and the cost not below it"
+    )]
     NotAMeasurement {
         /// The size of the point.
         size: f64,
@@ -99,12 +101,15 @@
         if sizes.len() < MOST_FEWEST {
             return Err(Unfit::TooFewSizes(sizes.len()));
         }
-        let least = NOUGHT * points.iter().map(|p| p.cost).fold(f64::MIN_POSITIVE, f64::max);
+        let most = points.iter().map(|p| p.cost).fold(0.0, f64::max);
+        if most == 0.0 {
+            return Ok(Fit::nought(sizes.len(), sizes[sizes.len() - 1]));
+        }
+        let least = NOUGHT * most;
         let weighed: Vec<[f64; 3]> =
             points.iter().map(|p| [p.size, p.cost, p.cost.max(least).powi(-2)]).collect();
         let (intercept, slope) = line(&weighed);
-        let logs: Vec<[f64; 3]> =
-            points.iter().map(|p| [p.size.ln(), p.cost.max(least).ln(), 1.0]).collect();
+        let logs: Vec<[f64; 3]> = points.iter().map(|p| [p.size.ln(), p.cost.max(least).ln(), 1.0]).collect();
         let (log_factor, exponent) = line(&logs);
         let factor = log_factor.exp();
         let miss = |of: &dyn Fn(f64) -> f64| {
@@ -121,7 +126,32 @@
             () => Shape::Power,
         };
         let sizes = sizes.len();
-        Ok(Fit { intercept, slope, worst_residual, exponent, factor, worst_power_residual, shape, sizes, largest })
+        Ok(Fit {
+            intercept,
+            slope,
+            worst_residual,
+            exponent,
+            factor,
+            worst_power_residual,
+            shape,
+            sizes,
+            largest,
+        })
+    }
+
+    /// Of a cost that there is none of at any size.
+    fn nought(sizes: usize, largest: f64) -> Fit {
+        Fit {
+            intercept: 0.0,
+            slope: 0.0,
+            worst_residual: 0.0,
+            exponent: 0.0,
+            factor: 0.0,
+            worst_power_residual: 0.0,
+            shape: Shape::Flat,
+            sizes,
+            largest,
+        }
     }
 
     /// What the curve's own fit says of a size.
--- a/crates/scale/src/hollow/fleet.rs
+++ b/crates/scale/src/hollow/fleet.rs
@@ -201,7 +201,8 @@
         let mut change_at = faults.change_every.map(|every| began + every);
         let mut restart_at = faults.restart_every.map(|every| began + every);
         let mut kill_at = faults.kill_leader_at.map(|at| began + at);
-        let mut cut = faults.cut_region.map(|(from, to)| [began + to, began + from].to_vec()).unwrap_or_default();
+        let mut cut =
+            faults.cut_region.map(|(from, to)| [began + to, began + from].to_vec()).unwrap_or_default();
         while self.now < end {
             let next = [change_at, restart_at, kill_at, cut.last().copied()].into_iter().flatten().min();
             self.run_until(next.unwrap_or(end).min(end));
@@ -270,7 +271,10 @@
             Change::Limit("power.reserve".into(), Some(Limit::Least(self.rng.random_range(0.0..0.5))))
         } else {
             let states = [State::Ready, State::Draining];
-            Change::State(format!("server-{}", self.rng.random_range(0..8)), states[self.rng.random_range(0..2)])
+            Change::State(
+                format!("server-{}", self.rng.random_range(0..8)),
+                states[self.rng.random_range(0..2)],
+            )
         };
         self.propose(id, vec![change]);
     }
@@ -300,7 +304,9 @@
     }
 
     fn run_until(&mut self, end: Duration) {
-        while let Some((at, _)) = self.events.first_key_value().map(|(key, _)| *key).filter(|key| key.0 <= end) {
+        while let Some((at, _)) =
+            self.events.first_key_value().map(|(key, _)| *key).filter(|key| key.0 <= end)
+        {
             self.now = self.now.max(at);
             if let Some((_, event)) = self.events.pop_first() {
                 self.happen(event);
@@ -341,14 +347,17 @@
 
     fn synced(&mut self, id: Id, start: u32, written: Written) {
         let now = self.now;
-        let Some(node) = self.nodes.get_mut(&id).filter(|n| n.disk.starts == start && n.planner.is_some()) else {
+        let Some(node) = self.nodes.get_mut(&id).filter(|n| n.disk.starts == start && n.planner.is_some())
+        else {
             return;
         };
         *self.costs.syncs.entry(written.component()).or_default() += 1;
         node.disk.take(written.clone());
         let next = node.writing.insert(written.component(), None).flatten();
         match next {
-            Some(next) => self.schedule(now + SYNC, Event::Synced { planner: id, start, written: Box::new(next) }),
+            Some(next) => {
+                self.schedule(now + SYNC, Event::Synced { planner: id, start, written: Box::new(next) })
+            }
             None => drop(node.writing.remove(&written.component())),
         }
         self.call(id, |planner| planner.written(now, &written));
--- a/crates/scale/src/hollow/planner.rs
+++ b/crates/scale/src/hollow/planner.rs
@@ -220,11 +220,24 @@
         let election =
             election::Member::start(Host::default(), disk.election.clone(), timing.election, seed, now);
         let cells = disk.cells.clone();
-        let tasks =
-            Duties::start(Host::default(), id, timing.tasks, TASK_NAMES, disk.starts, cells, true, Tally::default());
+        let tasks = Duties::start(
+            Host::default(),
+            id,
+            timing.tasks,
+            TASK_NAMES,
+            disk.starts,
+            cells,
+            true,
+            Tally::default(),
+        );
         let configuration = disk.configuration.clone();
-        let consensus =
-            consensus::Member::start(Host::default(), id, timing.consensus.clone(), configuration, disk.starts);
+        let consensus = consensus::Member::start(
+            Host::default(),
+            id,
+            timing.consensus.clone(),
+            configuration,
+            disk.starts,
+        );
         let mut planner = Planner {
             election,
             tasks,
@@ -265,7 +278,9 @@
         match packet {
             Packet::Word(word) => self.call_election(now, |member| member.heard(now, from, word)),
             Packet::Duty(word) => self.call_tasks(now, Box::new(|tasks| tasks.heard(now, from, word))),
-            Packet::Accord(word) => self.call_consensus(now, Box::new(|member| member.heard(now, from, word))),
+            Packet::Accord(word) => {
+                self.call_consensus(now, Box::new(|member| member.heard(now, from, word)))
+            }
             _ => {}
         }
     }
@@ -275,7 +290,9 @@
         match written {
             Written::Election(kept) => self.call_election(now, |member| member.kept(now, kept.stamp)),
             Written::Cells(_, stamp) => self.call_tasks(now, Box::new(|tasks| tasks.kept(now, *stamp))),
-            Written::Configuration(_, stamp) => self.call_consensus(now, Box::new(|member| member.kept(now, *stamp))),
+            Written::Configuration(_, stamp) => {
+                self.call_consensus(now, Box::new(|member| member.kept(now, *stamp)))
+            }
         }
     }
 
--- a/crates/scale/src/hollow/traffic.rs
+++ b/crates/scale/src/hollow/traffic.rs
@@ -41,14 +41,16 @@
         use grebespool_accord::Word as Consensus;
         use grebespool_duties::Word as Tasks;
         match packet {
-            Packet::Duty(Tasks::Open { .. } | Tasks::Opened { .. } | Tasks::Write { .. } | Tasks::Written { .. }) => {
-                TrafficClass::Journal
-            }
+            Packet::Duty(
+                Tasks::Open { .. } | Tasks::Opened { .. } | Tasks::Write { .. } | Tasks::Written { .. },
+            ) => TrafficClass::Journal,
             Packet::Duty(_) => TrafficClass::TaskLeases,
             Packet::Accord(Consensus::Renew { .. } | Consensus::Renewed { .. } | Consensus::Call { .. }) => {
                 TrafficClass::ConfigurationLeases
             }
-            Packet::Accord(Consensus::Want { .. } | Consensus::Part { .. }) => TrafficClass::ConfigurationContent,
+            Packet::Accord(Consensus::Want { .. } | Consensus::Part { .. }) => {
+                TrafficClass::ConfigurationContent
+            }
             Packet::Accord(_) => TrafficClass::ConfigurationChanges,
             _ => TrafficClass::Election,
         }
--- a/crates/scale/src/station.rs
+++ b/crates/scale/src/station.rs
@@ -1,1 +1,158 @@
-//! placeholder
+//! A hollow planner of the platform's protocol: the session manager and the decisions of the program in service, with a list
+//! of servers and, where asked, proxies whose bytes go nowhere.
+
+use crate::resources::timed;
+use grebespool_platform::{Conn, Outlet, Station, Terms};
+use grebespool_scripted::{frame, server, settings};
+use serde_json::{Value, json};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+
+/// The machines' time at the planner's start, in milliseconds.
+const START_MS: f64 = 1_700_000_000_000.0;
+/// Descriptors held back, as the program does.
+const KEPT_FREE: usize = 32;
+
+/// How large a planner's world is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StationSize {
+    /// Servers in the list.
+    pub servers: usize,
+    /// Proxies that have joined.
+    pub proxies: usize,
+    /// Routes, which the settings call classes.
+    pub routes: usize,
+    /// Zones.
+    pub zones: usize,
+}
+
+/// What a planner cost.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StationCosts {
+    /// Bytes allocated for it, by the allocator's count.
+    pub allocated: u64,
+    /// Processor time a second of its own clock with nothing happening.
+    pub idle: f64,
+    /// Processor time of one change of the list.
+    pub per_change: Duration,
+    /// Bytes written to proxies for one change of the list.
+    pub written_per_change: f64,
+}
+
+/// Why a planner does not start at a size.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{size:?}: {cause}")]
+pub struct Unstartable {
+    /// The size.
+    pub size: StationSize,
+    /// The planner's own words.
+    pub cause: String,
+}
+
+#[derive(Default)]
+struct Discarded {
+    bytes: Rc<Cell<u64>>,
+}
+
+impl Outlet for Discarded {
+    fn write(&mut self, _: Conn, bytes: &[u8]) {
+        self.bytes.set(self.bytes.get() + bytes.len() as u64);
+    }
+    fn close(&mut self, _: Conn) {}
+    fn probe(&mut self, _: &str, _: SocketAddr) {}
+    fn watch(&mut self) {}
+    fn ask_whole(&mut self) {}
+    fn say(&mut self, _: &str) {}
+    fn note(&mut self, _: &str) {}
+    fn debug(&mut self, _: &str) {}
+}
+
+fn terms(size: StationSize) -> Result<Terms, Unstartable> {
+    let mut settings = settings();
+    let class = settings["classes"][0].clone();
+    let classes = (0..size.routes).map(|k| {
+        let mut class = class.clone();
+        class["name"] = json!(format!("route-{k}"));
+        class
+    });
+    settings["classes"] = classes.collect::<Vec<Value>>().into();
+    settings["zones"] = json!(zones(size.zones));
+    settings["familyInfo"]["dataPlaneSize"] = json!(size.proxies.max(1));
+    let servers: Vec<Value> = (0..size.servers).map(|k| listed(k, "SERVING", size.zones)).collect();
+    let file = json!({
+        "name": "p0", "listen": "127.0.0.1:9", "discovery": "127.0.0.1:8", "seed": "8c1f", "settings": settings,
+        "limits": {"sockets": size.proxies + 1024}, "known": {"version": 1, "full": true, "servers": servers},
+    });
+    Terms::read(file.to_string().as_bytes()).map_err(|bad| Unstartable { size, cause: bad.to_string() })
+}
+
+fn zones(count: usize) -> Vec<String> {
+    (0..count).map(|k| format!("zone-{k}")).collect()
+}
+
+fn listed(k: usize, state: &str, zones: usize) -> Value {
+    let mut entry = server(k, state);
+    entry["zone"] = json!(format!("zone-{}", k % zones));
+    entry
+}
+
+/// Lets the planner's clock run, calling it whenever it is due. Gives the processor time.
+fn run(station: &mut Station<Discarded>, now: &mut Duration, span: Duration) -> Duration {
+    let end = *now + span;
+    let mut took = Duration::ZERO;
+    loop {
+        let due = station.due().max(*now);
+        if due > end {
+            *now = end;
+            return took;
+        }
+        *now = due;
+        took += timed(|| station.woken(due)).1;
+        *now += Duration::from_millis(1);
+    }
+}
+
+/// Starts a planner of this size and measures it. `allocated` gives the bytes that this process has allocated.
+///
+/// # Errors
+///
+/// It refuses a world of this size.
+pub fn measure(size: StationSize, allocated: &dyn Fn() -> u64) -> Result<StationCosts, Unstartable> {
+    const IDLE: Duration = Duration::from_secs(20);
+    const CHANGES: usize = 8;
+    let before = allocated();
+    let terms = terms(size)?;
+    let bytes = Rc::new(Cell::new(0));
+    let mut station = Station::start(Discarded { bytes: bytes.clone() }, terms, KEPT_FREE, START_MS);
+    let mut now = Duration::ZERO;
+    run(&mut station, &mut now, Duration::from_secs(3));
+    for proxy in 0..size.proxies {
+        let conn = proxy as Conn + 1;
+        station.opened(now, conn);
+        let join = json!({"msg": "SUBSCRIBE", "node": proxy, "locality": format!("zone-{}", proxy % size.zones),
+                          "w": 1.0, "cold": true});
+        station.came(now, conn, &frame(&join));
+    }
+    run(&mut station, &mut now, Duration::from_secs(3));
+    let held = allocated().saturating_sub(before);
+    let idle = run(&mut station, &mut now, IDLE).as_secs_f64() / IDLE.as_secs_f64();
+    let mut changing = Duration::ZERO;
+    let before = bytes.get();
+    for k in 0..CHANGES {
+        let entry =
+            listed(k % size.servers.max(1), if k % 2 == 0 { "DRAINING" } else { "SERVING" }, size.zones);
+        let version = k as u64 + 2;
+        let body = json!({"version": version, "full": false, "servers": [entry]}).to_string();
+        let unix = START_MS + now.as_secs_f64() * 1000.0;
+        let (taken, took) = timed(|| station.list(now, unix, Some(version - 1), body.as_bytes()));
+        taken.map_err(|cause| Unstartable { size, cause })?;
+        changing += took + run(&mut station, &mut now, Duration::from_secs(1));
+    }
+    let changes = CHANGES as u32;
+    let per_change = (changing / changes).saturating_sub(Duration::from_secs_f64(idle));
+    let written_per_change = (bytes.get() - before) as f64 / f64::from(changes);
+    Ok(StationCosts { allocated: held, idle, per_change, written_per_change })
+}
