--- a/crates/scale/benches/scale/args.rs
+++ b/crates/scale/benches/scale/args.rs
@@ -43,6 +43,9 @@
     /// Restarts a day.
     #[arg(long, value_delimiter = ',', default_values_t = [1000.0, 11_000.0, 44_000.0, 110_000.0])]
     pub restarts_a_day: Vec<f64>,
+    /// Measure nothing: make the tables of docs/CAPACITY.md anew from the data in the folder.
+    #[arg(long)]
+    pub page: bool,
     /// Where the data and the chart go.
     #[arg(long, default_value = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/capacity"))]
     pub folder: PathBuf,
--- a/crates/scale/benches/scale/main.rs
+++ b/crates/scale/benches/scale/main.rs
@@ -10,8 +10,9 @@
 
 use args::Arguments;
 use clap::Parser;
+use grebespool_scale::capacity::{PlanFile, page, work_out};
 use grebespool_scale::chart::{Chart, curves, draw};
-use grebespool_scale::sample::{Sample, slopes, write};
+use grebespool_scale::sample::{Sample, Slope, read, slopes, write};
 use peak_alloc::PeakAlloc;
 use std::error::Error;
 use std::process::{Command, ExitCode};
@@ -35,6 +36,9 @@
 }
 
 fn run(arguments: &Arguments) -> Result<(), Box<dyn Error>> {
+    if arguments.page {
+        return renew_page(arguments);
+    }
     let samples = series::measure(arguments, &allocated)?;
     let (slopes, unfit) = slopes(&samples);
     for slope in &slopes {
@@ -57,7 +61,18 @@
     let remarks = remarks();
     write(&arguments.folder.join("samples.csv"), &remarks, &samples)?;
     write(&arguments.folder.join("slopes.csv"), &remarks, &slopes)?;
-    chart(arguments, &samples)
+    chart(arguments, &samples)?;
+    if arguments.folder.join("../CAPACITY.md").exists() { renew_page(arguments) } else { Ok(()) }
+}
+
+/// Makes the tables of the page anew from the data.
+fn renew_page(arguments: &Arguments) -> Result<(), Box<dyn Error>> {
+    let plan = PlanFile::open(&arguments.folder.join("plan.toml"))?;
+    let slopes: Vec<Slope> = read(&arguments.folder.join("slopes.csv"))?;
+    let file = arguments.folder.join("../CAPACITY.md");
+    let text = std::fs::read_to_string(&file)?;
+    std::fs::write(&file, page::renew(&text, &page::tables(&plan, &work_out(&plan, &slopes)?))?)?;
+    Ok(())
 }
 
 /// Where and how the data was made.
--- a/crates/scale/src/capacity.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! placeholder
--- a/src/decide/channel.rs
+++ b/src/decide/channel.rs
@@ -9,8 +9,7 @@
     pub(super) const BINDING: f64 = 0.95;
     pub(super) const USED: f64 = 0.7;
 
-    /// As slow as a channel may get, as a part of its stated pace, while marks are answered and while none
-    /// is: two troubles of it multiply.
+    /// The least part of its stated pace, while marks are answered and while none is.
     pub(super) const SLOWEST: (f64, f64) = (0.125, 0.03);
 
     /// Against a channel that is slower than stated: what no answered mark shows to have left still waits.
@@ -23,8 +22,7 @@
         self.waiting + lines <= self.pace.most_waiting * share.min(Self::USED)
     }
 
-    /// Two messages stay for binding; past a quarter of the cap they keep apart, against lists that come one
-    /// after another and leave none for a drain.
+    /// Two messages stay for binding; past a quarter of the cap they keep apart, so that a drain finds one.
     pub(super) fn may_message(&self, now: Duration, sent: &mut VecDeque<Duration>, share: f64) -> bool {
         drop_old(sent, now, self.pace.window, |t| *t);
         let (most, used) = (self.pace.most_messages as f64, sent.len() as f64);
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -85,8 +85,7 @@
         unsure.into_iter().take(few).for_each(|s| self.host.probe(s));
     }
 
-    /// What was held against a zone's servers while none of its proxies could be heard may have been a cut
-    /// between zones; the zone's own proxies would be sent to the others all at once.
+    /// What was held against servers while no proxy of their zone was heard may have been a cut.
     pub(super) fn forget(&mut self, now: Duration, zone: Zone) {
         for p in self.peers.iter_mut().filter(|p| p.zone == zone) {
             p.health.clear(now + self.channel.pace.worst_transit, Ramp::STEPS);
--- a/src/decide/levels.rs
+++ b/src/decide/levels.rs
@@ -19,8 +19,7 @@
         Self::WINDOW.max(cycle * 2)
     }
 
-    /// Lets in what fits, the most important routes first. What servers are able to and what came are known
-    /// by the same late reports, so their ratio holds while those are late.
+    /// Lets in what fits, the most important routes first, by a ratio of reports that are equally late.
     pub(super) fn fit(
         &mut self,
         now: Duration,
@@ -62,8 +61,7 @@
         // Queues that have once grown stay at a load that just fits, and every answer comes late.
         let wait = median(peers.iter().filter_map(|p| p.load.mean(from, |x| x.wait)));
         let late = wait.is_some_and(|w| w > Self::LATE * slo);
-        // Against servers that drain together: what they did falls to the others at once, and to wait until
-        // these are full and late is seconds too late. Warm ones that are still unheard of make up for them.
+        // Against servers that drain together: what they did falls to the others before reports tell of it.
         let foreseen = if stay < heard { able * stay / heard } else { able };
         let pressure = sent / foreseen.max(1.0);
         // Late reports alone, which come in lumps, are no reason to turn calls away.
@@ -101,8 +99,7 @@
         }
     }
 
-    /// What is wanted of a route as proxies count it. As a rate, which none reaches where all is let in, what
-    /// proxies asked for little leave goes to the others; in coarse steps, so that noise writes none.
+    /// What is wanted of a route as proxies count it; as a rate, in coarse steps, so that noise writes none.
     pub(super) fn level(&self, now: Duration, r: usize) -> f32 {
         match (self.plane.throttle_by, self.levels.wanted[r]) {
             (ThrottleBy::Off, _) => 1.0,
@@ -116,9 +113,8 @@
         }
     }
 
-    /// What part of the calls that came the sums tell of. Against a zone whose sums are cut off while usage
-    /// still comes: its calls would count and what servers do for them would not. Harm: where nothing that a
-    /// zone lets in finds a server, as much too many are let in at the others.
+    /// What part of the calls that came the sums tell of, where a zone's sums are cut off and usage is not.
+    /// Harm: where nothing that a zone lets in finds a server, as much too many are let in at the others.
     pub(super) fn told(&self, now: Duration) -> f64 {
         let newest = |z: Zone| {
             let of_zone = self.peers.iter().flat_map(|p| &p.load.0).filter(|x| x.from == z);
--- a/src/decide/lists.rs
+++ b/src/decide/lists.rs
@@ -10,15 +10,18 @@
         self.ready() && self.ramp.step > 0
     }
 
-    /// Guards against a list that calls running servers gone: where that does not bind, one that was not
-    /// seen draining stays until it fails, and needs no ramp when it is listed again.
+    /// Cold since it was started, and not since it was shut out.
+    pub(super) fn newly_started(&self) -> bool {
+        self.ramp.cold && self.ramp.since < self.warm_at
+    }
+
+    /// Where `gone` in a list does not bind, a server not seen draining stays until it fails.
     pub(super) fn gone(&mut self, binds: bool) {
         self.doubted = !binds && self.open();
         self.phase = if self.doubted { self.phase } else { Phase::Gone };
     }
 
-    /// Guards against a report that stands still, at nought or elsewhere, while calls are answered: it would
-    /// draw ever more calls. An honest one that does so is judged by its waits meanwhile.
+    /// Guards against a report that stands still while calls are answered: it would draw ever more calls.
     pub(super) fn take(&mut self, sample: Sample) {
         let (now, told, samples) = (sample.at, sample.told, &mut self.load.0);
         drop_old(samples, now, Self::KEPT, |x| x.at);
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -13,8 +13,7 @@
         let sum = |of: &dyn Fn(&Line) -> f64| near.iter().map(|l| of(l)).sum::<f64>();
         let (full, left) = (sum(&|l| l.learnt), sum(&|l| l.learnt * part(l)));
         let stays = self.routes.iter().any(|r| r.stays_local) && near.iter().any(|l| peer(l).ready());
-        // What a zone has lost, far servers make up for at once, before its cold ones are swamped; and these
-        // are pushed over by what only they are left to take.
+        // Far servers make up at once for what a zone has lost, before its cold ones are pushed over.
         let lost = 1.0 - if full > 0.0 { left / full } else { 0.0 };
         let reach = self.zones.reach[usize::from(pool.zone)];
         let most = if near.iter().any(|l| peer(l).ramp.cold) { 1.0 } else { Zones::FAR.1 };
@@ -44,8 +43,7 @@
         pool.lines.iter().map(|l| f32::from(u8::from(may(l)))).collect()
     }
 
-    /// When proxies may try a call again without its effect taking place twice, and where that helps: a
-    /// second try that starts after the SLO time is only more work, and at a full pool fills it further.
+    /// Retries where no effect takes place twice; one at a full pool or after the SLO time is only more work.
     pub(super) fn tries(&self, r: usize) -> Tries {
         match self.routes[r].effect {
             _ if self.levels.crowded || fresh(&self.peers) > Ramp::MANY => Tries::One,
@@ -54,8 +52,7 @@
         }
     }
 
-    /// The part of the channel that a changed line may use: the more, the more it takes from a server that
-    /// must not have it. A fall beyond what the mechanism makes at once is an exception's.
+    /// The part of the channel that a changed line may use: the more, the more it takes from a server.
     pub(super) fn need(&self, line: &Line, wanted: f32) -> f64 {
         let kept = f64::from(wanted) / f64::from(line.written);
         let peer = &self.peers[line.server];
@@ -118,8 +115,7 @@
         }
     }
 
-    /// Whether levels were sent; they go to every proxy, so all else may go with them. One pool that is
-    /// often written would otherwise keep them from all, so they may use more than an ordinary push.
+    /// Whether levels were sent. They go to every proxy, so they may use more than an ordinary push.
     pub(super) fn push_levels(&mut self, now: Duration, bound: f64, head: f64) -> bool {
         let told: Vec<_> = (0..self.routes.len()).map(|r| (self.level(now, r), self.tries(r))).collect();
         let levels: Vec<usize> = (0..told.len()).filter(|r| told[*r] != self.levels.written[*r]).collect();
--- a/src/decide/pools.rs
+++ b/src/decide/pools.rs
@@ -34,9 +34,8 @@
 }
 
 impl<H: Host> Planner<H> {
-    /// One pool of all servers a zone, as long as these accept the connections; past that proxies pay a
-    /// handshake for nearly every call or are turned away, so the servers are dealt out to several pools. Nor
-    /// may tables be longer than the channel takes for all proxies together, which may come at once.
+    /// One pool of all servers a zone, as long as these accept the connections; past that several, whose
+    /// tables are no longer than the channel takes for all proxies together, which may come at once.
     pub(super) fn lay_out(&mut self) {
         let servers = self.peers.iter().filter(|p| p.ready()).count() as f64;
         if servers == 0.0 || self.plane.slices > 0 {
@@ -57,8 +56,7 @@
         }
     }
 
-    /// Every server into a pool of its zone, and into every pool what it lacks: near ones while there are
-    /// any, else far ones. Against a pool left with too little when its servers go, all at once or singly.
+    /// Every server into a pool of its zone, and into every pool what it lacks: near ones first, then far.
     pub(super) fn deal(&mut self) {
         if self.pools.is_empty() {
             self.lay_out();
@@ -88,8 +86,15 @@
             let reached = (zones.reach[usize::from(zone)] * self.width.0.min(peers.len()) as f64) as usize;
             for pool in group {
                 let open = |l: &Line| !l.leaving && peers[l.server].open();
+                // By what lines carry: a pool full of newly started servers would send these all its calls.
+                let filled = |lines: &[Line], nearby: bool| {
+                    let of = lines.iter().filter(|l| open(l) && near(l.server) == nearby);
+                    let (new, other): (Vec<_>, Vec<_>) = of.partition(|l| peers[l.server].newly_started());
+                    let carried = other.iter().map(|l| peers[l.server].ramp.line_share()).sum::<f64>().ceil();
+                    carried as usize + new.len().min(Ramp::NEW_PER_OTHER * carried as usize)
+                };
                 // What came in for lost ones goes when these are back; every pool would go on asking it.
-                let many = pool.lines.iter().filter(|l| open(l) && near(l.server)).count();
+                let many = filled(&pool.lines, true);
                 for _ in self.width.0.saturating_add(1)..many {
                     let spare = |l: &&mut Line| open(l) && near(l.server) && holders[l.server] > 1;
                     if let Some(l) = pool.lines.iter_mut().filter(spare).max_by_key(|l| holders[l.server]) {
@@ -97,7 +102,7 @@
                     }
                 }
                 for (nearby, width) in [(true, self.width.0), (false, self.width.1.saturating_add(reached))] {
-                    let there = pool.lines.iter().filter(|l| open(l) && near(l.server) == nearby).count();
+                    let there = filled(&pool.lines, nearby);
                     let held: BTreeSet<Server> = pool.lines.iter().map(|l| l.server).collect();
                     let may = |s: &Server| {
                         // In every pool that lacks lines, a cold one would be given its part anew.
--- a/src/decide/ramp.rs
+++ b/src/decide/ramp.rs
@@ -10,8 +10,15 @@
     /// Of the ready servers, cold: past it the warm ones fill up, and what they turn away comes to the cold.
     pub(super) const MANY: f64 = 0.3;
 
-    /// Guards against repeats and refusals: proxies that find the pool crowded, and keep away from what is
-    /// full, send a cold server many times its share; past a point even the smallest weight draws all.
+    /// Newly started servers that count in a pool, for each of the others there.
+    pub(super) const NEW_PER_OTHER: usize = 2;
+
+    /// What part of an ordinary line a server stands for.
+    pub(super) fn line_share(&self) -> f64 {
+        if self.cold { f64::from(self.step) / f64::from(Self::STEPS) } else { 1.0 }
+    }
+
+    /// Guards against proxies that find the pool crowded and send a cold server many times its share.
     pub(super) fn part(&self, pressure: f64) -> f64 {
         let step = f64::from(self.step) / f64::from(Self::STEPS);
         match pressure {
--- a/src/decide/zones.rs
+++ b/src/decide/zones.rs
@@ -11,9 +11,8 @@
     pub(super) const LEAN: f64 = 0.4;
     pub(super) const MOST: f64 = 1.5;
 
-    /// Guards against ways between zones that are cut, slow or lossy; and against a zone that is full while
-    /// another has time to spare, as its traffic or its servers are shared out unevenly, move, or slow down
-    /// together. `met` gives, from zone to zone, the tries, the answered ones and the sum of their waits.
+    /// Guards against links between zones that are cut, slow or lossy, and against a zone that is full while
+    /// another has room. `met` gives, from zone to zone, tries, answered ones and the sum of their waits.
     pub(super) fn judge(
         &mut self,
         now: Duration,
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -856,3 +856,63 @@
     let kept = rig.kept.borrow();
     assert_eq!(kept.levels.get(&2).map(|l| l.1), Some(tries));
 }
+
+/// Found in the users' trial (join, seed 18): a pool held as many newly started servers as it is wide, so it was given no
+/// others when its warm ones drained, and all of its calls went to servers that had just started.
+#[rstest]
+#[case::one_pool_loses_its_warm_servers(1)]
+#[case::half_of_the_pools_do(2)]
+fn a_pool_of_newly_started_servers_is_given_warm_ones(#[case] every: usize) {
+    const OLD: usize = 64;
+    let mut rig = Rig::grown(OLD, 400, PACE, true);
+    rig.run(Duration::from_secs(3), |s| QUIET.filter(|_| s < OLD));
+    let new: Vec<Listed> =
+        (OLD..2 * OLD).map(|s| listed(s, (s % 2) as Zone, Phase::Ready, Some(ms(1000)))).collect();
+    rig.list(false, &new);
+    rig.run(Duration::from_secs(4), |s| QUIET.filter(|_| s < OLD));
+    let tables: BTreeSet<Table> = rig.kept.borrow().bound.values().flatten().copied().collect();
+    let zone = |s: &Server| s % 2;
+    let near_of = |rig: &Rig, table: Table| {
+        let held = rig.held(table);
+        let most = (0..2).max_by_key(|z| held.iter().filter(|s| zone(s) == *z).count());
+        held.into_iter().filter(|s| Some(zone(s)) == most).collect::<Vec<Server>>()
+    };
+    let step = if every == 1 { tables.len() } else { every };
+    let losing: Vec<Table> = tables.iter().copied().step_by(step).collect();
+    let drained: BTreeSet<Server> =
+        losing.iter().flat_map(|t| near_of(&rig, *t)).filter(|s| *s < OLD).collect();
+    let entries: Vec<Listed> =
+        drained.iter().map(|s| listed(*s, zone(s) as Zone, Phase::Draining, None)).collect();
+    rig.list(false, &entries);
+    rig.run(Duration::from_secs(2), |s| QUIET.filter(|_| s < OLD && !drained.contains(&s)));
+    for table in losing {
+        let near = near_of(&rig, table);
+        let warm = near.iter().filter(|s| **s < OLD && !drained.contains(s)).count();
+        let new = near.iter().filter(|s| **s >= OLD).count();
+        assert!(warm > 0 && new > 0, "table {table} holds {near:?}");
+    }
+}
+
+/// A server that was shut out and comes back carries a quarter at first; its pool is not full by such alone.
+#[rstest]
+fn a_pool_of_returning_servers_is_given_others() {
+    const SERVERS: usize = 64;
+    let mut rig = Rig::grown(SERVERS, 400, PACE, true);
+    rig.run(Duration::from_secs(3), |_| QUIET);
+    let table = *rig.kept.borrow().bound[&0].iter().next().unwrap();
+    let own: Vec<Server> = rig.held(table).into_iter().filter(|s| s % 2 == 0).collect();
+    let near = |rig: &Rig| rig.held(table).into_iter().filter(|s| s % 2 == 0).collect::<Vec<Server>>();
+    let back = |rig: &Rig| near(rig).iter().filter(|s| own.contains(s)).count();
+    let others = |rig: &Rig| near(rig).iter().filter(|s| !own.contains(s)).count();
+    rig.run(Duration::from_secs(4), |s| if own.contains(&s) { Some((10, 10, [0.9, 3.0])) } else { QUIET });
+    assert!(back(&rig) == 0 && others(&rig) > 0, "shut out and made up for: {:?}", near(&rig));
+    let made_up = others(&rig);
+    for _ in 0..40 {
+        rig.run(ms(500), |s| QUIET.filter(|_| !own.contains(&s)));
+        if back(&rig) == own.len() {
+            break;
+        }
+    }
+    rig.run(Duration::from_secs(1), |s| QUIET.filter(|_| !own.contains(&s)));
+    assert!(back(&rig) == own.len() && 2 * others(&rig) >= made_up, "{:?} of {own:?}", near(&rig));
+}
