--- a/crates/distribution/tests/schedules/promises.rs
+++ b/crates/distribution/tests/schedules/promises.rs
@@ -1,7 +1,6 @@
 //! The promises, one by one and under random schedules.
 
 use crate::world::*;
-use grebespool_accord::{Change, Limit};
 use grebespool_distribution::*;
 use rand::Rng;
 use rstest::rstest;
@@ -10,10 +9,6 @@
 /// Few where checks are slow; `cargo test --release` plays more.
 const SEEDS: u64 = if cfg!(debug_assertions) { 8 } else { 1000 };
 
-fn draw(most: f64) -> Vec<Change> {
-    vec![Change::Limit("draw".into(), Some(Limit::Most(most)))]
-}
-
 fn version(world: &World, scope: ScopeId) -> Option<u64> {
     world.agreed()?.get(&scope).copied()
 }
--- a/crates/distribution/tests/schedules/world.rs
+++ b/crates/distribution/tests/schedules/world.rs
@@ -101,9 +101,17 @@
     /// By what each acted when it was last looked at, and until when without another grant, by its own clock.
     acted: BTreeMap<(Id, ScopeId), (Acts, Duration)>,
     pub broken: Vec<String>,
+    /// How long each answered proposal took, in the order of the answers.
+    pub took: Vec<Duration>,
+    /// Bytes that each has sent, where they are counted.
+    sent_bytes: Option<BTreeMap<Id, u64>>,
     propose_at: Duration,
 }
 
+pub fn draw(most: f64) -> Vec<Change> {
+    vec![Change::Limit("draw".into(), Some(Limit::Most(most)))]
+}
+
 pub fn content() -> Vec<Change> {
     let rack = Rack { site: "site".into(), feed: "feed".into(), cap: 900.0 };
     let mut content = Content::default();
@@ -118,13 +126,31 @@
 
 impl World {
     pub fn new(control: usize, zones: u32, planners: usize, seed: u64, without: Without) -> World {
+        let settings = Settings { fan_out: 3, most_planners: 12, ..Settings::default() };
+        World::with(control, zones, planners, seed, without, settings)
+    }
+
+    /// With the fan-out that is meant for service, and a first version of each scope in force everywhere.
+    pub fn sized(control: usize, zones: u32, planners: usize, seed: u64) -> World {
+        World::with(control, zones, planners, seed, Without::Nothing, Settings::default())
+            .with_first_versions(zones)
+    }
+
+    fn with(
+        control: usize,
+        zones: u32,
+        planners: usize,
+        seed: u64,
+        without: Without,
+        settings: Settings,
+    ) -> World {
         let mut world = World {
             now: S(10),
             nodes: BTreeMap::new(),
             events: BTreeMap::new(),
             order: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
-            settings: Settings { fan_out: 3, most_planners: 12, ..Settings::default() },
+            settings,
             loss: 0.0,
             twice: 0.0,
             slowest: MS(20),
@@ -141,6 +167,8 @@
             highest: BTreeMap::new(),
             acted: BTreeMap::new(),
             broken: vec![],
+            took: vec![],
+            sent_bytes: None,
             propose_at: Duration::ZERO,
         };
         world.settings.check().unwrap();
@@ -163,14 +191,34 @@
 
     /// With a first version of each scope in force everywhere.
     pub fn settled(control: usize, zones: u32, planners: usize, seed: u64, without: Without) -> World {
-        let mut world = World::new(control, zones, planners, seed, without);
+        World::new(control, zones, planners, seed, without).with_first_versions(zones)
+    }
+
+    fn with_first_versions(mut self, zones: u32) -> World {
         let services = (0..SERVICES).map(|s| ScopeId(FIRST_SERVICE + s));
         let scopes: Vec<ScopeId> = (0..zones).map(ScopeId).chain(services).collect();
         for scope in scopes {
-            world.propose(scope, content());
+            self.propose(scope, content());
         }
-        world.run(S(8));
-        world
+        self.run(S(8));
+        self
+    }
+
+    /// From here on bytes are counted.
+    pub fn count_bytes(&mut self) {
+        self.sent_bytes = Some(BTreeMap::new());
+    }
+
+    /// Bytes a second that were sent over a span: by a planner in the mean, by the busiest planner, and by the leader.
+    pub fn bytes_per_second(&mut self, span: Duration) -> (f64, f64, f64) {
+        let sent = self.sent_bytes.take().unwrap_or_default();
+        let rate = |bytes: u64| bytes as f64 / span.as_secs_f64();
+        let planners: Vec<u64> = sent.iter().filter(|s| *s.0 >= FIRST_PLANNER).map(|s| *s.1).collect();
+        let most = |of: &dyn Fn(&Id) -> bool| {
+            sent.iter().filter(|s| of(s.0)).map(|s| *s.1).max().unwrap_or_default()
+        };
+        let mean = rate(planners.iter().sum()) / self.planners().len() as f64;
+        (mean, rate(most(&|id| *id >= FIRST_PLANNER)), rate(most(&|id| *id < FIRST_PLANNER)))
     }
 
     fn place(&mut self, id: Id, zone: u32, scopes: BTreeSet<ScopeId>) {
@@ -354,6 +402,12 @@
         if let Message::Upward(Upward::Renew { count, .. }) = &message {
             self.renewals.insert((from, to), *count);
         }
+        if let Some(sent) = &mut self.sent_bytes {
+            // The length and the authentication code of a frame.
+            const FRAME: u64 = 20;
+            *sent.entry(from).or_default() +=
+                FRAME + postcard::to_stdvec(&message).map_or(0, |b| b.len() as u64);
+        }
         let mut message = message;
         if let (
             Without::Waiting,
@@ -478,7 +532,8 @@
             Event::Message { to, from, message } => {
                 // Answers to the proposer.
                 if let Message::Proposed { number, refused } = message {
-                    if self.open.remove(&number).is_some() {
+                    if let Some((since, _)) = self.open.remove(&number) {
+                        self.took.push(self.now - since);
                         self.answered.insert(number, (self.now, refused));
                     }
                     return;
