--- a/crates/distribution/tests/schedules/size.rs
+++ b/crates/distribution/tests/schedules/size.rs
@@ -2,7 +2,6 @@
 //! planner spends. `cargo test --release -p grebespool-distribution size -- --nocapture` prints the figures.
 
 use crate::world::*;
-use grebespool_distribution::*;
 use rand::Rng;
 use rstest::rstest;
 use std::time::Duration;
