--- a/crates/distribution/tests/schedules/size.rs
+++ b/crates/distribution/tests/schedules/size.rs
@@ -2,6 +2,7 @@
 //! planner spends. `cargo test --release -p grebespool-distribution size -- --nocapture` prints the figures.
 
 use crate::world::*;
+use grebespool_distribution::ScopeId;
 use rand::Rng;
 use rstest::rstest;
 use std::time::Duration;
@@ -84,3 +85,42 @@
     assert_eq!(world.broken, Vec::<String>::new());
     assert!(at(1.0) < S(3), "{took:?}");
 }
+
+fn relays_of_ten_zones(world: &mut World) {
+    let relays: Vec<u64> = (0..ZONES.min(10)).filter_map(|zone| world.relay_of(zone)).collect();
+    assert_eq!(relays.len(), ZONES.min(10) as usize);
+    relays.into_iter().for_each(|id| world.crash(id));
+}
+
+fn leader(world: &mut World) {
+    let (id, _) = world.leader.unwrap();
+    world.crash(id);
+}
+
+fn a_minority_of_control(world: &mut World) {
+    let control = world.control();
+    control.into_iter().take(CONTROL / 2).for_each(|id| world.crash(id));
+}
+
+#[rstest]
+#[case::a_relay_of_each_of_ten_zones(relays_of_ten_zones)]
+#[case::the_leader(leader)]
+#[case::seven_of_fifteen_control_machines(a_minority_of_control)]
+fn a_change_is_in_force_in_time_after_a_loss_at_size(#[case] loss: fn(&mut World)) {
+    let mut world = World::sized(CONTROL, ZONES, PLANNERS, 5);
+    world.slowest = MS(150);
+    world.run(S(10));
+    let before = world.took.len();
+    loss(&mut world);
+    for service in 100..104 {
+        world.propose(ScopeId(service), draw(42.0));
+    }
+    world.run(S(6));
+    let worst = world.took[before..].iter().max().copied();
+    println!("{PLANNERS} planners: in force after {worst:?}");
+    assert!(world.open.is_empty() && worst < Some(S(3)), "{worst:?}");
+    world.heal();
+    world.run(S(8));
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert!(world.agreed().is_some());
+}
--- a/crates/distribution/tests/schedules/world.rs
+++ b/crates/distribution/tests/schedules/world.rs
@@ -265,6 +265,11 @@
         relays.into_iter().map(|(_, id)| id).collect()
     }
 
+    /// The busiest relay of a zone.
+    pub fn relay_of(&self, zone: u32) -> Option<Id> {
+        self.relays().into_iter().find(|id| self.nodes[id].zone == zone)
+    }
+
     /// Planners that answer for nobody and are no relays.
     pub fn leaves(&self) -> Vec<Id> {
         let leaf = |id: &Id| {
