--- a/crates/distribution/tests/schedules/size.rs
+++ b/crates/distribution/tests/schedules/size.rs
@@ -1,5 +1,6 @@
 //! Many planners, delays as between regions, and the plan's restarts in proportion: how long a change takes, and what a
-//! planner spends. `cargo test --release -p grebespool-distribution size -- --nocapture` prints the figures.
+//! planner spends. `cargo test --release -p grebespool-distribution size -- --nocapture` prints the figures;
+//! `DISTRIBUTION_PLANNERS=4000` before it has another size.
 
 use crate::world::*;
 use grebespool_distribution::ScopeId;
@@ -7,9 +8,19 @@
 use rstest::rstest;
 use std::time::Duration;
 
-const PLANNERS: usize = if cfg!(debug_assertions) { 120 } else { 1300 };
-const ZONES: u32 = if cfg!(debug_assertions) { 3 } else { 15 };
+/// Names how many planners there are; a zone has about as many as in the plan.
+const SIZE: &str = "DISTRIBUTION_PLANNERS";
+const USUAL: usize = if cfg!(debug_assertions) { 120 } else { 1300 };
+const PLANNERS_PER_ZONE: usize = if cfg!(debug_assertions) { 40 } else { 88 };
 const CONTROL: usize = 15;
+fn planners() -> usize {
+    std::env::var(SIZE).map_or(USUAL, |size| size.parse().expect("a number of planners"))
+}
+
+fn zones() -> u32 {
+    planners().div_ceil(PLANNERS_PER_ZONE) as u32
+}
+
 /// Of the plan's fleet: a restart in 7.9 s and a change in 5.4 s, at 13,000 planners.
 const PLANNED: f64 = 13_000.0;
 const RESTART_EVERY: f64 = 7.9;
@@ -24,10 +35,10 @@
 #[case::ten_times_the_restarts(10.0, 1.0, 60)]
 #[case::a_hundred_changes_at_once(1.0, 0.0, 20)]
 fn a_change_is_in_force_in_time_at_size(#[case] restarts: f64, #[case] changes: f64, #[case] seconds: u64) {
-    let mut world = World::sized(CONTROL, ZONES, PLANNERS, 3);
+    let mut world = World::sized(CONTROL, zones(), planners(), 3);
     world.slowest = MS(150);
     world.run(S(10));
-    let part = PLANNERS as f64 / PLANNED;
+    let part = planners() as f64 / PLANNED;
     let began = world.now;
     let first = world.answered.len() + world.open.len();
     let (mut restarted, mut changed) = (0.0, 0.0);
@@ -71,8 +82,10 @@
     took.sort();
     let at = |part: f64| took[(part * (took.len() - 1) as f64).round() as usize];
     println!(
-        "{PLANNERS} planners, {ZONES} zones, {CONTROL} control machines, restarts x {restarts}: {} changes, p50 {:?}, p90 {:?}, \
+        "{} planners, {} zones, {CONTROL} control machines, restarts x {restarts}: {} changes, p50 {:?}, p90 {:?}, \
          p99 {:?}, worst {:?}; bytes a second sent: planner {:.0}, busiest relay {:.0}, leader {:.0}",
+        planners(),
+        zones(),
         took.len(),
         at(0.5),
         at(0.9),
@@ -87,8 +100,8 @@
 }
 
 fn relays_of_ten_zones(world: &mut World) {
-    let relays: Vec<u64> = (0..ZONES.min(10)).filter_map(|zone| world.relay_of(zone)).collect();
-    assert_eq!(relays.len(), ZONES.min(10) as usize);
+    let relays: Vec<u64> = (0..zones().min(10)).filter_map(|zone| world.relay_of(zone)).collect();
+    assert_eq!(relays.len(), zones().min(10) as usize);
     relays.into_iter().for_each(|id| world.crash(id));
 }
 
@@ -107,7 +120,7 @@
 #[case::the_leader(leader)]
 #[case::seven_of_fifteen_control_machines(a_minority_of_control)]
 fn a_change_is_in_force_in_time_after_a_loss_at_size(#[case] loss: fn(&mut World)) {
-    let mut world = World::sized(CONTROL, ZONES, PLANNERS, 5);
+    let mut world = World::sized(CONTROL, zones(), planners(), 5);
     world.slowest = MS(150);
     world.run(S(10));
     let before = world.took.len();
@@ -117,7 +130,7 @@
     }
     world.run(S(6));
     let worst = world.took[before..].iter().max().copied();
-    println!("{PLANNERS} planners: in force after {worst:?}");
+    println!("{} planners: in force after {worst:?}", planners());
     assert!(world.open.is_empty() && worst < Some(S(3)), "{worst:?}");
     world.heal();
     world.run(S(8));
