--- a/crates/scale/benches/scale/args.rs
+++ b/crates/scale/benches/scale/args.rs
@@ -53,3 +53,29 @@
     #[arg(long, hide = true)]
     pub bench: bool,
 }
+
+impl Arguments {
+    /// Sizes that nothing can be measured at.
+    ///
+    /// # Errors
+    ///
+    /// The first argument that names one.
+    pub fn check(&self) -> Result<(), String> {
+        let counts = [
+            ("planners", &self.planners),
+            ("members", &self.members),
+            ("processes", &self.processes),
+            ("servers", &self.servers),
+            ("entries", &self.entries),
+        ];
+        if let Some((name, _)) = counts.iter().find(|(_, sizes)| sizes.contains(&0)) {
+            return Err(format!("--{name}: 0 is no size"));
+        }
+        let rates = [("changes-a-day", &self.changes_a_day), ("restarts-a-day", &self.restarts_a_day)];
+        let wrong = |rate: &f64| !(rate.is_finite() && *rate > 0.0);
+        match rates.iter().find(|(_, rates)| rates.iter().any(wrong)) {
+            Some((name, _)) => Err(format!("--{name}: a rate has to be above zero")),
+            None => Ok(()),
+        }
+    }
+}
--- a/crates/scale/benches/scale/main.rs
+++ b/crates/scale/benches/scale/main.rs
@@ -39,6 +39,7 @@
     if arguments.page {
         return renew_page(arguments);
     }
+    arguments.check()?;
     let samples = series::measure(arguments, &allocated)?;
     let (slopes, unfit) = slopes(&samples);
     for slope in &slopes {
