Drop what nothing calls in distribution and scale, and ask once who lacks a leader

Found by a read of the whole change: six methods and one function without a caller (the roadmap's scopes that nobody subscribes to are not dropped by any of them), a time taken of a start and thrown away, and the same condition in Planner::due and Planner::woken. Behaviour unchanged.

--- a/crates/distribution/src/control.rs
+++ b/crates/distribution/src/control.rs
@@ -4,7 +4,7 @@
 //! log; the leader prepares one version of a scope at a time, and activates it once every relay that may act by a lease
 //! says that it and its planners are ready, or its lease is surely over.
 
-use crate::chain::{Priority, Revision, ScopeChain, ScopeId, Step};
+use crate::chain::{Priority, ScopeChain, ScopeId, Step};
 use crate::distributor::{Distributor, Grantable, Limits};
 use crate::message::{Downward, Entry, Message, Proposal, Term, Upward};
 use crate::replica::{Durable, Replica, Write};
@@ -390,11 +390,6 @@
         entries.sort_by_key(|(priority, _)| *priority);
         entries.into_iter().map(|(_, entry)| entry).collect()
     }
-
-    /// The last revision of a scope that was fixed here.
-    pub fn revision(&self, scope: ScopeId) -> Revision {
-        self.store.revision(scope)
-    }
 }
 
 /// The changes with those of a proposal, or why it cannot be.
--- a/crates/distribution/src/distributor.rs
+++ b/crates/distribution/src/distributor.rs
@@ -155,12 +155,6 @@
         self.sessions.get(&holder).map(|s| s.id.start)
     }
 
-    /// Whether a lease of this holder may still run.
-    pub fn may_act(&self, now: Duration, holder: Id) -> bool {
-        self.sessions.get(&holder).is_some_and(|s| now < s.until)
-            || self.ended.iter().any(|e| e.holder == holder && now < e.until)
-    }
-
     /// A holder begins a session. The lease of its former one runs out by itself.
     pub fn attach(
         &mut self,
--- a/crates/distribution/src/planner.rs
+++ b/crates/distribution/src/planner.rs
@@ -189,16 +189,17 @@
             .iter()
             .map(|scope| self.distributor.ready_at(Duration::ZERO, *scope, self.store.revision(*scope)));
         let idle = if self.stands_in() { self.last_needed + STANDS_IN } else { Duration::MAX };
-        let free = if self.leader.is_none() && (self.relay_by_place || !self.distributor.is_empty()) {
-            self.distributor.free_from()
-        } else {
-            Duration::MAX
-        };
+        let free = if self.lacks_leader() { self.distributor.free_from() } else { Duration::MAX };
         let flush = self.flush_at.unwrap_or(Duration::MAX);
         let idle = idle.min(free);
         self.relays.due().min(leader).min(flush).min(idle).min(lagging.min().unwrap_or(Duration::MAX))
     }
 
+    /// Whether it is a relay that has not turned to a leader.
+    fn lacks_leader(&self) -> bool {
+        self.leader.is_none() && (self.relay_by_place || !self.distributor.is_empty())
+    }
+
     fn stands_in(&self) -> bool {
         self.leader.is_some() && !self.relay_by_place
     }
@@ -212,8 +213,7 @@
             self.last_needed = now;
         }
         // A leader that hears of it takes it that no lease of a former life of this relay runs any more.
-        let free = now >= self.distributor.free_from();
-        if free && (self.relay_by_place || !self.distributor.is_empty()) && self.leader.is_none() {
+        if self.lacks_leader() && now >= self.distributor.free_from() {
             self.turn_to_leader(now);
         }
         if self.stands_in() && now >= self.last_needed + STANDS_IN {
--- a/crates/distribution/src/replica.rs
+++ b/crates/distribution/src/replica.rs
@@ -134,11 +134,6 @@
         self.committed == self.log.len() as u64
     }
 
-    /// How many records are fixed, and how many there are.
-    pub fn lengths(&self) -> (u64, u64) {
-        (self.committed, self.log.len() as u64)
-    }
-
     fn last(&self) -> RecordId {
         (self.log.last().map_or(0, |r| r.term), self.log.len() as u64)
     }
--- a/crates/distribution/src/store.rs
+++ b/crates/distribution/src/store.rs
@@ -103,11 +103,4 @@
         self.advanced.insert(scope, now);
         Ok(true)
     }
-
-    /// Forgets a scope that is not subscribed to any more.
-    pub fn forget(&mut self, scope: ScopeId) {
-        self.chains.remove(&scope);
-        self.advanced.remove(&scope);
-        self.incoming.remove(&scope);
-    }
 }
--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -107,12 +107,6 @@
         self.uplinks.iter().map(|u| u.server).collect()
     }
 
-    /// The nodes to turn to from now on.
-    pub fn turn_to(&mut self, candidates: Vec<Id>) {
-        self.uplinks.retain(|u| candidates.contains(&u.server));
-        self.candidates = candidates;
-    }
-
     /// Until when the node may act on a scope.
     pub fn leased_until(&self, scope: ScopeId) -> Duration {
         let covering = self.uplinks.iter().filter(|u| u.covered.contains(&scope));
@@ -137,16 +131,6 @@
         }
     }
 
-    /// Subscribes to a scope no more: its sessions are begun anew without it.
-    pub fn drop_scopes(&mut self, keep: impl Fn(ScopeId) -> bool) {
-        let before = self.facts.len();
-        self.facts.retain(|scope, _| keep(*scope));
-        if self.facts.len() < before {
-            self.uplinks.clear();
-            self.begin_at = Duration::ZERO;
-        }
-    }
-
     /// When [`Subscriber::woken`] is to be called next.
     pub fn due(&self) -> Duration {
         if self.uplinks.len() < self.manner.sessions.min(self.candidates.len()) {
--- a/crates/scale/benches/scale/series.rs
+++ b/crates/scale/benches/scale/series.rs
@@ -4,7 +4,7 @@
 use grebespool_accord::{Blob, Change, Content, Edition, Rack, Route, Server, State};
 use grebespool_scale::hollow::{Faults, Fleet, FleetCosts, FleetSettings, Links, Timing, Topology};
 use grebespool_scale::process::{MemberFleet, ProcessCosts, measure_platform};
-use grebespool_scale::resources::{thread_time, timed};
+use grebespool_scale::resources::thread_time;
 use grebespool_scale::sample::{PlannerKind, Sample, rounded};
 use grebespool_scale::station::{self, StationSize};
 use std::error::Error;
@@ -279,8 +279,7 @@
     }
     let base = include_str!("../../../../examples/serve.ncl");
     for planners in arguments.members.iter().copied() {
-        let (fleet, _) = timed(|| MemberFleet::start(&members, base, "7400", planners));
-        let costs = fleet?.measure(SPAN)?;
+        let costs = MemberFleet::start(&members, base, "7400", planners)?.measure(SPAN)?;
         process_samples(("members", "planners", planners), &costs, samples);
     }
     Ok(())
--- a/crates/scale/src/resources.rs
+++ b/crates/scale/src/resources.rs
@@ -45,8 +45,3 @@
         descriptors,
     })
 }
-
-/// Resident memory of this process in bytes.
-pub fn resident() -> u64 {
-    process_use(std::process::id()).map_or(0, |used| used.resident)
-}
