--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -60,7 +60,8 @@
 class Server:
     """One server of the deployment, with an address that answers health checks."""
 
-    def __init__(self, world, name, zone, kind, cores, speed, started=False, cold_from=1.0, cold_s=1.0):
+    def __init__(self, world, name, zone, kind, cores, speed, started=False, cold_from=1.0, cold_s=1.0,
+                 waiting_per_core=10):
         self.world, self.name, self.zone, self.kind = world, name, zone, kind
         self.cores, self.speed = cores, speed
         self.started_ms = time.time() * 1000 if started else 0
@@ -71,7 +72,10 @@
         self.busy = 0
         self.queue = deque()
         self.busy_s, self.busy_since = 0.0, time.monotonic()
-        self.report = (0.0, 0)
+        self.served, self.errors = 0, 0
+        self.room = cores * waiting_per_core
+        self.metrics = {}
+        self.sent = deque()  # (time, work in core seconds, known): what was sent while cold
         self.listener = None
         self.address = None
 
@@ -107,21 +111,29 @@
         self.busy_since = now
 
     def take_report(self, interval_s):
+        """Refreshes the load report, with the metrics by their names in the settings."""
         self.count_busy()
-        self.report = (min(1.0, self.busy_s / (self.cores * interval_s)), len(self.queue))
-        self.busy_s = 0.0
-
-    def submit(self, work_s, done):
-        """Takes a request; `done(ok)` is called at its end. Returns False if nothing listens here any more."""
-        if not self.alive:
+        self.metrics = {"cpu_share": round(min(1.0, self.busy_s / (self.cores * interval_s)), 3),
+                        "pending": len(self.queue), "busy_reqs": self.busy + len(self.queue),
+                        "served_ps": self.served / interval_s, "failed_ps": self.errors / interval_s}
+        self.busy_s, self.served, self.errors = 0.0, 0, 0
+
+    def submit(self, work_s, deadline, done):
+        """Takes a request; `done(ok)` is called at its end. Returns False if the request certainly did not run: nothing
+        listens here any more, or the waiting room is full."""
+        if not self.alive or len(self.queue) >= self.room:
             return False
-        self.queue.append((work_s, done))
+        self.queue.append((work_s, deadline, done))
         self.start_work()
         return True
 
     def start_work(self):
         while self.alive and self.queue and self.busy < self.cores:
-            work_s, done = self.queue.popleft()
+            work_s, deadline, done = self.queue.popleft()
+            if time.monotonic() > deadline:  # the client has given up
+                self.errors += 1
+                done(False)
+                continue
             self.count_busy()
             self.busy += 1
             asyncio.get_running_loop().call_later(work_s / (self.speed * self.capacity()), self.finish, done)
@@ -129,6 +141,7 @@
     def finish(self, done):
         self.count_busy()
         self.busy -= 1
+        self.served += 1
         done(self.alive)
         self.start_work()
 
@@ -136,7 +149,7 @@
         """Ends the process of the server. What waits in it is lost."""
         self.alive = False
         self.listener.close()
-        for _, done in self.queue:
+        for _, _, done in self.queue:
             done(False)
         self.queue.clear()
 
@@ -199,6 +212,8 @@
     def __init__(self, world, name, settings, sockets=256):
         self.world, self.name, self.settings, self.sockets = world, name, settings, sockets
         self.told = {}  # by server: (state, time at which the planner was told)
+        self.told_start = {}  # by server: the time at which the planner was told of its last start
+        self.starts = set()
         self.process = None
         self.first_answer = None
         self.folder = tempfile.mkdtemp(prefix="planner-", dir=world.folder)
@@ -216,6 +231,11 @@
         if answer["full"]:
             for name in [name for name in self.told if name not in listed]:
                 listed[name] = "DELETED"
+        for entry in answer["servers"]:
+            start = (entry["id"], entry["started_ms"])
+            if entry["started_ms"] > 0 and start not in self.starts:
+                self.starts.add(start)
+                self.told_start[entry["id"]] = now
         for name, state in listed.items():
             if self.told.get(name, ("", 0))[0] != state:
                 # A drain that turns into a removal was told at the drain.
@@ -285,6 +305,7 @@
         self.parts = []
         self.messages = deque()
         self.most_messages = 0
+        self.last_message = 0.0
         self.counts = {name: 0 for name in names}
 
     def standing_table(self, servers):
@@ -323,6 +344,7 @@
     def apply(self, parts):
         now = time.monotonic()
         self.messages.append(now)
+        self.last_message = now
         while self.messages[0] < now - self.world.settings["familyInfo"]["updateWindowMs"] / 1000:
             self.messages.popleft()
         self.most_messages = max(self.most_messages, len(self.messages))
@@ -385,7 +407,8 @@
 
     def attempt(self, route, work_s, name, retry, without=()):
         began = time.monotonic()
-        self.world.sent(self, route, name)
+        deadline = began + self.world.deadlines_s[route]
+        self.world.sent(self, route, name, work_s)
         server = self.world.servers[name]
 
         def done(ok):
@@ -400,8 +423,7 @@
                 else:
                     self.world.lost += 1
 
-        if not server.submit(work_s, done):
-            # Nothing listens: proof that the try never ran.
+        if not server.submit(work_s, deadline, done):
             self.world.attempted(self.zone, name, False, 0.0)
             self.failed(name)
             if retry >= 1:
@@ -435,6 +457,7 @@
         self.seed, self.seed_text = seed, f"{seed:016x}"
         self.record.line(f"seed {seed}")
         self.servers, self.proxies, self.planners, self.tasks = {}, [], [], []
+        self.deadlines_s = {route["name"]: route["deadlineMs"] / 1000 for route in settings["classes"]}
         self.discovery = Discovery(self)
         self.traffic = 1.0
         self.asked = self.answered = self.refused = self.lost = 0
@@ -466,7 +489,7 @@
         from_time = max(told_at, proxy.joined_at, proxy.planner.first_answer + START_SLACK_S)
         return from_time + (self.settings["invariants"]["drainGraceMs"] + SOCKET_SLACK_MS) / 1000
 
-    def sent(self, proxy, route, name):
+    def sent(self, proxy, route, name, work_s):
         limit = self.drain_limit(proxy, name)
         late = None if limit is None else time.monotonic() - limit
         gone = not self.servers[name].alive
@@ -478,7 +501,7 @@
         elif proxy.planner.told.get(name, ("SERVING", 0))[0] != "SERVING":
             self.record.line(f"proxy {proxy.number} sends a {route} to {name}, which drains; within the grace")
         if self.on_sent:
-            self.on_sent(proxy, route, name)
+            self.on_sent(proxy, route, name, work_s)
 
     async def collect(self, zone, planner, lag_s):
         """The collector of a zone: sums of each interval, some time later. One collector for each planner and zone."""
@@ -493,11 +516,12 @@
                 if of_zone != zone:
                     continue
                 del self.totals[(of_zone, name)]
-                utilization, waiting = self.servers[name].report
+                metrics = {field: value for field, value in self.servers[name].metrics.items()
+                           if field in self.settings["report"]["fields"]}
                 good = tries - errors
                 out.append({"msg": "LOAD", "locality": zone, "endpoint": name, "total": tries, "errors": errors,
                             "rtt": 1000 * seconds / good if good else 0.0, "interval": interval_ms,
-                            "metrics": {"cpu_share": round(utilization, 3), "pending": waiting}})
+                            "metrics": metrics})
             for proxy in [p for p in self.proxies if p.zone == zone and p.planner is planner and p.joined_at]:
                 for route, count in proxy.counts.items():
                     if count:
