Record each try of the review's cases and what came of it

Cause: record.txt is to hold what was sent, answered and run; it had only the tries that matter to the rule. Change: a line for each try and its end, and the messages to all proxies in place of one.

--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -50,7 +50,6 @@
 
     def line(self, text):
         self.file.write(f"{self.now():9.3f} {text}\n")
-        self.file.flush()
 
     def say(self, text):
         self.line(text)
@@ -365,10 +364,11 @@
             self.shut_out |= set(part.get("out", []))
             self.shut_out -= set(part.get("back", []))
             ticket = part.get("ticket", ticket)
-        if self.number == 0:
-            lines = [part.get("lines", "") for part in parts]
-            levels = [(part.get("classes"), part["level"], part["retry"]) for part in parts if "level" in part]
-            self.world.record.line(f"proxy 0: message {len(self.messages)} of the last 10 s, lines {lines} levels {levels}")
+        lines = [line for part in parts for line in part.get("lines", [])]
+        levels = [(part.get("classes"), part["level"], part["retry"]) for part in parts if "level" in part]
+        whole = "whole table" if parts[0].get("whole") else "lines"
+        self.world.record.line(f"proxy {self.number}: message {len(self.messages)} of the last 10 s, {whole} {lines} "
+                               f"levels {levels}")
         if ticket is not None:
             self.send({"msg": "ACK", "node": self.number, "nonce": ticket, "latency": 1.0})
 
@@ -411,8 +411,12 @@
         deadline = began + self.world.deadlines_s[route]
         self.world.sent(self, route, name, work_s)
         server = self.world.servers[name]
+        self.world.tries += 1
+        number = self.world.tries
+        self.world.record.line(f"try {number}: proxy {self.number} sends a {route} to {name}")
 
         def done(ok):
+            self.world.record.line(f"try {number}: {name} {'answers' if ok else 'gives no answer'}")
             self.world.attempted(self.zone, name, ok, time.monotonic() - began)
             if ok:
                 self.failures[name] = 0
@@ -425,6 +429,7 @@
                     self.world.lost += 1
 
         if not server.submit(work_s, deadline, done):
+            self.world.record.line(f"try {number}: {name} {'is full' if server.alive else 'refuses the connection'}")
             self.world.attempted(self.zone, name, False, 0.0)
             self.failed(name)
             if retry >= 1:
@@ -461,6 +466,7 @@
         self.deadlines_s = {route["name"]: route["deadlineMs"] / 1000 for route in settings["classes"]}
         self.discovery = Discovery(self)
         self.traffic = 1.0
+        self.tries = 0
         self.asked = self.answered = self.refused = self.lost = 0
         self.totals = {}  # by (zone, server): [tries, errors, seconds of the rest]
         self.late = []  # sends that broke the drain rule: (server, proxy, seconds after the limit)
