Send drains within the grace, whatever messages went before them

Cause: may_send_message let a quarter of the message limit go at once and spaced the rest by window / available. Evidence: the new fields of the line `serving`, under the former rule message_limit_delays=31 queue_delays=0 longest_urgent_delay_ms=2450. So neither the channel's queue nor discovery (told within 53 ms) held the drains.

Change: src/policy/message_limit.rs sends a message only if urgent ones could still follow it at intervals of the drain grace less the transit (or of window / available, if longer). What is possible before a message stays so after it, which bounds the wait by induction. Messages are evenly spaced; only reductions of load may use what the grace leaves to spare. The setting drainGraceMs is read. Priorities of changes are an enum in place of bare shares. Limits of one and two messages, which let nothing through, now let one through.

--- a/crates/platform-protocol/src/session_manager/mod.rs
+++ b/crates/platform-protocol/src/session_manager/mod.rs
@@ -18,7 +18,7 @@
 use crate::server_registry::{ReceivedAt, ServerRegistry};
 use crate::weight_log::WeightLog;
 use crate::wire::EndpointList;
-use grebespool::host::ProxyId;
+use grebespool::host::{ProxyId, UrgentDelays};
 use grebespool::policy::Policy;
 use grebespool_assignments::{Assignments, ServerIndices};
 use serde_json::Value;
@@ -59,6 +59,8 @@
     pub server_indices: usize,
     /// The version of the endpoint list.
     pub list_version: Option<u64>,
+    /// The urgent changes of tables that could not be sent at once.
+    pub urgent_delays: UrgentDelays,
 }
 
 /// The protocol logic of one planner: serves its proxies and collectors, and follows discovery.
@@ -164,6 +166,7 @@
             ready_servers: self.registry.ready_count(),
             server_indices: self.server_indices.len(),
             list_version: self.registry.version(),
+            urgent_delays: self.policy.urgent_delays(),
         }
     }
 
--- a/crates/platform-server/src/tasks.rs
+++ b/crates/platform-server/src/tasks.rs
@@ -86,10 +86,19 @@
             ready_servers,
             server_indices,
             list_version,
+            urgent_delays,
         } = shared.manager.borrow().status();
         info!(
             joined_proxies,
-            unknown_peers, listed_servers, ready_servers, server_indices, list_version, "serving"
+            unknown_peers,
+            listed_servers,
+            ready_servers,
+            server_indices,
+            list_version,
+            message_limit_delays = urgent_delays.by_message_limit,
+            queue_delays = urgent_delays.by_queue,
+            longest_urgent_delay_ms = urgent_delays.longest.as_millis() as u64,
+            "serving"
         );
     }
 }
--- a/crates/platform-settings/src/lib.rs
+++ b/crates/platform-settings/src/lib.rs
@@ -174,7 +174,11 @@
     /// key that cannot be used.
     pub fn timeouts(&self) -> Result<Timeouts, SettingsError> {
         let removal_is_not_final = self.optional(keys::REMOVAL_IS_NOT_FINAL)?.unwrap_or(false);
-        Ok(Timeouts { warm_up: self.duration(keys::WARM_UP_MS)?, removal_is_final: !removal_is_not_final })
+        Ok(Timeouts {
+            warm_up: self.duration(keys::WARM_UP_MS)?,
+            removal_is_final: !removal_is_not_final,
+            drain_grace: self.optional_duration(keys::DRAIN_GRACE_MS)?,
+        })
     }
 
     /// Returns the capacity of the control channel.
@@ -234,9 +238,14 @@
 
     /// Returns a duration whose setting is in milliseconds.
     fn duration(&self, key: &str) -> Result<Duration, SettingsError> {
-        let ms: f64 = self.required(key)?;
+        self.optional_duration(key)?.ok_or_else(|| SettingsError::Missing { key: key.into() })
+    }
+
+    /// Returns a duration whose setting is in milliseconds; `None` if it is absent or empty.
+    fn optional_duration(&self, key: &str) -> Result<Option<Duration>, SettingsError> {
+        let Some(ms) = self.optional::<f64>(key)? else { return Ok(None) };
         let invalid = |_| SettingsError::InvalidDuration { key: key.into(), ms: ms.to_string() };
-        Duration::try_from_secs_f64(ms / MS_PER_S).map_err(invalid)
+        Duration::try_from_secs_f64(ms / MS_PER_S).map(Some).map_err(invalid)
     }
 
     fn list(&self, key: &str) -> impl Iterator<Item = &str> {
--- a/crates/platform-settings/tests/fixtures.rs
+++ b/crates/platform-settings/tests/fixtures.rs
@@ -70,6 +70,7 @@
 fn reads_every_key_of_the_timeouts_and_the_observability(#[case] settings: PlatformSettings) {
     let timeouts = settings.timeouts().unwrap();
     assert_eq!((timeouts.warm_up, timeouts.removal_is_final), (ms(12_000), false));
+    assert_eq!(timeouts.drain_grace, Some(ms(2500)));
     let observability = settings.observability().unwrap();
     assert_eq!(
         (observability.report_interval, observability.health_checks, observability.endpoint_poll_interval),
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -597,7 +597,11 @@
 
     /// Returns the timeouts of servers in the controller's terms.
     pub fn timeouts(&self) -> host::Timeouts {
-        host::Timeouts { warm_up: self.servers.warm_up.0, removal_is_final: self.servers.gone_binds }
+        host::Timeouts {
+            warm_up: self.servers.warm_up.0,
+            removal_is_final: self.servers.gone_binds,
+            drain_grace: None,
+        }
     }
 
     /// Returns the limits of the control channel in the controller's terms.
--- a/src/host.rs
+++ b/src/host.rs
@@ -133,6 +133,8 @@
     pub warm_up: Duration,
     /// True if a removal from the endpoint list is final. Otherwise a removed server that still answers remains in use.
     pub removal_is_final: bool,
+    /// The time within which proxies have to stop sending to a server that drains; `None` if it is not known.
+    pub drain_grace: Option<Duration>,
 }
 
 /// The capacity of the control channel, which carries all commands to the proxies.
@@ -248,6 +250,17 @@
     pub received_per_s: Vec<f64>,
 }
 
+/// The urgent changes that could not be sent at once since the policy's start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UrgentDelays {
+    /// The number of urgent changes that had to wait for the message limit.
+    pub by_message_limit: u64,
+    /// The number of urgent changes that had to wait for room in the queue of the control channel.
+    pub by_queue: u64,
+    /// The longest time from the first attempt to send an urgent change until a message to its pool was sent.
+    pub longest: Duration,
+}
+
 /// The servers of one pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoolSubset {
--- a/src/policy/control_channel.rs
+++ b/src/policy/control_channel.rs
@@ -1,22 +1,38 @@
-//! The control channel: decides whether a message may be sent now.
+//! The control channel: decides whether the queue has room for a change.
 //!
 //! Each kind of change may use a share of the queue and of the message limit: ordinary changes leave room for protective
-//! ones, and protective ones for drains.
+//! ones, and protective ones for drains. The module [`message_limit`](super::message_limit) applies the message limit.
 
 use crate::host::{PolicyHost, Timer};
-use crate::state::{ControlChannel, Policy, evict_expired};
-use std::collections::VecDeque;
+use crate::state::{ControlChannel, Policy};
 use std::time::Duration;
 
+/// The kinds of changes, in ascending order of priority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Priority {
+    /// An increase or a small reduction of a weight.
+    Ordinary,
+    /// A large reduction of a weight.
+    Protective,
+    /// A reduction of a warming server's weight, or a change of admission.
+    Overload,
+    /// A drain or a binding, which may not be missing.
+    Mandatory,
+}
+
+impl Priority {
+    /// Returns the share of the queue and of the message limit that changes of this priority may use.
+    pub(super) fn channel_share(self) -> f64 {
+        match self {
+            Priority::Ordinary => 0.4,
+            Priority::Protective => 0.6,
+            Priority::Overload => 0.85,
+            Priority::Mandatory => 0.95,
+        }
+    }
+}
+
 impl ControlChannel {
-    /// The share of the queue and of the message limit that an ordinary change of a weight may use.
-    pub(super) const ORDINARY_SHARE: f64 = 0.4;
-    /// The share that a large reduction of a weight may use.
-    pub(super) const PROTECTIVE_SHARE: f64 = 0.6;
-    /// The share that a reduction of a warming server's weight and a change of admission may use.
-    pub(super) const OVERLOAD_SHARE: f64 = 0.85;
-    /// The share that drains and bindings may use.
-    pub(super) const MANDATORY_SHARE: f64 = 0.95;
     /// The largest share of the queue that any change may use, because some entries are delivered later than estimated.
     pub(super) const MAX_QUEUE_SHARE: f64 = 0.7;
 
@@ -28,22 +44,14 @@
     /// transit.
     const SILENT_TRANSITS: u32 = 2;
 
-    /// The number of messages of the limit that are reserved for bindings.
-    const RESERVED_MESSAGES: f64 = 2.0;
-    /// The number of messages that are subtracted from the limit before the shares are applied.
-    const UNSHARED_MESSAGES: f64 = 1.0;
-    /// The divisor of the message limit that gives the largest burst. Messages beyond a burst are spaced, so that a drain
-    /// can still be sent.
-    const BURST_DIVISOR: f64 = 4.0;
-
     /// The cost of a binding message in addition to the entries of its table, in entries.
     const BINDING_ENTRIES: f64 = 2.0;
     /// The delay of the urgent timer.
-    const URGENT_DELAY: Duration = Duration::from_millis(100);
+    pub(super) const URGENT_DELAY: Duration = Duration::from_millis(100);
 
-    /// Returns true if `entries` more entries fit into a share of the queue. Entries that are not acknowledged count as
+    /// Returns true if `entries` more entries of a priority fit into the queue. Entries that are not acknowledged count as
     /// queued, and are assumed to be delivered at a rate far below the one in the settings.
-    pub(super) fn has_room(&mut self, now: Duration, entries: f64, share: f64) -> bool {
+    pub(super) fn has_room(&mut self, now: Duration, entries: f64, priority: Priority) -> bool {
         let acknowledged =
             now.saturating_sub(self.acknowledged_at) < self.limits.max_transit * Self::SILENT_TRANSITS;
         let rate_fraction =
@@ -52,19 +60,8 @@
             (now - self.queue_updated_at).as_secs_f64() * (self.limits.entries_per_s * rate_fraction);
         self.queued = (self.queued - delivered).max(0.0);
         self.queue_updated_at = now;
-        self.queued + entries <= self.limits.max_queued_entries * share.min(Self::MAX_QUEUE_SHARE)
-    }
-
-    /// Returns true if another message may be sent to the proxies that got messages at the times `sent`.
-    pub(super) fn may_send_message(&self, now: Duration, sent: &mut VecDeque<Duration>, share: f64) -> bool {
-        evict_expired(sent, now, self.limits.window, |at| *at);
-        let max = self.limits.max_messages as f64;
-        let used = sent.len() as f64;
-        let spacing_s = self.limits.window.as_secs_f64() / (max - Self::RESERVED_MESSAGES).max(1.0);
-        let is_spaced = sent.back().is_none_or(|last| (now - *last).as_secs_f64() >= spacing_s);
-        let within_share = used < (max - Self::UNSHARED_MESSAGES) * share;
-        let within_limit = used < max - Self::RESERVED_MESSAGES;
-        max == 0.0 || (within_share && within_limit && (is_spaced || used < max / Self::BURST_DIVISOR))
+        self.queued + entries
+            <= self.limits.max_queued_entries * priority.channel_share().min(Self::MAX_QUEUE_SHARE)
     }
 
     /// Returns the number of table entries per proxy that can be sent to all proxies at once.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,6 +11,7 @@
 mod control_channel;
 mod effective_weights;
 mod endpoints;
+mod message_limit;
 mod outlier_detection;
 mod proxy_binding;
 mod publishing;
@@ -64,7 +65,7 @@
             servers: vec![],
             next_poll_at: Some(Duration::ZERO),
             ticks: 0,
-            channel: ControlChannel::new(channel_limits),
+            channel: ControlChannel::new(channel_limits, timeouts.drain_grace),
             pools: vec![],
             subset_size: SubsetSize::UNLIMITED,
             zone_spill: ZoneSpill::new(capabilities.zones.max(1)),
--- a/src/policy/proxy_binding.rs
+++ b/src/policy/proxy_binding.rs
@@ -1,7 +1,8 @@
 //! Proxy binding: assigns a pool to each proxy that joins.
 
+use super::control_channel::Priority;
 use crate::host::{PolicyHost, ProxyId, RouteSet, ZoneId};
-use crate::state::{ControlChannel, Policy, ProxyState};
+use crate::state::{Policy, ProxyState};
 use std::time::Duration;
 
 /// The route set that means all routes.
@@ -53,7 +54,7 @@
             }
             let entries = self.pools[pool].entries.iter().filter(|entry| entry.last_sent > 0.0).count();
             let cost = self.channel.binding_cost(entries);
-            if !self.channel.has_room(now, cost, ControlChannel::MANDATORY_SHARE) {
+            if !self.channel.has_room(now, cost, Priority::Mandatory) {
                 self.set_urgent_timer(now);
                 break;
             }
--- a/src/policy/publishing.rs
+++ b/src/policy/publishing.rs
@@ -2,10 +2,12 @@
 //!
 //! A change that does not fit is not stored: a later call computes and sends the values of that time.
 
+use super::control_channel::Priority;
 use super::weights::MIN_FACTOR;
-use crate::host::PolicyHost;
-use crate::state::{AdmissionSetting, ControlChannel, Policy, WeightEntry};
+use crate::host::{PolicyHost, UrgentDelays};
+use crate::state::{AdmissionSetting, Policy, WeightEntry};
 use rand::seq::SliceRandom;
+use std::cmp::Reverse;
 use std::time::Duration;
 
 /// The cost of a message in addition to its own entries and the channel's overhead, in entries.
@@ -22,16 +24,16 @@
     entry: usize,
     /// The new weight.
     weight: f32,
-    /// The share of the channel that the change may use.
-    share: f64,
+    /// The priority of the change.
+    priority: Priority,
 }
 
 /// The changed weights of one pool.
 struct PoolUpdate {
     /// The position of the pool.
     pool: usize,
-    /// The share of the channel that the message may use.
-    share: f64,
+    /// The priority of the message.
+    priority: Priority,
     /// The changed weights.
     changes: Vec<WeightChange>,
 }
@@ -46,7 +48,7 @@
         let mut updates = self.pool_updates(&proxies);
         // Pools of the same urgency are in random order, so that no pool is always the one whose changes do not fit.
         updates.shuffle(&mut self.rng);
-        updates.sort_by(|a, b| b.share.total_cmp(&a.share));
+        updates.sort_by_key(|update| Reverse(update.priority));
         let mut any_sent = admission_sent;
         for update in updates {
             let proxies = proxies[update.pool];
@@ -81,35 +83,29 @@
             .map(|(i, (entry, weight))| WeightChange {
                 entry: i,
                 weight,
-                share: self.channel_share(entry, weight),
+                priority: self.priority(entry, weight),
             })
             .collect();
-        if changes.is_empty() {
-            return None;
-        }
         let is_usable = |entry: &WeightEntry| entry.last_sent > 0.0 && self.servers[entry.server].is_ready();
-        let share = if entries.iter().any(is_usable) {
-            changes.iter().map(|change| change.share).fold(0.0, f64::max)
-        } else {
-            ControlChannel::MANDATORY_SHARE
-        };
-        Some(PoolUpdate { pool, share, changes })
+        let highest = changes.iter().map(|change| change.priority).max()?;
+        let priority = if entries.iter().any(is_usable) { highest } else { Priority::Mandatory };
+        Some(PoolUpdate { pool, priority, changes })
     }
 
-    /// Returns the share of the channel that a change may use. The share is larger for larger reductions of a weight.
-    fn channel_share(&self, entry: &WeightEntry, weight: f32) -> f64 {
+    /// Returns the priority of a change, which is higher for larger reductions of a weight.
+    fn priority(&self, entry: &WeightEntry, weight: f32) -> Priority {
         let factor = f64::from(weight) / f64::from(entry.last_sent);
         let server = &self.servers[entry.server];
         let warming = server.slow_start.warming;
         // The factor is not a number if both weights are 0.
         if factor.is_nan() || factor > ORDINARY_FACTOR_FRACTION * MIN_FACTOR {
-            ControlChannel::ORDINARY_SHARE
+            Priority::Ordinary
         } else if !server.is_ready() || (warming && factor < MANDATORY_WARMING_FACTOR) {
-            ControlChannel::MANDATORY_SHARE
+            Priority::Mandatory
         } else if warming {
-            ControlChannel::OVERLOAD_SHARE
+            Priority::Overload
         } else {
-            ControlChannel::PROTECTIVE_SHARE
+            Priority::Protective
         }
     }
 
@@ -121,15 +117,16 @@
     /// Sends a pool's changes; if not all of them fit, only those that are as urgent as the message. Returns true if the
     /// message was sent. `joins_message` is true if the changes become part of an admission message that is already counted.
     fn publish_pool(&mut self, now: Duration, update: PoolUpdate, proxies: f64, joins_message: bool) -> bool {
-        let PoolUpdate { pool, share, mut changes } = update;
+        let PoolUpdate { pool, priority, mut changes } = update;
         let message_times = &mut self.pools[pool].message_times;
-        let may_send = joins_message || self.channel.may_send_message(now, message_times, share);
+        let may_send = joins_message || self.channel.may_send_message(now, message_times, priority);
         let full_cost = self.message_cost(proxies, changes.len());
-        if !self.channel.has_room(now, full_cost, share) {
-            changes.retain(|change| change.share >= share);
+        if !self.channel.has_room(now, full_cost, priority) {
+            changes.retain(|change| change.priority >= priority);
         }
         let cost = self.message_cost(proxies, changes.len());
-        if may_send && self.channel.has_room(now, cost, share) {
+        if may_send && self.channel.has_room(now, cost, priority) {
+            self.record_urgent_sent(now, pool);
             self.channel.add(cost);
             if !joins_message {
                 self.pools[pool].message_times.push_back(now);
@@ -137,12 +134,38 @@
             self.send_weights(pool, changes.into_iter().map(|change| (change.entry, change.weight)));
             return true;
         }
-        if share >= ControlChannel::MANDATORY_SHARE {
+        if priority == Priority::Mandatory {
+            self.record_urgent_delayed(now, pool, may_send);
             self.set_urgent_timer(now);
         }
         false
     }
 
+    /// Counts an urgent change of a pool that has to wait, once until a message to the pool is sent.
+    fn record_urgent_delayed(&mut self, now: Duration, pool: usize, within_message_limit: bool) {
+        let since = &mut self.pools[pool].urgent_since;
+        if since.is_some() {
+            return;
+        }
+        *since = Some(now);
+        let delays = &mut self.channel.urgent_delays;
+        let count = if within_message_limit { &mut delays.by_queue } else { &mut delays.by_message_limit };
+        *count += 1;
+    }
+
+    /// Records for how long an urgent change of a pool has waited, if one has.
+    fn record_urgent_sent(&mut self, now: Duration, pool: usize) {
+        if let Some(since) = self.pools[pool].urgent_since.take() {
+            let delays = &mut self.channel.urgent_delays;
+            delays.longest = delays.longest.max(now.saturating_sub(since));
+        }
+    }
+
+    /// Returns the urgent changes that could not be sent at once.
+    pub fn urgent_delays(&self) -> UrgentDelays {
+        self.channel.urgent_delays
+    }
+
     /// Sends the weights that differ from the last ones sent. Each weight comes with its position in the pool.
     pub(super) fn send_weights(&mut self, pool: usize, weights: impl Iterator<Item = (usize, f32)>) {
         let pool = &mut self.pools[pool];
@@ -166,7 +189,7 @@
         if changed.is_empty() || !self.may_message_every_pool(now) {
             return false;
         }
-        if !self.channel.has_room(now, cost, ControlChannel::OVERLOAD_SHARE) {
+        if !self.channel.has_room(now, cost, Priority::Overload) {
             return false;
         }
         for route in changed {
@@ -188,7 +211,7 @@
 
     fn may_message_every_pool(&mut self, now: Duration) -> bool {
         let channel = &self.channel;
-        let may_send = |times| channel.may_send_message(now, times, ControlChannel::OVERLOAD_SHARE);
+        let may_send = |times| channel.may_send_message(now, times, Priority::Overload);
         !self.pools.is_empty() && self.pools.iter_mut().all(|pool| may_send(&mut pool.message_times))
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,7 +11,7 @@
 
 use crate::host::{
     ControlChannelLimits, EndpointState, Observability, ProxyCapabilities, ProxyId, RetryPolicy, Route,
-    ServerKind, Timeouts, ZoneId,
+    ServerKind, Timeouts, UrgentDelays, ZoneId,
 };
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
@@ -196,6 +196,10 @@
 pub(crate) struct ControlChannel {
     /// The capacity of the channel, from the deployment's settings.
     pub(crate) limits: ControlChannelLimits,
+    /// The time within which proxies have to stop sending to a server that drains; `None` if it is not known.
+    pub(crate) drain_grace: Option<Duration>,
+    /// The urgent changes that could not be sent at once.
+    pub(crate) urgent_delays: UrgentDelays,
     /// The estimated number of entries queued in the channel.
     pub(crate) queued: f64,
     /// The number of entries sent since the policy's start.
@@ -217,9 +221,11 @@
     const ACK_NUMBERS: u16 = 50_000;
 
     /// Returns an empty channel.
-    pub(crate) fn new(limits: ControlChannelLimits) -> ControlChannel {
+    pub(crate) fn new(limits: ControlChannelLimits, drain_grace: Option<Duration>) -> ControlChannel {
         ControlChannel {
             limits,
+            drain_grace,
+            urgent_delays: UrgentDelays::default(),
             queued: 0.0,
             sent: 0.0,
             queue_updated_at: Duration::ZERO,
--- a/src/state/pools.rs
+++ b/src/state/pools.rs
@@ -29,12 +29,14 @@
     pub(crate) entries: Vec<WeightEntry>,
     /// The times at which messages were sent to the pool's proxies, oldest first.
     pub(crate) message_times: VecDeque<Duration>,
+    /// The time of the first attempt to send an urgent change that waits; `None` if none waits.
+    pub(crate) urgent_since: Option<Duration>,
 }
 
 impl Pool {
     /// Returns a pool without servers.
     pub(crate) fn new(table: TableId, zone: ZoneId) -> Pool {
-        Pool { table, zone, entries: vec![], message_times: VecDeque::new() }
+        Pool { table, zone, entries: vec![], message_times: VecDeque::new(), urgent_since: None }
     }
 
     /// Adds a server with a weight given as a multiple of the pool's mean weight.
--- a/tests/policy/helpers.rs
+++ b/tests/policy/helpers.rs
@@ -43,6 +43,10 @@
     pub polls: usize,
     /// The times of the policy calls that set weights or levels.
     pub update_times: BTreeSet<Duration>,
+    /// By table: the times of the policy calls that set its weights.
+    pub update_times_by_table: BTreeMap<TableId, BTreeSet<Duration>>,
+    /// The times of the policy calls that set levels, which go to all tables.
+    pub admission_times: BTreeSet<Duration>,
     /// True if levels are requests per second, not shares.
     pub levels_are_rates: bool,
     timers: BTreeSet<(Duration, Timer)>,
@@ -61,6 +65,7 @@
         let mut commands = self.0.borrow_mut();
         let now = commands.now;
         commands.update_times.insert(now);
+        commands.update_times_by_table.entry(table).or_default().insert(now);
         commands.weights_set += 1;
         commands.weights.insert((table, server), weight);
     }
@@ -73,6 +78,7 @@
         assert!((0.0..=max).contains(&level), "level {level}");
         let now = commands.now;
         commands.update_times.insert(now);
+        commands.admission_times.insert(now);
         commands.admission.insert(routes, (level, retries));
     }
     fn request_ack(&mut self, number: u16) {
@@ -166,6 +172,17 @@
         channel: ControlChannelLimits,
         routes: Vec<Route>,
         removal_is_final: bool,
+    ) -> PolicyHarness {
+        let drain_grace = Some(ms(2000));
+        let timeouts = Timeouts { warm_up: Duration::from_secs(16), removal_is_final, drain_grace };
+        PolicyHarness::with_timeouts(capabilities, channel, routes, timeouts)
+    }
+
+    pub fn with_timeouts(
+        capabilities: ProxyCapabilities,
+        channel: ControlChannelLimits,
+        routes: Vec<Route>,
+        timeouts: Timeouts,
     ) -> PolicyHarness {
         let host = RecordingHost::default();
         let commands = host.0.clone();
@@ -175,7 +192,6 @@
             health_checks: true,
             endpoint_poll_interval: Some(Duration::from_secs(10)),
         };
-        let timeouts = Timeouts { warm_up: Duration::from_secs(16), removal_is_final };
         let policy = Policy::new(host, 7, routes, capabilities, timeouts, channel, observability);
         PolicyHarness {
             policy,
@@ -242,6 +258,14 @@
         }
     }
 
+    /// Advances the time by `length` without reports.
+    pub fn advance(&mut self, length: Duration) {
+        self.now += length;
+        self.acknowledge();
+        self.fire_due_timers();
+        self.commands.borrow_mut().now = self.now;
+    }
+
     fn acknowledge(&mut self) {
         let acks = std::mem::take(&mut self.commands.borrow_mut().acks);
         for number in acks.into_iter().filter(|_| self.acknowledging) {
@@ -267,7 +291,7 @@
         }
     }
 
-    fn report(&mut self, server: ServerIndex, observed: Observed) {
+    pub fn report(&mut self, server: ServerIndex, observed: Observed) {
         // A reported load that does not change is invalid, so the utilization varies a little. Only 0 stays 0.
         let variation = 1.0 + (self.now.as_millis() / 500 % 7) as f32 * 0.002;
         let metrics = [observed.utilization * variation, observed.pending];
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -6,6 +6,7 @@
 mod channel;
 mod endpoints;
 mod helpers;
+mod message_limit;
 mod outlier_detection;
 mod slow_start;
 mod subsetting;
