Limit zone-local routes to what the newly started servers of their zone can bear

Cause: no other zone can take these requests, and admission had one level for all proxies. The slow start only divides a zone's requests among its own servers.

Change: src/policy/zone_admission.rs limits the zone-local routes at a pool's own table, from the settings fallMultiple, startCapacity and warmUpMs, the age of each newly started server, the capacity of warm servers of its kind and the requests that the pool's proxies receive. PolicyHost::set_table_admission carries it; of two levels the lower applies. Weights and limits go out in one message.

--- a/crates/assignments/src/assignments.rs
+++ b/crates/assignments/src/assignments.rs
@@ -40,6 +40,17 @@
         self.0.borrow_mut().tables.set_admission(AdmissionRule { routes, level, retry_policy });
     }
 
+    fn set_table_admission(
+        &mut self,
+        table: TableId,
+        routes: RouteSet,
+        level: f32,
+        retry_policy: RetryPolicy,
+    ) {
+        let rule = AdmissionRule { routes, level, retry_policy };
+        self.0.borrow_mut().tables.set_table_admission(table, rule);
+    }
+
     fn request_ack(&mut self, token: u16) {
         self.0.borrow_mut().tables.request_ack(token);
     }
--- a/crates/assignments/src/tables.rs
+++ b/crates/assignments/src/tables.rs
@@ -43,8 +43,14 @@
 pub struct ProxyUpdate<'a> {
     /// The tables that have changed or that the proxy was bound to in this turn, in the order of the bindings.
     pub tables: &'a [TableUpdate<'a>],
-    /// All admission rules after a binding, otherwise the changed ones.
+    /// All admission rules of the proxy after a binding, otherwise the changed ones. A rule of a table that the proxy is bound
+    /// to is combined with the rule for all proxies: the lower level and the retry policy of the table apply.
     pub admission: &'a [AdmissionRule],
+    /// All tables that the proxy is bound to. Proxies that are bound to the same tables before the turn, or in the turn, get
+    /// equal updates.
+    pub bound_tables: &'a [TableId],
+    /// True if the proxy was bound in this turn.
+    pub is_new: bool,
     /// The token with which the proxy has to acknowledge this update, if an acknowledgement is requested.
     pub ack_token: Option<u16>,
 }
@@ -104,6 +110,37 @@
         self.bindings.push(new);
         self.is_new = true;
     }
+
+    /// Returns true if the proxy is bound to any table of a map.
+    fn has_any_of<T>(&self, tables: &BTreeMap<TableId, T>) -> bool {
+        self.bindings.iter().any(|binding| tables.contains_key(&binding.table))
+    }
+}
+
+/// The rules for all proxies and those of tables, with the changes of the turn.
+struct TableRules<'a> {
+    of_all: &'a BTreeMap<RouteSet, AdmissionRule>,
+    changed_of_all: &'a BTreeSet<RouteSet>,
+    of_tables: &'a BTreeMap<TableId, BTreeMap<RouteSet, AdmissionRule>>,
+    changed_of_tables: &'a BTreeSet<(TableId, RouteSet)>,
+}
+
+impl TableRules<'_> {
+    /// Returns the rules of a proxy with these bindings: all of them, or those that have changed in this turn.
+    fn of_proxy(&self, bindings: &[Binding], all: bool) -> Vec<AdmissionRule> {
+        let mut rules = self.of_all.clone();
+        let mut changed = self.changed_of_all.clone();
+        for table in bindings.iter().map(|binding| binding.table) {
+            for rule in self.of_tables.get(&table).into_iter().flat_map(BTreeMap::values) {
+                let level = rules.get(&rule.routes).map_or(rule.level, |other| other.level.min(rule.level));
+                rules.insert(rule.routes, AdmissionRule { level, ..*rule });
+                if self.changed_of_tables.contains(&(table, rule.routes)) {
+                    changed.insert(rule.routes);
+                }
+            }
+        }
+        rules.into_values().filter(|rule| all || changed.contains(&rule.routes)).collect()
+    }
 }
 
 /// All tables, admission rules and bindings, with their changes in the current turn.
@@ -112,6 +149,8 @@
     tables: BTreeMap<TableId, WeightTable>,
     admission: BTreeMap<RouteSet, AdmissionRule>,
     changed_admission: BTreeSet<RouteSet>,
+    table_admission: BTreeMap<TableId, BTreeMap<RouteSet, AdmissionRule>>,
+    changed_table_admission: BTreeSet<(TableId, RouteSet)>,
     proxies: BTreeMap<ProxyId, JoinedProxy>,
     ack_token: Option<u16>,
 }
@@ -133,6 +172,12 @@
         self.changed_admission.insert(rule.routes);
     }
 
+    /// Sets a rule for the proxies that are bound to a table, in addition to the rule of the same routes for all proxies.
+    pub(crate) fn set_table_admission(&mut self, table: TableId, rule: AdmissionRule) {
+        self.changed_table_admission.insert((table, rule.routes));
+        self.table_admission.entry(table).or_default().insert(rule.routes, rule);
+    }
+
     pub(crate) fn request_ack(&mut self, token: u16) {
         self.ack_token = Some(token);
     }
@@ -158,6 +203,12 @@
         let all_rules: Vec<AdmissionRule> = self.admission.values().copied().collect();
         let changed_rules = self.changed_rules();
         let weights = self.published_weights();
+        let rules = TableRules {
+            of_all: &self.admission,
+            changed_of_all: &self.changed_admission,
+            of_tables: &self.table_admission,
+            changed_of_tables: &self.changed_table_admission,
+        };
         for (proxy, bound) in self.proxies.iter_mut().filter(|(_, bound)| !bound.bindings.is_empty()) {
             let is_new = std::mem::take(&mut bound.is_new);
             let update = |binding: &Binding| TableUpdate {
@@ -170,9 +221,24 @@
             let tables: Vec<TableUpdate> = (bound.bindings.iter().map(update))
                 .filter(|update| is_new || !update.weights.is_empty())
                 .collect();
-            let admission = if is_new { &all_rules } else { &changed_rules };
+            let bound_tables: Vec<TableId> = bound.bindings.iter().map(|binding| binding.table).collect();
+            let own_rules;
+            let admission = if bound.has_any_of(&self.table_admission) {
+                own_rules = rules.of_proxy(&bound.bindings, is_new);
+                &own_rules
+            } else if is_new {
+                &all_rules
+            } else {
+                &changed_rules
+            };
             if !tables.is_empty() || !admission.is_empty() {
-                let update = ProxyUpdate { tables: &tables, admission, ack_token: self.ack_token };
+                let update = ProxyUpdate {
+                    tables: &tables,
+                    admission,
+                    bound_tables: &bound_tables,
+                    is_new,
+                    ack_token: self.ack_token,
+                };
                 send(*proxy, &update);
             }
         }
@@ -212,6 +278,7 @@
             table.changed.clear();
         }
         self.changed_admission.clear();
+        self.changed_table_admission.clear();
         self.ack_token = None;
     }
 }
--- a/crates/assignments/tests/assignments.rs
+++ b/crates/assignments/tests/assignments.rs
@@ -95,6 +95,50 @@
     assert_eq!(published_tables(&assignments), [(1, vec![(0, 0, true, 2)])]);
 }
 
+/// A proxy, and the routes, the level and the retry policy of each admission rule of its update.
+type PublishedRules = (u16, Vec<(u16, f32, RetryPolicy)>);
+
+/// Ends the turn and returns the admission rules of its updates.
+fn published_rules(assignments: &Assignments) -> Vec<PublishedRules> {
+    let mut published = vec![];
+    assignments.publish(|proxy, update| {
+        let rules = update.admission.iter().map(|rule| (rule.routes, rule.level, rule.retry_policy));
+        published.push((proxy, rules.collect()));
+    });
+    published
+}
+
+/// Of a rule for all proxies and one of a table, the lower level and the retry policy of the table apply, at the proxies that
+/// are bound to the table.
+#[rstest]
+fn rule_of_a_table_applies_to_its_proxies_beside_the_rule_for_all() {
+    use RetryPolicy::{AfterFailure, Never};
+    let assignments = Assignments::default();
+    let mut host = assignments.clone();
+    for (proxy, table) in [(1, 0), (2, 1)] {
+        assignments.add_proxy(proxy);
+        host.bind_proxy(proxy, table, 0b01);
+        host.bind_proxy(proxy, table + 10, 0b10);
+    }
+    host.set_admission(0b10, 0.5, AfterFailure);
+    host.set_table_admission(10, 0b10, 0.2, Never);
+    let (all, limited) = ((0b10, 0.5, AfterFailure), (0b10, 0.2, Never));
+    assert_eq!(published_rules(&assignments), [(1, vec![limited]), (2, vec![all])]);
+    // A change of the table's rule goes to its proxies only.
+    host.set_table_admission(10, 0b10, 0.8, AfterFailure);
+    assert_eq!(published_rules(&assignments), [(1, vec![all])]);
+    // A change of the other rule goes to all proxies and leaves the limit of the table.
+    host.set_admission(0b10, 1.0, Never);
+    assert_eq!(
+        published_rules(&assignments),
+        [(1, vec![(0b10, 0.8, AfterFailure)]), (2, vec![(0b10, 1.0, Never)])]
+    );
+    // A proxy that joins later gets the limit of the table with its binding.
+    assignments.add_proxy(3);
+    host.bind_proxy(3, 10, 0b10);
+    assert_eq!(published_rules(&assignments), [(3, vec![(0b10, 0.8, AfterFailure)])]);
+}
+
 #[rstest]
 #[case::same_server_again(10, "a", false, 0)]
 #[case::before_expiry(20, "c", false, 2)]
--- a/crates/controller/src/controller/publishing.rs
+++ b/crates/controller/src/controller/publishing.rs
@@ -87,7 +87,7 @@
             changes.extend(weight_changes(table, servers));
         }
     }
-    if !update.tables.iter().any(|table| table.is_full) {
+    if !update.is_new {
         entries += update.admission.len();
         changes.extend(update.admission.iter().map(|rule| Change::SetAdmission(admission_rule(rule))));
     }
--- a/crates/controller/tests/helpers/mod.rs
+++ b/crates/controller/tests/helpers/mod.rs
@@ -119,7 +119,12 @@
             zones: vec!["a".into(), "b".into()],
             routes: vec![route],
             capabilities,
-            timeouts: Timeouts { warm_up: Duration::from_secs(8), removal_is_final: true, drain_grace: None },
+            timeouts: Timeouts {
+                warm_up: Duration::from_secs(8),
+                removal_is_final: true,
+                drain_grace: None,
+                cold_start: None,
+            },
             channel: limits,
             observability,
         };
--- a/crates/platform-protocol/src/session_manager/publishing.rs
+++ b/crates/platform-protocol/src/session_manager/publishing.rs
@@ -48,7 +48,7 @@
     }
 }
 
-/// Writes the updates of one flush. Many proxies share their tables, so each update of the same tables is encoded only once.
+/// Writes the updates of one flush. Many proxies share their tables, so the update of the same tables is encoded only once.
 struct UpdateWriter<'a, E, F> {
     effects: &'a mut E,
     connections: &'a mut Connections,
@@ -56,18 +56,17 @@
     event_log: &'a mut EventLog,
     weight_log: Option<&'a mut WeightLog>,
     encoder: UpdateEncoder<'a, F>,
-    /// The encoded updates, by their tables and by whether each is written in full.
-    encoded: BTreeMap<Vec<(TableId, bool)>, Vec<u8>>,
+    /// The encoded updates, by the tables that a proxy is bound to and by whether it was bound in this turn.
+    encoded: BTreeMap<(Vec<TableId>, bool), Vec<u8>>,
 }
 
 impl<'a, E: Effects, F: Fn(ServerIndex) -> &'a str> UpdateWriter<'a, E, F> {
     fn write(&mut self, proxy: ProxyId, update: &ProxyUpdate) {
         let Some(&id) = self.streams.get(&proxy) else { return };
-        if update.tables.iter().any(|table| table.is_full) {
+        if update.is_new {
             self.log_bound(proxy, update);
         }
-        let key: Vec<(TableId, bool)> =
-            update.tables.iter().map(|table| (table.table, table.is_full)).collect();
+        let key = (update.bound_tables.to_vec(), update.is_new);
         if !self.encoded.contains_key(&key) {
             update.tables.iter().for_each(|table| self.log_weights(table));
             self.encoded.insert(key.clone(), self.encoder.encode(update));
@@ -81,7 +80,7 @@
     fn log_bound(&mut self, proxy: ProxyId, update: &ProxyUpdate) {
         self.event_log.stream_changed(proxy, StreamChange::Bound);
         if let Some(weight_log) = &mut self.weight_log {
-            weight_log.proxy_bound(proxy, update.tables.iter().map(|table| table.table).collect());
+            weight_log.proxy_bound(proxy, update.bound_tables.to_vec());
         }
     }
 
--- a/crates/platform-settings/src/keys.rs
+++ b/crates/platform-settings/src/keys.rs
@@ -16,6 +16,8 @@
 pub(crate) const MIN_SERVER_CONNECTIONS: &str = "familyInfo.connsLeast";
 
 pub(crate) const WARM_UP_MS: &str = "invariants.warmUpMs";
+pub(crate) const START_CAPACITY: &str = "invariants.startCapacity";
+pub(crate) const OVERLOAD_MULTIPLE: &str = "invariants.fallMultiple";
 pub(crate) const DRAIN_GRACE_MS: &str = "invariants.drainGraceMs";
 pub(crate) const REMOVAL_IS_NOT_FINAL: &str = "invariants.removalNotBinding";
 
--- a/crates/platform-settings/src/lib.rs
+++ b/crates/platform-settings/src/lib.rs
@@ -8,8 +8,8 @@
 mod keys;
 
 use grebespool::host::{
-    AdmissionMode, ControlChannelLimits, DeduplicationScope, Idempotency, LoadMetric, Observability,
-    ProxyCapabilities, Route, Timeouts,
+    AdmissionMode, ColdStart, ControlChannelLimits, DeduplicationScope, Idempotency, LoadMetric,
+    Observability, ProxyCapabilities, Route, Timeouts,
 };
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -178,9 +178,19 @@
             warm_up: self.duration(keys::WARM_UP_MS)?,
             removal_is_final: !removal_is_not_final,
             drain_grace: self.optional_duration(keys::DRAIN_GRACE_MS)?,
+            cold_start: self.cold_start()?,
         })
     }
 
+    /// Returns the load that a server can bear after its start; `None` if it is not stated in full.
+    fn cold_start(&self) -> Result<Option<ColdStart>, SettingsError> {
+        let capacity = self.optional(keys::START_CAPACITY)?;
+        let overload_multiple = self.optional(keys::OVERLOAD_MULTIPLE)?;
+        Ok(capacity
+            .zip(overload_multiple)
+            .map(|(capacity, overload_multiple)| ColdStart { capacity, overload_multiple }))
+    }
+
     /// Returns the capacity of the control channel.
     ///
     /// # Errors
--- a/crates/wirehost/src/command_writer.rs
+++ b/crates/wirehost/src/command_writer.rs
@@ -50,9 +50,12 @@
     }
 
     fn set_admission(&mut self, routes: RouteSet, level: f32, retries: RetryPolicy) {
+        self.set_table_admission(EVERY_TABLE, routes, level, retries);
+    }
+
+    fn set_table_admission(&mut self, table: TableId, routes: RouteSet, level: f32, retries: RetryPolicy) {
         let mode = retry_mode(retries);
-        let fields: [&[u8]; 4] =
-            [&[mode], &routes.to_be_bytes(), &EVERY_TABLE.to_be_bytes(), &level.to_be_bytes()];
+        let fields: [&[u8]; 4] = [&[mode], &routes.to_be_bytes(), &table.to_be_bytes(), &level.to_be_bytes()];
         self.write(command::SET_ADMISSION, &fields);
     }
 
--- a/src/host.rs
+++ b/src/host.rs
@@ -41,6 +41,9 @@
     fn bind_proxy(&mut self, proxy: ProxyId, table: TableId, routes: RouteSet);
     /// Sets the admission level of `routes`, in the unit of [`AdmissionMode`], and their retry policy at all joined proxies.
     fn set_admission(&mut self, routes: RouteSet, level: f32, retries: RetryPolicy);
+    /// Sets the admission level and the retry policy of `routes` at the proxies that are bound to a table. Where a level for
+    /// all joined proxies is set as well, the lower one applies; the retry policy of the table applies.
+    fn set_table_admission(&mut self, table: TableId, routes: RouteSet, level: f32, retries: RetryPolicy);
     /// Requests an acknowledgement, with this number, of all commands sent until now.
     fn request_ack(&mut self, number: u16);
     /// Starts a health check of a server, independent of client requests.
@@ -126,6 +129,15 @@
     pub zone_local: bool,
 }
 
+/// The load that a server can bear after its start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// The capacity of a server at its start, as a fraction of its capacity when warm.
+    pub capacity: f64,
+    /// The multiple of its present capacity above which a server falls over.
+    pub overload_multiple: f64,
+}
+
 /// Rules for the start and the removal of servers.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeouts {
@@ -135,6 +147,8 @@
     pub removal_is_final: bool,
     /// The time within which proxies have to stop sending to a server that drains; `None` if it is not known.
     pub drain_grace: Option<Duration>,
+    /// The load that a server can bear after its start; `None` if it is not known.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// The capacity of the control channel, which carries all commands to the proxies.
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -44,7 +44,7 @@
     const GROWTH_FACTOR: f64 = 1.1;
     /// The step to which admitted shares are rounded, so that noise changes nothing. It is also the smallest share of all
     /// requests together that is admitted.
-    const SHARE_STEP: f64 = 0.05;
+    pub(super) const SHARE_STEP: f64 = 0.05;
     /// The share above which a route is admitted in full.
     const FULL_SHARE_THRESHOLD: f64 = 0.97;
     /// The rate that means no limit, in requests per second at each proxy.
@@ -110,11 +110,11 @@
         }
     }
 
-    /// Converts a route's share to requests per second at each proxy, in coarse steps, so that noise changes nothing.
-    fn rate(&self, now: Duration, route: usize) -> f32 {
-        let rates = rates_by_proxy(&self.received[route], now);
-        let admitted = f64::from(self.admitted_share[route]) * rates.iter().sum::<f64>();
-        let limit = fair_limit(&rates, admitted).min(Self::UNLIMITED_RATE);
+    /// Converts a share of a route's requests to requests per second at each proxy with the received `rates`, in coarse steps,
+    /// so that noise changes nothing.
+    fn rate(rates: &[f64], share: f32) -> f32 {
+        let admitted = f64::from(share) * rates.iter().sum::<f64>();
+        let limit = fair_limit(rates, admitted).min(Self::UNLIMITED_RATE);
         (Self::GROWTH_FACTOR.ln() * (limit.ln() / Self::GROWTH_FACTOR.ln()).round()).exp() as f32
     }
 }
@@ -123,12 +123,16 @@
     counts.iter().filter(|count| count.at > from).map(|count| count.requests).sum()
 }
 
-/// Returns the requests per second that each proxy received, over the retention time of the samples.
-fn rates_by_proxy(received: &VecDeque<RequestCount>, now: Duration) -> Vec<f64> {
+/// Returns the requests per second that each counted proxy received, over the retention time of the samples.
+fn rates_by_proxy(
+    received: &VecDeque<RequestCount>,
+    now: Duration,
+    is_counted: impl Fn(ProxyId) -> bool,
+) -> Vec<f64> {
     let from = now.saturating_sub(ServerState::SAMPLE_RETENTION);
     let span_s = retention_span_s(now);
     let mut rates: BTreeMap<ProxyId, f64> = BTreeMap::new();
-    for count in received.iter().filter(|count| count.at > from) {
+    for count in received.iter().filter(|count| count.at > from && is_counted(count.proxy)) {
         *rates.entry(count.proxy).or_default() += count.requests / span_s;
     }
     rates.into_values().collect()
@@ -175,12 +179,23 @@
 
     /// Returns a route's admission level in the unit of the proxies.
     pub(super) fn admission_level(&self, now: Duration, route: usize) -> f32 {
-        let share = self.admission.admitted_share[route];
+        self.level(now, route, self.admission.admitted_share[route], |_| true)
+    }
+
+    /// Returns the level at which a pool's proxies admit a share of a route's requests.
+    pub(super) fn level_in_pool(&self, now: Duration, route: usize, share: f32, pool: usize) -> f32 {
+        self.level(now, route, share, |proxy| self.is_in_pool(proxy, pool))
+    }
+
+    fn level(&self, now: Duration, route: usize, share: f32, is_counted: impl Fn(ProxyId) -> bool) -> f32 {
         match self.capabilities.admission_mode {
             AdmissionMode::Off => 1.0,
             AdmissionMode::Share => share,
             AdmissionMode::Rate if share >= 1.0 => AdmissionControl::UNLIMITED_RATE as f32,
-            AdmissionMode::Rate => self.admission.rate(now, route),
+            AdmissionMode::Rate => {
+                let rates = rates_by_proxy(&self.admission.received[route], now, is_counted);
+                AdmissionControl::rate(&rates, share)
+            }
         }
     }
 
--- a/src/policy/capacity.rs
+++ b/src/policy/capacity.rs
@@ -2,7 +2,7 @@
 //!
 //! This module only estimates; [`admission`](super::admission) decides what is admitted.
 
-use crate::host::{PolicyHost, ZoneCapacity, ZoneId};
+use crate::host::{PolicyHost, ProxyId, ZoneCapacity, ZoneId};
 use crate::state::{AdmissionControl, LoadSample, Policy, RequestCount, ServerState, median};
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -121,7 +121,8 @@
     ServerState::SAMPLE_RETENTION.min(now).as_secs_f64().max(1.0)
 }
 
-fn utilization_or_assumed(utilization: Option<f64>) -> f64 {
+/// Returns a reported utilization within its bounds, or the assumed one if none is reported.
+pub(super) fn utilization_or_assumed(utilization: Option<f64>) -> f64 {
     utilization.unwrap_or(ASSUMED_UTILIZATION).clamp(MIN_UTILIZATION, 1.0)
 }
 
@@ -170,15 +171,19 @@
             let utilization = utilization_or_assumed(utilization);
             server.load.sum(from, LoadSample::answered) / utilization / span_s
         });
-        let is_from_zone = |count: &&RequestCount| {
-            count.at > from && self.proxies.get(&count.proxy).is_some_and(|proxy| proxy.zone == zone)
-        };
+        let is_in_zone = |proxy: ProxyId| self.proxies.get(&proxy).is_some_and(|state| state.zone == zone);
+        ZoneCapacity { capacity_per_s: capacity.sum(), received_per_s: self.received_per_s(now, is_in_zone) }
+    }
+
+    /// Returns, by route, the requests per second that the counted proxies received, as a mean over the retention time of the
+    /// samples.
+    pub(super) fn received_per_s(&self, now: Duration, is_counted: impl Fn(ProxyId) -> bool) -> Vec<f64> {
+        let from = now.saturating_sub(ServerState::SAMPLE_RETENTION);
+        let span_s = retention_span_s(now);
         let received = |counts: &VecDeque<RequestCount>| {
-            counts.iter().filter(is_from_zone).map(|count| count.requests).sum::<f64>() / span_s
+            let counted = counts.iter().filter(|count| count.at > from && is_counted(count.proxy));
+            counted.map(|count| count.requests).sum::<f64>() / span_s
         };
-        ZoneCapacity {
-            capacity_per_s: capacity.sum(),
-            received_per_s: self.admission.received.iter().map(received).collect(),
-        }
+        self.admission.received.iter().map(received).collect()
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -20,6 +20,7 @@
 mod slow_start;
 mod subsetting;
 mod weights;
+mod zone_admission;
 mod zone_spill;
 
 use crate::host::{
--- a/src/policy/proxy_binding.rs
+++ b/src/policy/proxy_binding.rs
@@ -48,7 +48,7 @@
         while let Some(&proxy) = self.unbound.front() {
             let Some(pool) = self.pool_for(&self.proxies[&proxy]) else { break };
             if self.bound_to(pool).next().is_none() {
-                self.update_unused_pool(pool);
+                self.update_unused_pool(now, pool);
             }
             let cost = self.binding_cost(pool);
             if !self.channel.has_room(now, cost, Priority::Mandatory) {
@@ -72,25 +72,32 @@
         proxy.pool.or_else(|| (0..self.pools.len()).min_by_key(order))
     }
 
+    /// Returns true if a proxy uses a pool, or used it when it left.
+    pub(super) fn is_in_pool(&self, proxy: ProxyId, pool: usize) -> bool {
+        self.proxies.get(&proxy).is_some_and(|state| state.pool == Some(pool))
+    }
+
     fn bound_to(&self, pool: usize) -> impl Iterator<Item = &ProxyState> {
         self.proxies.values().filter(move |proxy| proxy.bound && proxy.pool == Some(pool))
     }
 
     /// Returns the cost of a binding to a pool's tables, in entries.
     fn binding_cost(&self, pool: usize) -> f64 {
-        let Pool { tables, entries, .. } = &self.pools[pool];
+        let Pool { tables, entries, zone_admission, .. } = &self.pools[pool];
         let sent = entries.iter().flat_map(|entry| &entry.last_sent).filter(|weight| **weight > 0.0).count();
-        self.channel.binding_cost(tables.len(), sent)
+        self.channel.binding_cost(tables.len(), sent + zone_admission.len())
     }
 
     /// Brings the tables of a pool without bound proxies up to date. Their entries cost nothing, because they go to no
     /// proxy.
-    fn update_unused_pool(&mut self, pool: usize) {
+    fn update_unused_pool(&mut self, now: Duration, pool: usize) {
         let scopes: Vec<TableScope> = self.pools[pool].tables.iter().map(|table| table.kind.scope).collect();
         for (table, scope) in scopes.into_iter().enumerate() {
             let weights = self.effective_weights(&self.pools[pool], scope);
             self.send_weights(pool, table, weights.into_iter().enumerate());
         }
+        let admission = self.changed_zone_admission(now, pool);
+        self.send_zone_admission(pool, admission);
     }
 
     fn bind(&mut self, proxy: ProxyId, pool: usize) {
--- a/src/policy/publishing.rs
+++ b/src/policy/publishing.rs
@@ -4,8 +4,9 @@
 
 use super::control_channel::Priority;
 use super::weights::MIN_FACTOR;
+use super::zone_admission::RouteAdmission;
 use crate::host::{PolicyHost, UrgentDelays};
-use crate::state::{AdmissionSetting, Policy, Pool, WeightEntry};
+use crate::state::{AdmissionSetting, Policy, Pool, TableScope, WeightEntry};
 use rand::seq::SliceRandom;
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -30,7 +31,7 @@
     priority: Priority,
 }
 
-/// The changed weights of one pool.
+/// The changes of one pool.
 struct PoolUpdate {
     /// The position of the pool.
     pool: usize,
@@ -38,6 +39,8 @@
     priority: Priority,
     /// The changed weights.
     changes: Vec<WeightChange>,
+    /// The changed admission of the zone-local routes.
+    zone_admission: Vec<RouteAdmission>,
 }
 
 impl<H: PolicyHost> Policy<H> {
@@ -47,7 +50,7 @@
         let sent_before = self.channel.sent;
         let proxies = self.bound_proxies_by_pool();
         let admission_sent = self.publish_admission(now, proxies.iter().sum());
-        let mut updates = self.pool_updates(&proxies);
+        let mut updates = self.pool_updates(now, &proxies);
         // Pools of the same urgency are in random order, so that no pool is always the one whose changes do not fit.
         updates.shuffle(&mut self.rng);
         updates.sort_by_key(|update| Reverse(update.priority));
@@ -72,20 +75,23 @@
     }
 
     /// Returns the changes of each pool that has bound proxies.
-    fn pool_updates(&self, proxies: &[f64]) -> Vec<PoolUpdate> {
+    fn pool_updates(&self, now: Duration, proxies: &[f64]) -> Vec<PoolUpdate> {
         let used = (0..self.pools.len()).filter(|pool| proxies[*pool] > 0.0);
-        used.filter_map(|pool| self.pool_update(pool)).collect()
+        used.filter_map(|pool| self.pool_update(now, pool)).collect()
     }
 
-    fn pool_update(&self, pool: usize) -> Option<PoolUpdate> {
+    fn pool_update(&self, now: Duration, pool: usize) -> Option<PoolUpdate> {
         let tables = 0..self.pools[pool].tables.len();
         let changes: Vec<WeightChange> =
             tables.flat_map(|table| self.table_changes(&self.pools[pool], table)).collect();
-        let highest = changes.iter().map(|change| change.priority).max()?;
+        let zone_admission = self.changed_zone_admission(now, pool);
+        let by_weights = changes.iter().map(|change| change.priority).max();
+        let by_admission = (!zone_admission.is_empty()).then_some(Priority::Overload);
+        let highest = by_weights.max(by_admission)?;
         let fills_a_table =
             changes.iter().any(|change| change.weight > 0.0 && !self.has_usable_server(pool, change.table));
         let priority = if fills_a_table { Priority::Mandatory } else { highest };
-        Some(PoolUpdate { pool, priority, changes })
+        Some(PoolUpdate { pool, priority, changes, zone_admission })
     }
 
     /// Returns the changes of a table.
@@ -133,15 +139,16 @@
     /// Sends a pool's changes; if not all of them fit, only those that are as urgent as the message. Returns true if the
     /// message was sent. `joins_message` is true if the changes become part of an admission message that is already counted.
     fn publish_pool(&mut self, now: Duration, update: PoolUpdate, proxies: f64, joins_message: bool) -> bool {
-        let PoolUpdate { pool, priority, mut changes } = update;
+        let PoolUpdate { pool, priority, mut changes, zone_admission } = update;
         let message_times = &mut self.pools[pool].message_times;
         let may_send = joins_message || self.channel.may_send_message(now, message_times, priority);
-        let full_cost = self.message_cost(proxies, changes.len());
+        let full_cost = self.message_cost(proxies, changes.len() + zone_admission.len());
         if !self.channel.has_room(now, full_cost, priority) {
             changes.retain(|change| change.priority >= priority);
         }
-        let cost = self.message_cost(proxies, changes.len());
-        if may_send && !changes.is_empty() && self.channel.has_room(now, cost, priority) {
+        let entries = changes.len() + zone_admission.len();
+        let cost = self.message_cost(proxies, entries);
+        if may_send && entries > 0 && self.channel.has_room(now, cost, priority) {
             self.record_urgent_sent(now, pool);
             self.channel.add(cost);
             if !joins_message {
@@ -150,6 +157,7 @@
             for WeightChange { table, entry, weight, .. } in changes {
                 self.send_weights(pool, table, std::iter::once((entry, weight)));
             }
+            self.send_zone_admission(pool, zone_admission);
             return true;
         }
         if priority == Priority::Mandatory {
@@ -201,6 +209,16 @@
         }
     }
 
+    /// Sends the admission of zone-local routes for a pool's own table.
+    pub(super) fn send_zone_admission(&mut self, pool: usize, changes: Vec<RouteAdmission>) {
+        let Pool { tables, zone_admission, .. } = &mut self.pools[pool];
+        let own = tables.iter().find(|table| table.kind.scope == TableScope::OwnZone);
+        for (RouteAdmission { route, setting }, table) in changes.into_iter().zip(own.into_iter().cycle()) {
+            zone_admission.insert(route, setting);
+            self.host.set_table_admission(table.id, 1 << route, setting.level, setting.retries);
+        }
+    }
+
     /// Sends the changed admission settings to all bound proxies. Returns true if a message was sent.
     fn publish_admission(&mut self, now: Duration, bound: f64) -> bool {
         let settings: Vec<AdmissionSetting> =
--- a/src/state/pools.rs
+++ b/src/state/pools.rs
@@ -1,8 +1,9 @@
 //! Pools: the servers of a proxy group, their weights, and the weight tables that are computed from them.
 
+use super::AdmissionSetting;
 use super::load::mean;
 use crate::host::{RouteSet, ServerIndex, TableId, ZoneId};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// A server's entry in a pool: its learned weight there, before all exceptions, and the weight that was last sent.
@@ -66,6 +67,8 @@
     pub(crate) message_times: VecDeque<Duration>,
     /// The time of the first attempt to send an urgent change that waits; `None` if none waits.
     pub(crate) urgent_since: Option<Duration>,
+    /// By zone-local route: the setting that was last sent for the pool's own table. A route that was never limited has none.
+    pub(crate) zone_admission: BTreeMap<usize, AdmissionSetting>,
 }
 
 impl Pool {
@@ -83,6 +86,7 @@
             entries: vec![],
             message_times: VecDeque::new(),
             urgent_since: None,
+            zone_admission: BTreeMap::new(),
         }
     }
 
--- a/tests/policy/helpers.rs
+++ b/tests/policy/helpers.rs
@@ -35,6 +35,7 @@
     /// By proxy: the routes and the table of each binding; 0 means all routes.
     pub bindings: BTreeMap<ProxyId, BTreeMap<RouteSet, TableId>>,
     pub admission: BTreeMap<RouteSet, (f32, RetryPolicy)>,
+    pub table_admission: BTreeMap<(TableId, RouteSet), (f32, RetryPolicy)>,
     /// The health checks that were requested and not answered.
     pub health_checks: Vec<ServerIndex>,
     /// The acknowledgements that were requested and not answered.
@@ -85,6 +86,15 @@
         commands.admission_times.insert(now);
         commands.admission.insert(routes, (level, retries));
     }
+    fn set_table_admission(&mut self, table: TableId, routes: RouteSet, level: f32, retries: RetryPolicy) {
+        let mut commands = self.0.borrow_mut();
+        let max = if commands.levels_are_rates { f32::MAX } else { 1.0 };
+        assert!((0.0..=max).contains(&level), "level {level}");
+        let now = commands.now;
+        commands.update_times.insert(now);
+        commands.update_times_by_table.entry(table).or_default().insert(now);
+        commands.table_admission.insert((table, routes), (level, retries));
+    }
     fn request_ack(&mut self, number: u16) {
         self.0.borrow_mut().acks.push(number);
     }
@@ -178,7 +188,9 @@
         removal_is_final: bool,
     ) -> PolicyHarness {
         let drain_grace = Some(ms(2000));
-        let timeouts = Timeouts { warm_up: Duration::from_secs(16), removal_is_final, drain_grace };
+        let cold_start = Some(ColdStart { capacity: 0.2, overload_multiple: 3.0 });
+        let timeouts =
+            Timeouts { warm_up: Duration::from_secs(16), removal_is_final, drain_grace, cold_start };
         PolicyHarness::with_timeouts(capabilities, channel, routes, timeouts)
     }
 
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -13,4 +13,5 @@
 mod subsetting;
 mod takeover;
 mod weights;
+mod zone_admission;
 mod zone_spill;
--- a/tests/policy/message_limit.rs
+++ b/tests/policy/message_limit.rs
@@ -73,7 +73,12 @@
             max_transit,
             ..CHANNEL
         };
-        let timeouts = Timeouts { warm_up: Duration::from_secs(16), removal_is_final: true, drain_grace };
+        let timeouts = Timeouts {
+            warm_up: Duration::from_secs(16),
+            removal_is_final: true,
+            drain_grace,
+            cold_start: None,
+        };
         let routes = vec![route(1.0, Idempotency::Idempotent), route(2.0, Idempotency::Idempotent)];
         let mut harness = PolicyHarness::with_timeouts(capabilities, channel, routes, timeouts);
         harness.update_endpoints(true, &warm_endpoints(0..servers, zones));
