Move pool updates and admission rules into modules of their own

publishing.rs and tables.rs had grown with the tables and limits of zone-local routes. What is sent is decided in pool_updates.rs, when and in which order in publishing.rs; admission_rules.rs combines rules for all proxies with those of tables.

--- a/crates/assignments/src/assignments.rs
+++ b/crates/assignments/src/assignments.rs
@@ -1,6 +1,7 @@
 //! The policy's host, which collects what the policy commands.
 
-use crate::tables::{AdmissionRule, ProxyUpdate, Tables};
+use crate::admission_rules::AdmissionRule;
+use crate::tables::{ProxyUpdate, Tables};
 use grebespool::host::{PolicyHost, ProxyId, RetryPolicy, RouteSet, ServerIndex, TableId, Timer};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
--- a/crates/assignments/src/lib.rs
+++ b/crates/assignments/src/lib.rs
@@ -5,10 +5,12 @@
 //! serves the proxies ends it with [`Assignments::publish`]. [`ServerIndices`] maps the ids of servers to the small
 //! indices that the policy uses. This crate is free of I/O, clocks and protocols, and makes no decisions.
 
+mod admission_rules;
 mod assignments;
 mod server_indices;
 mod tables;
 
+pub use admission_rules::AdmissionRule;
 pub use assignments::Assignments;
 pub use server_indices::ServerIndices;
-pub use tables::{AdmissionRule, ProxyUpdate, ServerWeight, TableUpdate};
+pub use tables::{ProxyUpdate, ServerWeight, TableUpdate};
--- a/crates/assignments/src/tables.rs
+++ b/crates/assignments/src/tables.rs
@@ -1,19 +1,9 @@
 //! Weight tables, admission rules and bindings, and the changes of the current turn.
 
-use grebespool::host::{ProxyId, RetryPolicy, RouteSet, ServerIndex, TableId};
+use crate::admission_rules::{AdmissionRule, AdmissionRules};
+use grebespool::host::{ProxyId, RouteSet, ServerIndex, TableId};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The admission level and retry policy of the requests of some routes.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct AdmissionRule {
-    /// The routes that the rule applies to.
-    pub routes: RouteSet,
-    /// The admission level, in the unit of the deployment's [`grebespool::host::AdmissionMode`].
-    pub level: f32,
-    /// The policy for retries of the routes' requests.
-    pub retry_policy: RetryPolicy,
-}
-
 /// A server's weight in a table.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ServerWeight {
@@ -110,47 +100,13 @@
         self.bindings.push(new);
         self.is_new = true;
     }
-
-    /// Returns true if the proxy is bound to any table of a map.
-    fn has_any_of<T>(&self, tables: &BTreeMap<TableId, T>) -> bool {
-        self.bindings.iter().any(|binding| tables.contains_key(&binding.table))
-    }
-}
-
-/// The rules for all proxies and those of tables, with the changes of the turn.
-struct TableRules<'a> {
-    of_all: &'a BTreeMap<RouteSet, AdmissionRule>,
-    changed_of_all: &'a BTreeSet<RouteSet>,
-    of_tables: &'a BTreeMap<TableId, BTreeMap<RouteSet, AdmissionRule>>,
-    changed_of_tables: &'a BTreeSet<(TableId, RouteSet)>,
-}
-
-impl TableRules<'_> {
-    /// Returns the rules of a proxy with these bindings: all of them, or those that have changed in this turn.
-    fn of_proxy(&self, bindings: &[Binding], all: bool) -> Vec<AdmissionRule> {
-        let mut rules = self.of_all.clone();
-        let mut changed = self.changed_of_all.clone();
-        for table in bindings.iter().map(|binding| binding.table) {
-            for rule in self.of_tables.get(&table).into_iter().flat_map(BTreeMap::values) {
-                let level = rules.get(&rule.routes).map_or(rule.level, |other| other.level.min(rule.level));
-                rules.insert(rule.routes, AdmissionRule { level, ..*rule });
-                if self.changed_of_tables.contains(&(table, rule.routes)) {
-                    changed.insert(rule.routes);
-                }
-            }
-        }
-        rules.into_values().filter(|rule| all || changed.contains(&rule.routes)).collect()
-    }
 }
 
 /// All tables, admission rules and bindings, with their changes in the current turn.
 #[derive(Default)]
 pub(crate) struct Tables {
     tables: BTreeMap<TableId, WeightTable>,
-    admission: BTreeMap<RouteSet, AdmissionRule>,
-    changed_admission: BTreeSet<RouteSet>,
-    table_admission: BTreeMap<TableId, BTreeMap<RouteSet, AdmissionRule>>,
-    changed_table_admission: BTreeSet<(TableId, RouteSet)>,
+    admission: AdmissionRules,
     proxies: BTreeMap<ProxyId, JoinedProxy>,
     ack_token: Option<u16>,
 }
@@ -168,14 +124,12 @@
     }
 
     pub(crate) fn set_admission(&mut self, rule: AdmissionRule) {
-        self.admission.insert(rule.routes, rule);
-        self.changed_admission.insert(rule.routes);
+        self.admission.set(rule);
     }
 
     /// Sets a rule for the proxies that are bound to a table, in addition to the rule of the same routes for all proxies.
     pub(crate) fn set_table_admission(&mut self, table: TableId, rule: AdmissionRule) {
-        self.changed_table_admission.insert((table, rule.routes));
-        self.table_admission.entry(table).or_default().insert(rule.routes, rule);
+        self.admission.set_for_table(table, rule);
     }
 
     pub(crate) fn request_ack(&mut self, token: u16) {
@@ -200,15 +154,10 @@
     /// acknowledgement alone does not cause an update.
     pub(crate) fn publish(&mut self, mut send: impl FnMut(ProxyId, &ProxyUpdate)) {
         self.increment_versions();
-        let all_rules: Vec<AdmissionRule> = self.admission.values().copied().collect();
-        let changed_rules = self.changed_rules();
         let weights = self.published_weights();
-        let rules = TableRules {
-            of_all: &self.admission,
-            changed_of_all: &self.changed_admission,
-            of_tables: &self.table_admission,
-            changed_of_tables: &self.changed_table_admission,
-        };
+        // Most proxies have the same rules, which are collected only once.
+        let (all_rules, changed_rules) =
+            (self.admission.of_tables(&[], true), self.admission.of_tables(&[], false));
         for (proxy, bound) in self.proxies.iter_mut().filter(|(_, bound)| !bound.bindings.is_empty()) {
             let is_new = std::mem::take(&mut bound.is_new);
             let update = |binding: &Binding| TableUpdate {
@@ -223,8 +172,8 @@
                 .collect();
             let bound_tables: Vec<TableId> = bound.bindings.iter().map(|binding| binding.table).collect();
             let own_rules;
-            let admission = if bound.has_any_of(&self.table_admission) {
-                own_rules = rules.of_proxy(&bound.bindings, is_new);
+            let admission = if self.admission.has_rules_of(&bound_tables) {
+                own_rules = self.admission.of_tables(&bound_tables, is_new);
                 &own_rules
             } else if is_new {
                 &all_rules
@@ -268,17 +217,11 @@
         }
     }
 
-    fn changed_rules(&self) -> Vec<AdmissionRule> {
-        let changed = |rule: &&AdmissionRule| self.changed_admission.contains(&rule.routes);
-        self.admission.values().filter(changed).copied().collect()
-    }
-
     fn clear_changes(&mut self) {
         for table in self.tables.values_mut() {
             table.changed.clear();
         }
-        self.changed_admission.clear();
-        self.changed_table_admission.clear();
+        self.admission.clear_changes();
         self.ack_token = None;
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 mod endpoints;
 mod message_limit;
 mod outlier_detection;
+mod pool_updates;
 mod proxy_binding;
 mod publishing;
 mod retries;
--- /dev/null
+++ b/src/policy/pool_updates.rs
@@ -0,0 +1,97 @@
+//! Pool updates: the weights and admission settings of each pool that differ from those last sent, and their priorities.
+
+use super::control_channel::Priority;
+use super::weights::MIN_FACTOR;
+use super::zone_admission::RouteAdmission;
+use crate::host::PolicyHost;
+use crate::state::{Policy, Pool, WeightEntry};
+use std::time::Duration;
+
+/// The fraction of [`MIN_FACTOR`] that separates ordinary from protective reductions: one weight update multiplies a weight
+/// by [`MIN_FACTOR`] or more, and its reductions are ordinary.
+const ORDINARY_FACTOR_FRACTION: f64 = 0.9;
+/// The factor below which a reduction of a warming server's weight is mandatory.
+const MANDATORY_WARMING_FACTOR: f64 = 0.3;
+
+/// A weight that has changed.
+pub(super) struct WeightChange {
+    /// The position of the table in the pool.
+    pub(super) table: usize,
+    /// The position of the entry in the pool.
+    pub(super) entry: usize,
+    /// The new weight.
+    pub(super) weight: f32,
+    /// The priority of the change.
+    pub(super) priority: Priority,
+}
+
+/// The changes of one pool.
+pub(super) struct PoolUpdate {
+    /// The position of the pool.
+    pub(super) pool: usize,
+    /// The priority of the message.
+    pub(super) priority: Priority,
+    /// The changed weights.
+    pub(super) changes: Vec<WeightChange>,
+    /// The changed admission of the zone-local routes.
+    pub(super) zone_admission: Vec<RouteAdmission>,
+}
+
+impl<H: PolicyHost> Policy<H> {
+    /// Returns the changes of each pool that has bound proxies.
+    pub(super) fn pool_updates(&self, now: Duration, proxies: &[f64]) -> Vec<PoolUpdate> {
+        let used = (0..self.pools.len()).filter(|pool| proxies[*pool] > 0.0);
+        used.filter_map(|pool| self.pool_update(now, pool)).collect()
+    }
+
+    fn pool_update(&self, now: Duration, pool: usize) -> Option<PoolUpdate> {
+        let tables = 0..self.pools[pool].tables.len();
+        let changes: Vec<WeightChange> =
+            tables.flat_map(|table| self.table_changes(&self.pools[pool], table)).collect();
+        let zone_admission = self.changed_zone_admission(now, pool);
+        let by_weights = changes.iter().map(|change| change.priority).max();
+        let by_admission = (!zone_admission.is_empty()).then_some(Priority::Overload);
+        let highest = by_weights.max(by_admission)?;
+        let fills_a_table =
+            changes.iter().any(|change| change.weight > 0.0 && !self.has_usable_server(pool, change.table));
+        let priority = if fills_a_table { Priority::Mandatory } else { highest };
+        Some(PoolUpdate { pool, priority, changes, zone_admission })
+    }
+
+    /// Returns the changes of a table.
+    fn table_changes(&self, pool: &Pool, table: usize) -> Vec<WeightChange> {
+        let weights = self.effective_weights(pool, pool.tables[table].kind.scope);
+        let change = |(position, (entry, weight)): (usize, (&WeightEntry, f32))| WeightChange {
+            table,
+            entry: position,
+            weight,
+            priority: self.priority(entry, entry.last_sent[table], weight),
+        };
+        let entries = pool.entries.iter().zip(weights).enumerate();
+        entries.filter(|(_, (entry, weight))| *weight != entry.last_sent[table]).map(change).collect()
+    }
+
+    /// Returns true if a ready server is in a table, by what was last sent.
+    fn has_usable_server(&self, pool: usize, table: usize) -> bool {
+        let is_usable =
+            |entry: &WeightEntry| entry.last_sent[table] > 0.0 && self.servers[entry.server].is_ready();
+        self.pools[pool].entries.iter().any(is_usable)
+    }
+
+    /// Returns the priority of a change, which is higher for larger reductions of a weight.
+    fn priority(&self, entry: &WeightEntry, last_sent: f32, weight: f32) -> Priority {
+        let factor = f64::from(weight) / f64::from(last_sent);
+        let server = &self.servers[entry.server];
+        let warming = server.slow_start.warming;
+        // The factor is not a number if both weights are 0.
+        if factor.is_nan() || factor > ORDINARY_FACTOR_FRACTION * MIN_FACTOR {
+            Priority::Ordinary
+        } else if !server.is_ready() || (warming && factor < MANDATORY_WARMING_FACTOR) {
+            Priority::Mandatory
+        } else if warming {
+            Priority::Overload
+        } else {
+            Priority::Protective
+        }
+    }
+}
--- a/src/policy/publishing.rs
+++ b/src/policy/publishing.rs
@@ -3,46 +3,16 @@
 //! A change that does not fit is not stored: a later call computes and sends the values of that time.
 
 use super::control_channel::Priority;
-use super::weights::MIN_FACTOR;
+use super::pool_updates::{PoolUpdate, WeightChange};
 use super::zone_admission::RouteAdmission;
 use crate::host::{PolicyHost, UrgentDelays};
-use crate::state::{AdmissionSetting, Policy, Pool, TableScope, WeightEntry};
+use crate::state::{AdmissionSetting, Policy, Pool, TableScope};
 use rand::seq::SliceRandom;
 use std::cmp::Reverse;
 use std::time::Duration;
 
 /// The cost of a message in addition to its own entries and the channel's overhead, in entries.
 const MESSAGE_ENTRIES: f64 = 1.0;
-/// The fraction of [`MIN_FACTOR`] that separates ordinary from protective reductions: one weight update multiplies a weight
-/// by [`MIN_FACTOR`] or more, and its reductions are ordinary.
-const ORDINARY_FACTOR_FRACTION: f64 = 0.9;
-/// The factor below which a reduction of a warming server's weight is mandatory.
-const MANDATORY_WARMING_FACTOR: f64 = 0.3;
-
-/// A weight that has changed.
-struct WeightChange {
-    /// The position of the table in the pool.
-    table: usize,
-    /// The position of the entry in the pool.
-    entry: usize,
-    /// The new weight.
-    weight: f32,
-    /// The priority of the change.
-    priority: Priority,
-}
-
-/// The changes of one pool.
-struct PoolUpdate {
-    /// The position of the pool.
-    pool: usize,
-    /// The priority of the message.
-    priority: Priority,
-    /// The changed weights.
-    changes: Vec<WeightChange>,
-    /// The changed admission of the zone-local routes.
-    zone_admission: Vec<RouteAdmission>,
-}
-
 impl<H: PolicyHost> Policy<H> {
     /// Sends the changes: admission first, then the pools by urgency, then the tables of unbound proxies. Requests an
     /// acknowledgement if anything was sent.
@@ -74,63 +44,6 @@
         proxies
     }
 
-    /// Returns the changes of each pool that has bound proxies.
-    fn pool_updates(&self, now: Duration, proxies: &[f64]) -> Vec<PoolUpdate> {
-        let used = (0..self.pools.len()).filter(|pool| proxies[*pool] > 0.0);
-        used.filter_map(|pool| self.pool_update(now, pool)).collect()
-    }
-
-    fn pool_update(&self, now: Duration, pool: usize) -> Option<PoolUpdate> {
-        let tables = 0..self.pools[pool].tables.len();
-        let changes: Vec<WeightChange> =
-            tables.flat_map(|table| self.table_changes(&self.pools[pool], table)).collect();
-        let zone_admission = self.changed_zone_admission(now, pool);
-        let by_weights = changes.iter().map(|change| change.priority).max();
-        let by_admission = (!zone_admission.is_empty()).then_some(Priority::Overload);
-        let highest = by_weights.max(by_admission)?;
-        let fills_a_table =
-            changes.iter().any(|change| change.weight > 0.0 && !self.has_usable_server(pool, change.table));
-        let priority = if fills_a_table { Priority::Mandatory } else { highest };
-        Some(PoolUpdate { pool, priority, changes, zone_admission })
-    }
-
-    /// Returns the changes of a table.
-    fn table_changes(&self, pool: &Pool, table: usize) -> Vec<WeightChange> {
-        let weights = self.effective_weights(pool, pool.tables[table].kind.scope);
-        let change = |(position, (entry, weight)): (usize, (&WeightEntry, f32))| WeightChange {
-            table,
-            entry: position,
-            weight,
-            priority: self.priority(entry, entry.last_sent[table], weight),
-        };
-        let entries = pool.entries.iter().zip(weights).enumerate();
-        entries.filter(|(_, (entry, weight))| *weight != entry.last_sent[table]).map(change).collect()
-    }
-
-    /// Returns true if a ready server is in a table, by what was last sent.
-    fn has_usable_server(&self, pool: usize, table: usize) -> bool {
-        let is_usable =
-            |entry: &WeightEntry| entry.last_sent[table] > 0.0 && self.servers[entry.server].is_ready();
-        self.pools[pool].entries.iter().any(is_usable)
-    }
-
-    /// Returns the priority of a change, which is higher for larger reductions of a weight.
-    fn priority(&self, entry: &WeightEntry, last_sent: f32, weight: f32) -> Priority {
-        let factor = f64::from(weight) / f64::from(last_sent);
-        let server = &self.servers[entry.server];
-        let warming = server.slow_start.warming;
-        // The factor is not a number if both weights are 0.
-        if factor.is_nan() || factor > ORDINARY_FACTOR_FRACTION * MIN_FACTOR {
-            Priority::Ordinary
-        } else if !server.is_ready() || (warming && factor < MANDATORY_WARMING_FACTOR) {
-            Priority::Mandatory
-        } else if warming {
-            Priority::Overload
-        } else {
-            Priority::Protective
-        }
-    }
-
     /// Returns the cost of a message of `entries` entries to each of `proxies` proxies, in entries.
     fn message_cost(&self, proxies: f64, entries: usize) -> f64 {
         proxies * (entries as f64 + (self.channel.limits.message_overhead + MESSAGE_ENTRIES))
