--- a/crates/platform-settings/src/lib.rs
+++ b/crates/platform-settings/src/lib.rs
@@ -184,8 +184,8 @@
 
     /// Returns the load that a server can bear after its start; `None` if it is not stated in full.
     fn cold_start(&self) -> Result<Option<ColdStart>, SettingsError> {
-        let capacity = self.optional(keys::START_CAPACITY)?;
-        let overload_multiple = self.optional(keys::OVERLOAD_MULTIPLE)?;
+        let capacity = self.optional_ratio(keys::START_CAPACITY)?;
+        let overload_multiple = self.optional_ratio(keys::OVERLOAD_MULTIPLE)?;
         Ok(capacity
             .zip(overload_multiple)
             .map(|(capacity, overload_multiple)| ColdStart { capacity, overload_multiple }))
@@ -242,6 +242,16 @@
         value.parse().map(Some).map_err(unreadable)
     }
 
+    /// Returns a number that is finite and not negative; `None` if it is absent or empty.
+    fn optional_ratio(&self, key: &str) -> Result<Option<f64>, SettingsError> {
+        match self.optional::<f64>(key)? {
+            Some(value) if !value.is_finite() || value < 0.0 => {
+                Err(SettingsError::Unreadable { key: key.into(), value: value.to_string() })
+            }
+            ratio => Ok(ratio),
+        }
+    }
+
     fn required<T: FromStr>(&self, key: &str) -> Result<T, SettingsError> {
         self.optional(key)?.ok_or_else(|| SettingsError::Missing { key: key.into() })
     }
--- a/crates/platform-settings/tests/settings.rs
+++ b/crates/platform-settings/tests/settings.rs
@@ -2,7 +2,7 @@
 
 #![allow(missing_docs, unreachable_pub, clippy::unwrap_used, reason = "a test may panic")]
 
-use grebespool::host::AdmissionMode;
+use grebespool::host::{AdmissionMode, ColdStart};
 use grebespool_platform_settings::PlatformSettings;
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -76,6 +76,26 @@
     );
 }
 
+/// A negative level would make proxies reset their streams.
+#[rstest]
+#[case::negative_grace("drainGraceMs", json!(-1), "setting invariants.drainGraceMs is not a duration in milliseconds: -1")]
+#[case::grace_is_a_text("drainGraceMs", json!("long"), "setting invariants.drainGraceMs cannot be read: long")]
+#[case::negative_capacity("startCapacity", json!(-0.5), "setting invariants.startCapacity cannot be read: -0.5")]
+#[case::multiple_is_no_number("fallMultiple", json!("NaN"), "setting invariants.fallMultiple cannot be read: NaN")]
+fn rejects_invalid_rules_for_drains_and_cold_servers(
+    #[case] key: &str,
+    #[case] value: Value,
+    #[case] message: &str,
+) {
+    let mut settings = nested();
+    settings["invariants"]["startCapacity"] = json!(0.2);
+    settings["invariants"]["fallMultiple"] = json!(3.0);
+    let cold_start = PlatformSettings::from_json(&settings).timeouts().unwrap().cold_start;
+    assert_eq!(cold_start, Some(ColdStart { capacity: 0.2, overload_multiple: 3.0 }));
+    settings["invariants"][key] = value;
+    assert_eq!(PlatformSettings::from_json(&settings).timeouts().unwrap_err().to_string(), message);
+}
+
 /// An unknown mode is rejected, because the unit of a level depends on the mode.
 #[rstest]
 #[case::shares(json!("share"), Ok(AdmissionMode::Share))]
--- a/src/policy/message_limit.rs
+++ b/src/policy/message_limit.rs
@@ -51,19 +51,18 @@
     }
 
     /// Returns true if a message may be sent now, and urgent ones may follow it at intervals of the longest urgent delay.
+    ///
+    /// Each earlier message shares a window with those after it, with the message of now, and with the urgent ones that
+    /// follow before it leaves the window. Without earlier messages the interval alone keeps to the limit.
     fn urgent_may_follow(&self, now: Duration, sent: &VecDeque<Duration>) -> bool {
-        let interval = self.max_urgent_delay();
-        let mut following = 0;
-        let mut at = now;
-        while at < now + self.limits.window {
-            let earlier = sent.iter().filter(|earlier| **earlier + self.limits.window > at).count();
-            if earlier + 1 + following > self.available_messages() {
-                return false;
-            }
-            following += 1;
-            at += interval;
-        }
-        true
+        let interval = self.max_urgent_delay().as_nanos().max(1);
+        let fits = |(position, earlier): (usize, &Duration)| {
+            let remaining = (*earlier + self.limits.window).saturating_sub(now).as_nanos();
+            let following = remaining.div_ceil(interval).saturating_sub(1);
+            let others = (sent.len() - position) as u128;
+            remaining == 0 || others + 1 + following <= self.available_messages() as u128
+        };
+        sent.iter().enumerate().all(fits)
     }
 
     /// Returns the number of messages of the limit that are not reserved.
--- a/tests/policy/message_limit.rs
+++ b/tests/policy/message_limit.rs
@@ -227,3 +227,22 @@
         limited.harness.policy.requests_received(limited.harness.now, 0, route, rng.random_range(0..60));
     }
 }
+
+/// The cost of a decision grows with the messages that were sent, not with the limit.
+#[rstest]
+fn large_limit_is_checked_quickly() {
+    let settings = LimitSettings {
+        max_messages: 100_000_000,
+        window: Duration::from_secs(10),
+        max_transit: ms(250),
+        drain_grace: None,
+    };
+    let mut limited = LimitedPolicy::new(settings, 2, 8, 4);
+    for step in 0..300 {
+        if step % 20 == 0 {
+            limited.list(step / 20 % 8, EndpointState::Draining, None);
+        }
+        limited.step();
+    }
+    limited.check_limit();
+}
