Limit zone-local routes of a cold zone before the first reports, in rates as well

A planner that restarts while a zone is cold has counted no requests; a level in requests per second then had no proxy to refer to and let everything in. The usual rates that proxies state when they join now count until the first reports. Found by reading the related path "restart"; without the change restarted_planner_limits_a_cold_zone_before_the_first_reports fails for rates (the level is then 1e9).

The capacities of warm servers are computed once for a pool, not once for each newly started server in it.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -179,23 +179,31 @@
 
     /// Returns a route's admission level in the unit of the proxies.
     pub(super) fn admission_level(&self, now: Duration, route: usize) -> f32 {
-        self.level(now, route, self.admission.admitted_share[route], |_| true)
+        let rates = || rates_by_proxy(&self.admission.received[route], now, |_| true);
+        self.level(self.admission.admitted_share[route], rates)
     }
 
-    /// Returns the level at which a pool's proxies admit a share of a route's requests.
+    /// Returns the level at which a pool's proxies admit a share of a route's requests. Before the first reports, the usual
+    /// rates of the proxies count.
     pub(super) fn level_in_pool(&self, now: Duration, route: usize, share: f32, pool: usize) -> f32 {
-        self.level(now, route, share, |proxy| self.is_in_pool(proxy, pool))
+        self.level(share, || {
+            let received = &self.admission.received[route];
+            let rates = rates_by_proxy(received, now, |proxy| self.is_in_pool(proxy, pool));
+            if rates.is_empty() {
+                self.bound_to(pool).map(|proxy| proxy.request_rate).collect()
+            } else {
+                rates
+            }
+        })
     }
 
-    fn level(&self, now: Duration, route: usize, share: f32, is_counted: impl Fn(ProxyId) -> bool) -> f32 {
+    /// Converts an admitted share to the unit of the proxies. `rates` has the requests per second of each proxy.
+    fn level(&self, share: f32, rates: impl Fn() -> Vec<f64>) -> f32 {
         match self.capabilities.admission_mode {
             AdmissionMode::Off => 1.0,
             AdmissionMode::Share => share,
             AdmissionMode::Rate if share >= 1.0 => AdmissionControl::UNLIMITED_RATE as f32,
-            AdmissionMode::Rate => {
-                let rates = rates_by_proxy(&self.admission.received[route], now, is_counted);
-                AdmissionControl::rate(&rates, share)
-            }
+            AdmissionMode::Rate => AdmissionControl::rate(&rates(), share),
         }
     }
 
--- a/src/policy/proxy_binding.rs
+++ b/src/policy/proxy_binding.rs
@@ -77,7 +77,8 @@
         self.proxies.get(&proxy).is_some_and(|state| state.pool == Some(pool))
     }
 
-    fn bound_to(&self, pool: usize) -> impl Iterator<Item = &ProxyState> {
+    /// Returns the proxies that are bound to a pool.
+    pub(super) fn bound_to(&self, pool: usize) -> impl Iterator<Item = &ProxyState> {
         self.proxies.values().filter(move |proxy| proxy.bound && proxy.pool == Some(pool))
     }
 
--- a/src/policy/zone_admission.rs
+++ b/src/policy/zone_admission.rs
@@ -4,10 +4,11 @@
 //! limit of a server is a part of the overload that the deployment allows, at the capacity that the server has at its age.
 
 use super::capacity::{retention_span_s, utilization_or_assumed};
-use crate::host::{ColdStart, PolicyHost, ServerIndex};
+use crate::host::{ColdStart, PolicyHost, ServerIndex, ServerKind};
 use crate::state::{
     AdmissionControl, AdmissionSetting, LoadSample, Policy, Pool, ServerState, TableScope, WeightEntry, mean,
 };
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// The fraction of the allowed overload that zone-local routes may use. The rest is for other routes, whose tables contain the
@@ -58,9 +59,11 @@
         let weights = self.effective_weights(&self.pools[pool], TableScope::OwnZone);
         let sum = f64::from(weights.iter().sum::<f32>());
         let requests_per_s = self.zone_local_requests_per_s(now, pool);
+        let capacities = self.warm_capacities(now);
         let bearable_share = |(entry, weight): (&WeightEntry, f32)| {
-            let bearable = self.bearable_load(now, &self.servers[entry.server], cold_start);
-            let Some(capacity_per_s) = self.warm_capacity_per_s(now, entry.server) else { return bearable };
+            let server = &self.servers[entry.server];
+            let bearable = self.bearable_load(now, server, cold_start);
+            let Some(capacity_per_s) = capacities.of(server.kind) else { return bearable };
             let sent_per_s = requests_per_s * self.holders(pool, entry.server) * f64::from(weight) / sum;
             bearable * capacity_per_s / sent_per_s.max(f64::MIN_POSITIVE)
         };
@@ -97,21 +100,36 @@
         let zone_local: f64 =
             routes.filter(|(route, _)| route.zone_local).map(|(_, requests)| requests).sum();
         let fraction = if of_all > 0.0 { zone_local / of_all } else { 1.0 };
-        let bound = self.proxies.values().filter(|proxy| proxy.bound && proxy.pool == Some(pool));
-        let usual: f64 = bound.map(|proxy| proxy.request_rate).sum();
+        let usual: f64 = self.bound_to(pool).map(|proxy| proxy.request_rate).sum();
         zone_local.max(fraction * usual)
     }
 
-    /// Returns the requests per second that a server can answer when it is warm: the mean over the established servers of its
-    /// kind, or over all of them if there are none of its kind; `None` if no server is established.
-    fn warm_capacity_per_s(&self, now: Duration, server: ServerIndex) -> Option<f64> {
-        let kind = self.servers[server].kind;
-        let established =
-            || self.servers.iter().filter(|other| other.is_available() && !other.slow_start.warming);
-        let of_kind = mean(
-            established().filter(|other| other.kind == kind).filter_map(|other| answerable_per_s(now, other)),
-        );
-        of_kind.or_else(|| mean(established().filter_map(|other| answerable_per_s(now, other))))
+    /// Returns the mean capacity of the established servers of each kind, and of all of them.
+    fn warm_capacities(&self, now: Duration) -> WarmCapacities {
+        let mut by_kind: BTreeMap<ServerKind, Vec<f64>> = BTreeMap::new();
+        for server in self.servers.iter().filter(|server| server.is_available() && !server.slow_start.warming)
+        {
+            if let Some(capacity_per_s) = answerable_per_s(now, server) {
+                by_kind.entry(server.kind).or_default().push(capacity_per_s);
+            }
+        }
+        let of_all = mean(by_kind.values().flatten().copied());
+        let of_kind = by_kind.into_iter().filter_map(|(kind, all)| Some((kind, mean(all.into_iter())?)));
+        WarmCapacities { by_kind: of_kind.collect(), of_all }
+    }
+}
+
+/// The requests per second that warm servers can answer, as means.
+struct WarmCapacities {
+    by_kind: BTreeMap<ServerKind, f64>,
+    /// The mean over all kinds; `None` if no established server has answered any request.
+    of_all: Option<f64>,
+}
+
+impl WarmCapacities {
+    /// Returns the capacity of a kind, or that of all servers if none of the kind is known.
+    fn of(&self, kind: ServerKind) -> Option<f64> {
+        self.by_kind.get(&kind).copied().or(self.of_all)
     }
 }
 
--- a/tests/policy/zone_admission.rs
+++ b/tests/policy/zone_admission.rs
@@ -15,6 +15,8 @@
 const WARM_UP: Duration = Duration::from_secs(16);
 /// The requests that a warm server answers per second: half of it are answered at a utilization of a half.
 const CAPACITY_PER_S: f64 = 40.0;
+/// The usual requests per second of a proxy.
+const USUAL_RATE: f64 = 10.0;
 /// The estimates of capacity and requests are means over a few seconds.
 const TOLERANCE: f64 = 1.1;
 
@@ -185,3 +187,34 @@
     let limited: Vec<_> = commands.table_admission.keys().copied().collect();
     assert_eq!(limited, [(limited_table, 1 << ZONE_LOCAL_ROUTE)]);
 }
+
+/// A planner that restarts while a zone is cold knows neither capacities nor requests. It must not admit everything until the
+/// first reports.
+#[rstest]
+#[case::shares(AdmissionMode::Share, 1.0)]
+#[case::rates(AdmissionMode::Rate, USUAL_RATE)]
+fn restarted_planner_limits_a_cold_zone_before_the_first_reports(
+    #[case] admission_mode: AdmissionMode,
+    #[case] full_level: f64,
+) {
+    // Half of the allowed overload, 3, at the capacity of the servers' age of 2.1 s: 0.2 at the start, rising evenly. Rates are
+    // rounded to steps of a tenth.
+    let bearable = 0.5 * 3.0 * (0.2 + 0.8 * 2.1 / WARM_UP.as_secs_f64());
+    let max_level = 1.05 * bearable * full_level;
+    let zone_local = Route { zone_local: true, ..route(2.0, Idempotency::Idempotent) };
+    let routes = vec![route(1.0, Idempotency::Idempotent), zone_local];
+    let mut harness = PolicyHarness::with_admission_mode(admission_mode, ZONES, CHANNEL, routes, 1.2);
+    let listed = (0..15).map(|server| {
+        let zone = (server % ZONES) as ZoneId;
+        endpoint(server, zone, EndpointState::Ready, (zone == 0).then_some(ms(100)))
+    });
+    harness.update_endpoints(true, &listed.collect::<Vec<_>>());
+    for zone in 0..ZONES as ZoneId {
+        harness.policy.proxy_joined(harness.now, zone, zone, false, USUAL_RATE);
+    }
+    harness.advance(Duration::from_secs(2));
+    let table = harness.table_of(0, ZONE_LOCAL_ROUTE);
+    assert!(!harness.servers_in(table).is_empty());
+    let level = harness.commands.borrow().table_admission.get(&(table, 1 << ZONE_LOCAL_ROUTE)).unwrap().0;
+    assert!(f64::from(level) <= max_level, "{level}");
+}
