Let a pool name its own-zone table, and share the estimate of a server's capacity

Found on reading the change again; behaviour is as before. Whether a pool has a table for its zone alone was worked out anew from the routes, with an allocation, in every computation of weights; the pool's tables tell it (Pool::own_zone_table). A limit on admission carries its table, so publishing no longer looks for it by cycling over an option. The loss of a pool is not computed for a table of one zone, which does not use it. zone_admission.rs had written again what capacity_of_zone works out: both call answerable_per_s now. send_weight sends one weight, in place of an iterator of one. ALL_ROUTES stands once, beside RouteSet.

--- a/src/host.rs
+++ b/src/host.rs
@@ -17,6 +17,8 @@
 pub type ServerKind = u16;
 /// A set of routes as a bit mask: bit `k` is set if the route at position `k` is in the set.
 pub type RouteSet = u16;
+/// The route set that means all routes.
+pub const ALL_ROUTES: RouteSet = 0;
 
 /// A timer that the policy requests from its host.
 ///
--- a/src/policy/capacity.rs
+++ b/src/policy/capacity.rs
@@ -121,8 +121,15 @@
     ServerState::SAMPLE_RETENTION.min(now).as_secs_f64().max(1.0)
 }
 
-/// Returns a reported utilization within its bounds, or the assumed one if none is reported.
-pub(super) fn utilization_or_assumed(utilization: Option<f64>) -> f64 {
+/// Returns the requests per second that a server can answer, as a mean over the retention time of the samples; 0 if it has
+/// answered none.
+pub(super) fn answerable_per_s(now: Duration, server: &ServerState) -> f64 {
+    let from = now.saturating_sub(ServerState::SAMPLE_RETENTION);
+    let utilization = server.load.mean(from, |sample| sample.utilization);
+    server.load.sum(from, LoadSample::answered) / utilization_or_assumed(utilization) / retention_span_s(now)
+}
+
+fn utilization_or_assumed(utilization: Option<f64>) -> f64 {
     utilization.unwrap_or(ASSUMED_UTILIZATION).clamp(MIN_UTILIZATION, 1.0)
 }
 
@@ -163,16 +170,12 @@
     }
 
     fn capacity_of_zone(&self, now: Duration, zone: ZoneId) -> ZoneCapacity {
-        let from = now.saturating_sub(ServerState::SAMPLE_RETENTION);
-        let span_s = retention_span_s(now);
         let servers = self.servers.iter().filter(|server| server.is_ready() && server.zone == zone);
-        let capacity = servers.map(|server| {
-            let utilization = server.load.mean(from, |sample| sample.utilization);
-            let utilization = utilization_or_assumed(utilization);
-            server.load.sum(from, LoadSample::answered) / utilization / span_s
-        });
         let is_in_zone = |proxy: ProxyId| self.proxies.get(&proxy).is_some_and(|state| state.zone == zone);
-        ZoneCapacity { capacity_per_s: capacity.sum(), received_per_s: self.received_per_s(now, is_in_zone) }
+        ZoneCapacity {
+            capacity_per_s: servers.map(|server| answerable_per_s(now, server)).sum(),
+            received_per_s: self.received_per_s(now, is_in_zone),
+        }
     }
 
     /// Returns, by route, the requests per second that the counted proxies received, as a mean over the retention time of the
--- a/src/policy/effective_weights.rs
+++ b/src/policy/effective_weights.rs
@@ -32,9 +32,9 @@
     /// 4. [`Self::fallback_weights`]: outlier ejection does not empty a table.
     pub(super) fn effective_weights(&self, pool: &Pool, scope: TableScope) -> Vec<f32> {
         let shares: Vec<f64> = pool.entries.iter().map(|entry| self.usable_share(entry)).collect();
-        let loss = self.pool_loss(pool, &shares);
+        let loss = (scope == TableScope::AllZones).then(|| self.pool_loss(pool, &shares));
         let weight = |(entry, share): (&WeightEntry, &f64)| {
-            (entry.learned * self.locality_factor(pool, entry, scope, &loss) * share) as f32
+            (entry.learned * self.locality_factor(pool, entry, loss.as_ref()) * share) as f32
         };
         let mut weights: Vec<f32> = pool.entries.iter().zip(&shares).map(weight).collect();
         self.cap_warming_servers(pool, &shares, &mut weights);
@@ -70,7 +70,7 @@
         let warming = local.iter().any(|(entry, _)| self.servers[entry.server].slow_start.warming);
         let newly_started = local.iter().any(|(entry, _)| self.servers[entry.server].is_newly_started());
         let max_by_loss = if warming { 1.0 } else { MAX_REMOTE_FACTOR_BY_LOSS };
-        let remote_factor = if !self.has_own_zone_table() {
+        let remote_factor = if pool.own_zone_table().is_none() {
             let spillover = self.zone_spill.spillover[usize::from(pool.zone)];
             REMOTE_FACTOR + ((max_by_loss - REMOTE_FACTOR) * lost).max((1.0 - REMOTE_FACTOR) * spillover)
         } else if newly_started || usable == 0.0 {
@@ -82,19 +82,18 @@
         PoolLoss { lost, remote_factor }
     }
 
-    /// Returns the factor of a server's weight that results from the zones of the pool and the server.
-    fn locality_factor(&self, pool: &Pool, entry: &WeightEntry, scope: TableScope, loss: &PoolLoss) -> f64 {
+    /// Returns the factor of a server's weight that results from the zones of the pool and the server. `loss` is `None` for a
+    /// table that may contain only the servers of the pool's zone.
+    fn locality_factor(&self, pool: &Pool, entry: &WeightEntry, loss: Option<&PoolLoss>) -> f64 {
         let zone = self.servers[entry.server].zone;
-        if entry.retiring {
-            0.0
-        } else if zone == pool.zone {
-            1.0
-        } else if scope == TableScope::OwnZone {
-            0.0
-        } else if self.zone_spill.is_bad_link(pool.zone, zone) {
-            BAD_LINK_FACTOR.max(loss.remote_factor * loss.lost.powi(2))
-        } else {
-            loss.remote_factor
+        match loss {
+            _ if entry.retiring => 0.0,
+            _ if zone == pool.zone => 1.0,
+            None => 0.0,
+            Some(loss) if self.zone_spill.is_bad_link(pool.zone, zone) => {
+                BAD_LINK_FACTOR.max(loss.remote_factor * loss.lost.powi(2))
+            }
+            Some(loss) => loss.remote_factor,
         }
     }
 
--- a/src/policy/proxy_binding.rs
+++ b/src/policy/proxy_binding.rs
@@ -2,7 +2,7 @@
 
 use super::control_channel::Priority;
 use crate::host::{PolicyHost, ProxyId, ZoneId};
-use crate::state::{Policy, Pool, ProxyState, TableScope};
+use crate::state::{Policy, Pool, ProxyState};
 use std::time::Duration;
 
 /// The number of steps per request per second in which rates are compared.
@@ -92,10 +92,12 @@
     /// Brings the tables of a pool without bound proxies up to date. Their entries cost nothing, because they go to no
     /// proxy.
     fn update_unused_pool(&mut self, now: Duration, pool: usize) {
-        let scopes: Vec<TableScope> = self.pools[pool].tables.iter().map(|table| table.kind.scope).collect();
-        for (table, scope) in scopes.into_iter().enumerate() {
+        for table in 0..self.pools[pool].tables.len() {
+            let scope = self.pools[pool].tables[table].kind.scope;
             let weights = self.effective_weights(&self.pools[pool], scope);
-            self.send_weights(pool, table, weights.into_iter().enumerate());
+            for (position, weight) in weights.into_iter().enumerate() {
+                self.send_weight(pool, table, position, weight);
+            }
         }
         let admission = self.changed_zone_admission(now, pool);
         self.send_zone_admission(pool, admission);
--- a/src/policy/publishing.rs
+++ b/src/policy/publishing.rs
@@ -6,13 +6,14 @@
 use super::pool_updates::{PoolUpdate, WeightChange};
 use super::zone_admission::RouteAdmission;
 use crate::host::{PolicyHost, UrgentDelays};
-use crate::state::{AdmissionSetting, Policy, Pool, TableScope};
+use crate::state::{AdmissionSetting, Policy};
 use rand::seq::SliceRandom;
 use std::cmp::Reverse;
 use std::time::Duration;
 
 /// The cost of a message in addition to its own entries and the channel's overhead, in entries.
 const MESSAGE_ENTRIES: f64 = 1.0;
+
 impl<H: PolicyHost> Policy<H> {
     /// Sends the changes: admission first, then the pools by urgency, then the tables of unbound proxies. Requests an
     /// acknowledgement if anything was sent.
@@ -68,7 +69,7 @@
                 self.pools[pool].message_times.push_back(now);
             }
             for WeightChange { table, entry, weight, .. } in changes {
-                self.send_weights(pool, table, std::iter::once((entry, weight)));
+                self.send_weight(pool, table, entry, weight);
             }
             self.send_zone_admission(pool, zone_admission);
             return true;
@@ -105,30 +106,21 @@
         self.channel.urgent_delays
     }
 
-    /// Sends the weights of a table that differ from the last ones sent. Each weight comes with its position in the pool.
-    pub(super) fn send_weights(
-        &mut self,
-        pool: usize,
-        table: usize,
-        weights: impl Iterator<Item = (usize, f32)>,
-    ) {
+    /// Sends the weight of the entry at a position of a pool, if it differs from the last one sent for the table.
+    pub(super) fn send_weight(&mut self, pool: usize, table: usize, position: usize, weight: f32) {
         let pool = &mut self.pools[pool];
-        for (position, weight) in weights {
-            let entry = &mut pool.entries[position];
-            if entry.last_sent[table] != weight {
-                entry.last_sent[table] = weight;
-                self.host.set_weight(pool.tables[table].id, entry.server, weight);
-            }
+        let entry = &mut pool.entries[position];
+        if entry.last_sent[table] != weight {
+            entry.last_sent[table] = weight;
+            self.host.set_weight(pool.tables[table].id, entry.server, weight);
         }
     }
 
-    /// Sends the admission of zone-local routes for a pool's own table.
+    /// Sends changed admission settings of a pool's zone-local routes.
     pub(super) fn send_zone_admission(&mut self, pool: usize, changes: Vec<RouteAdmission>) {
-        let Pool { tables, zone_admission, .. } = &mut self.pools[pool];
-        let own = tables.iter().find(|table| table.kind.scope == TableScope::OwnZone);
-        for (RouteAdmission { route, setting }, table) in changes.into_iter().zip(own.into_iter().cycle()) {
-            zone_admission.insert(route, setting);
-            self.host.set_table_admission(table.id, 1 << route, setting.level, setting.retries);
+        for RouteAdmission { table, route, setting } in changes {
+            self.pools[pool].zone_admission.insert(route, setting);
+            self.host.set_table_admission(table, 1 << route, setting.level, setting.retries);
         }
     }
 
--- a/src/policy/route_tables.rs
+++ b/src/policy/route_tables.rs
@@ -4,12 +4,9 @@
 //! With one table for all routes, the servers of other zones would have to be kept from every route while a server of the
 //! zone is ready, and would get the zone-local routes' requests while none is.
 
-use crate::host::{PolicyHost, Route, RouteSet};
+use crate::host::{ALL_ROUTES, PolicyHost, Route, RouteSet};
 use crate::state::{Policy, TableKind, TableScope};
 
-/// The route set that means all routes.
-const ALL_ROUTES: RouteSet = 0;
-
 impl<H: PolicyHost> Policy<H> {
     /// Returns the tables of each pool: one for all routes, or one for the zone-local routes and one for the others.
     pub(super) fn table_kinds(&self) -> Vec<TableKind> {
@@ -25,11 +22,6 @@
             vec![all_zones(others), own_zone(zone_local)]
         }
     }
-
-    /// Returns true if a pool has a table that may contain only the servers of its zone.
-    pub(super) fn has_own_zone_table(&self) -> bool {
-        self.table_kinds().iter().any(|kind| kind.scope == TableScope::OwnZone)
-    }
 }
 
 fn route_set(routes: &[Route], is_member: impl Fn(&Route) -> bool) -> RouteSet {
--- a/src/policy/subsetting.rs
+++ b/src/policy/subsetting.rs
@@ -87,14 +87,14 @@
         }
     }
 
-    /// Adds a server of the zone to each pool that has no ready one, even a warming server that other pools hold: routes that
-    /// may not leave the zone have no other servers.
-    fn cover_every_pool(&mut self, pools: &mut [&mut Pool]) {
-        for pool in pools {
-            let is_local = |entry: &&WeightEntry| !entry.retiring && self.is_local(entry.server);
-            let held: BTreeSet<ServerIndex> =
-                pool.entries.iter().filter(is_local).map(|entry| entry.server).collect();
-            if held.iter().any(|server| self.servers[*server].is_ready()) {
+    /// Adds a server of the zone to each pool that has none although it has a table for the zone alone, even a warming server
+    /// that other pools hold.
+    fn cover_own_zone_tables(&mut self, pools: &mut [&mut Pool]) {
+        for pool in pools.iter_mut().filter(|pool| pool.own_zone_table().is_some()) {
+            let is_local = |entry: &WeightEntry| {
+                !entry.retiring && self.is_local(entry.server) && self.servers[entry.server].is_ready()
+            };
+            if pool.entries.iter().any(is_local) {
                 continue;
             }
             let local = self.candidates.iter().copied().filter(|server| self.is_local(*server));
@@ -171,14 +171,13 @@
 }
 
 impl<H: PolicyHost> Policy<H> {
-    /// Brings every pool up to date with the servers: removes entries, covers every server and, if a route may not leave its
-    /// zone, every pool, then shrinks and fills the pools.
+    /// Brings every pool up to date with the servers: removes entries, covers every server and every table of a zone alone, then
+    /// shrinks and fills the pools.
     pub(super) fn update_subsets(&mut self) {
         if self.pools.is_empty() {
             self.create_pools();
         }
         let kind_weights = learned_by_kind(&self.pools, &self.servers);
-        let needs_local_servers = self.has_own_zone_table();
         // The order is random, because policies that assign servers in the same order would overload the same pools.
         let mut candidates: Vec<ServerIndex> =
             (0..self.servers.len()).filter(|server| self.servers[*server].is_ready()).collect();
@@ -198,9 +197,7 @@
             let mut pools: Vec<&mut Pool> = self.pools.iter_mut().filter(|pool| pool.zone == zone).collect();
             subsets.retire(&mut pools);
             subsets.cover_every_server(&mut pools);
-            if needs_local_servers {
-                subsets.cover_every_pool(&mut pools);
-            }
+            subsets.cover_own_zone_tables(&mut pools);
             for pool in pools {
                 subsets.shrink(pool, size.local);
                 subsets.fill(pool, Locality::Local, size.local);
--- a/src/policy/zone_admission.rs
+++ b/src/policy/zone_admission.rs
@@ -3,10 +3,10 @@
 //! No other zone can take these requests, so a zone that returns cold has to shed what its servers would fall over under. The
 //! limit of a server is a part of the overload that the deployment allows, at the capacity that the server has at its age.
 
-use super::capacity::{retention_span_s, utilization_or_assumed};
-use crate::host::{ColdStart, PolicyHost, ServerIndex, ServerKind};
+use super::capacity::answerable_per_s;
+use crate::host::{ColdStart, PolicyHost, ServerIndex, ServerKind, TableId};
 use crate::state::{
-    AdmissionControl, AdmissionSetting, LoadSample, Policy, Pool, ServerState, TableScope, WeightEntry, mean,
+    AdmissionControl, AdmissionSetting, Policy, Pool, ServerState, TableScope, WeightEntry, mean,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -15,8 +15,10 @@
 /// same servers, and for chance.
 const OVERLOAD_FRACTION: f64 = 0.5;
 
-/// The admission setting of a zone-local route at a pool's own table.
+/// The admission setting of a zone-local route at a table.
 pub(super) struct RouteAdmission {
+    /// The table.
+    pub(super) table: TableId,
     /// The position of the route.
     pub(super) route: usize,
     /// The setting.
@@ -27,18 +29,15 @@
     /// Returns the settings of a pool's zone-local routes that differ from those last sent. A pool whose servers have never
     /// needed a limit has none.
     pub(super) fn changed_zone_admission(&self, now: Duration, pool: usize) -> Vec<RouteAdmission> {
-        let Pool { tables, zone_admission, .. } = &self.pools[pool];
-        if !tables.iter().any(|table| table.kind.scope == TableScope::OwnZone) {
-            return vec![];
-        }
+        let Some(table) = self.pools[pool].own_zone_table() else { return vec![] };
         let share = self.zone_local_share(now, pool);
         let routes = (0..self.routes.len()).filter(|route| self.routes[*route].zone_local);
         let setting = |route| {
             let level = self.level_in_pool(now, route, share, pool);
             let setting = AdmissionSetting { level, retries: self.retry_policy(route) };
-            RouteAdmission { route, setting }
+            RouteAdmission { table: table.id, route, setting }
         };
-        let is_changed = |change: &RouteAdmission| match zone_admission.get(&change.route) {
+        let is_changed = |change: &RouteAdmission| match self.pools[pool].zone_admission.get(&change.route) {
             Some(last_sent) => *last_sent != change.setting,
             None => share < 1.0,
         };
@@ -109,7 +108,8 @@
         let mut by_kind: BTreeMap<ServerKind, Vec<f64>> = BTreeMap::new();
         for server in self.servers.iter().filter(|server| server.is_available() && !server.slow_start.warming)
         {
-            if let Some(capacity_per_s) = answerable_per_s(now, server) {
+            let capacity_per_s = answerable_per_s(now, server);
+            if capacity_per_s > 0.0 {
                 by_kind.entry(server.kind).or_default().push(capacity_per_s);
             }
         }
@@ -132,11 +132,3 @@
         self.by_kind.get(&kind).copied().or(self.of_all)
     }
 }
-
-/// Returns the requests per second that a server can answer, by its reports; `None` if it has answered none.
-fn answerable_per_s(now: Duration, server: &ServerState) -> Option<f64> {
-    let from = now.saturating_sub(ServerState::SAMPLE_RETENTION);
-    let utilization = utilization_or_assumed(server.load.mean(from, |sample| sample.utilization));
-    let answered = server.load.sum(from, LoadSample::answered);
-    (answered > 0.0).then(|| answered / utilization / retention_span_s(now))
-}
--- a/src/state/pools.rs
+++ b/src/state/pools.rs
@@ -41,7 +41,7 @@
 pub(crate) struct TableKind {
     /// The servers.
     pub(crate) scope: TableScope,
-    /// The routes; 0 means all routes.
+    /// The routes.
     pub(crate) routes: RouteSet,
 }
 
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Returns the table that may contain only the servers of the pool's zone, if the pool has one.
+    pub(crate) fn own_zone_table(&self) -> Option<&PoolTable> {
+        self.tables.iter().find(|table| table.kind.scope == TableScope::OwnZone)
+    }
+
     /// Adds a server with a weight given as a multiple of the pool's mean weight.
     pub(crate) fn add_server(&mut self, server: ServerIndex, weight: f64) {
         let learned = weight * self.mean_weight();
