Derive what a proxy's update says twice, and skip turns without changes

TableUpdate::is_full always equalled ProxyUpdate::is_new and is gone. An update refers to the proxy's bindings in place of a list of tables that was collected for each proxy in each turn, also in turns that change nothing; such turns now end before any proxy's update is worked out.

Checked: tests of assignments, both protocols (fixtures of bytes, parity with the simulator), the controller's server and the launcher pass.

--- a/crates/assignments/src/admission_rules.rs
+++ b/crates/assignments/src/admission_rules.rs
@@ -1,5 +1,6 @@
 //! Admission rules for all proxies and for the proxies of a table, and the changes of the current turn.
 
+use crate::tables::Binding;
 use grebespool::host::{RetryPolicy, RouteSet, TableId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -36,16 +37,21 @@
         self.by_table.entry(table).or_default().insert(rule.routes, rule);
     }
 
-    /// Returns true if any of these tables has rules.
-    pub(crate) fn has_rules_of(&self, tables: &[TableId]) -> bool {
-        tables.iter().any(|table| self.by_table.contains_key(table))
+    /// Returns true if any rule has changed in this turn.
+    pub(crate) fn has_changes(&self) -> bool {
+        !self.changed_of_all.is_empty() || !self.changed_by_table.is_empty()
     }
 
-    /// Returns the rules of a proxy that is bound to these tables: all of them, or those that have changed in this turn.
-    pub(crate) fn of_tables(&self, tables: &[TableId], all: bool) -> Vec<AdmissionRule> {
+    /// Returns true if the table of any of these bindings has rules.
+    pub(crate) fn has_rules_of(&self, bindings: &[Binding]) -> bool {
+        bindings.iter().any(|binding| self.by_table.contains_key(&binding.table))
+    }
+
+    /// Returns the rules of a proxy with these bindings: all of them, or those that have changed in this turn.
+    pub(crate) fn of_bindings(&self, bindings: &[Binding], all: bool) -> Vec<AdmissionRule> {
         let mut rules = self.of_all.clone();
         let mut changed = self.changed_of_all.clone();
-        for table in tables {
+        for Binding { table, .. } in bindings {
             for rule in self.by_table.get(table).into_iter().flat_map(BTreeMap::values) {
                 let level = rules.get(&rule.routes).map_or(rule.level, |other| other.level.min(rule.level));
                 rules.insert(rule.routes, AdmissionRule { level, ..*rule });
--- a/crates/assignments/src/lib.rs
+++ b/crates/assignments/src/lib.rs
@@ -13,4 +13,4 @@
 pub use admission_rules::AdmissionRule;
 pub use assignments::Assignments;
 pub use server_indices::ServerIndices;
-pub use tables::{ProxyUpdate, ServerWeight, TableUpdate};
+pub use tables::{Binding, ProxyUpdate, ServerWeight, TableUpdate};
--- a/crates/assignments/src/tables.rs
+++ b/crates/assignments/src/tables.rs
@@ -1,7 +1,7 @@
 //! Weight tables, admission rules and bindings, and the changes of the current turn.
 
 use crate::admission_rules::{AdmissionRule, AdmissionRules};
-use grebespool::host::{ProxyId, RouteSet, ServerIndex, TableId};
+use grebespool::host::{ALL_ROUTES, ProxyId, RouteSet, ServerIndex, TableId};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A server's weight in a table.
@@ -20,10 +20,8 @@
     pub table: TableId,
     /// The number of turns in which the table has changed.
     pub version: u64,
-    /// The routes of the proxy that use the table; 0 means all routes.
+    /// The routes of the proxy that use the table.
     pub routes: RouteSet,
-    /// True if the proxy was bound to the table in this turn.
-    pub is_full: bool,
     /// All weights of the table after a binding, otherwise the changed ones.
     pub weights: &'a [ServerWeight],
 }
@@ -36,10 +34,9 @@
     /// All admission rules of the proxy after a binding, otherwise the changed ones. A rule of a table that the proxy is bound
     /// to is combined with the rule for all proxies: the lower level and the retry policy of the table apply.
     pub admission: &'a [AdmissionRule],
-    /// All tables that the proxy is bound to. Proxies that are bound to the same tables before the turn, or in the turn, get
-    /// equal updates.
-    pub bound_tables: &'a [TableId],
-    /// True if the proxy was bound in this turn.
+    /// All bindings of the proxy. Proxies with the same bindings and the same `is_new` get equal updates.
+    pub bindings: &'a [Binding],
+    /// True if the proxy was bound in this turn, so that the update contains whole tables.
     pub is_new: bool,
     /// The token with which the proxy has to acknowledge this update, if an acknowledgement is requested.
     pub ack_token: Option<u16>,
@@ -77,10 +74,18 @@
 }
 
 /// A table that a proxy is bound to, and the routes that the binding applies to.
-#[derive(Clone, Copy)]
-struct Binding {
-    table: TableId,
-    routes: RouteSet,
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Binding {
+    /// The table.
+    pub table: TableId,
+    /// The routes.
+    pub routes: RouteSet,
+}
+
+impl Binding {
+    fn shares_route(&self, other: &Binding) -> bool {
+        self.routes == ALL_ROUTES || other.routes == ALL_ROUTES || self.routes & other.routes != 0
+    }
 }
 
 /// The state of a joined proxy.
@@ -95,8 +100,7 @@
 impl JoinedProxy {
     /// Adds a binding, in place of those that share a route with it.
     fn bind(&mut self, new: Binding) {
-        let shares_route = |old: &Binding| new.routes == 0 || old.routes == 0 || old.routes & new.routes != 0;
-        self.bindings.retain(|old| !shares_route(old));
+        self.bindings.retain(|old| !old.shares_route(&new));
         self.bindings.push(new);
         self.is_new = true;
     }
@@ -153,27 +157,39 @@
     /// Ends the turn: calls `send` with one update for each affected proxy, in the order of the proxies' ids. A requested
     /// acknowledgement alone does not cause an update.
     pub(crate) fn publish(&mut self, mut send: impl FnMut(ProxyId, &ProxyUpdate)) {
-        self.increment_versions();
+        if self.has_changes() {
+            self.increment_versions();
+            self.send_changes(&mut send);
+            self.clear_changes();
+        }
+        self.ack_token = None;
+    }
+
+    fn has_changes(&self) -> bool {
+        self.admission.has_changes()
+            || self.proxies.values().any(|bound| bound.is_new)
+            || self.tables.values().any(|table| !table.changed.is_empty())
+    }
+
+    fn send_changes(&mut self, send: &mut impl FnMut(ProxyId, &ProxyUpdate)) {
         let weights = self.published_weights();
         // Most proxies have the same rules, which are collected only once.
         let (all_rules, changed_rules) =
-            (self.admission.of_tables(&[], true), self.admission.of_tables(&[], false));
+            (self.admission.of_bindings(&[], true), self.admission.of_bindings(&[], false));
         for (proxy, bound) in self.proxies.iter_mut().filter(|(_, bound)| !bound.bindings.is_empty()) {
             let is_new = std::mem::take(&mut bound.is_new);
+            let bindings = bound.bindings.as_slice();
             let update = |binding: &Binding| TableUpdate {
                 table: binding.table,
                 version: self.tables.get(&binding.table).map_or(0, |table| table.version),
                 routes: binding.routes,
-                is_full: is_new,
                 weights: weights.get(&(binding.table, is_new)).map_or(&[], Vec::as_slice),
             };
-            let tables: Vec<TableUpdate> = (bound.bindings.iter().map(update))
-                .filter(|update| is_new || !update.weights.is_empty())
-                .collect();
-            let bound_tables: Vec<TableId> = bound.bindings.iter().map(|binding| binding.table).collect();
+            let tables: Vec<TableUpdate> =
+                (bindings.iter().map(update)).filter(|update| is_new || !update.weights.is_empty()).collect();
             let own_rules;
-            let admission = if self.admission.has_rules_of(&bound_tables) {
-                own_rules = self.admission.of_tables(&bound_tables, is_new);
+            let admission = if self.admission.has_rules_of(bindings) {
+                own_rules = self.admission.of_bindings(bindings, is_new);
                 &own_rules
             } else if is_new {
                 &all_rules
@@ -181,17 +197,10 @@
                 &changed_rules
             };
             if !tables.is_empty() || !admission.is_empty() {
-                let update = ProxyUpdate {
-                    tables: &tables,
-                    admission,
-                    bound_tables: &bound_tables,
-                    is_new,
-                    ack_token: self.ack_token,
-                };
-                send(*proxy, &update);
+                let ack_token = self.ack_token;
+                send(*proxy, &ProxyUpdate { tables: &tables, admission, bindings, is_new, ack_token });
             }
         }
-        self.clear_changes();
     }
 
     /// Returns the weights to publish by table: all of them under `true` if a proxy was bound to the table in this turn, and
@@ -222,6 +231,5 @@
             table.changed.clear();
         }
         self.admission.clear_changes();
-        self.ack_token = None;
     }
 }
--- a/crates/assignments/tests/assignments.rs
+++ b/crates/assignments/tests/assignments.rs
@@ -3,7 +3,7 @@
 #![allow(missing_docs, unreachable_pub, clippy::unwrap_used, reason = "a test stops at a surprise")]
 
 use grebespool::host::{PolicyHost, RetryPolicy};
-use grebespool_assignments::{Assignments, ServerIndices};
+use grebespool_assignments::{Assignments, ProxyUpdate, ServerIndices, TableUpdate};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -11,17 +11,19 @@
 /// acknowledgement token.
 type Published = (u16, bool, Vec<(usize, f32)>, usize, Option<u16>);
 
-/// Ends the turn and returns its updates.
+/// Ends the turn and returns what `view` shows of each update.
+fn updates<T>(assignments: &Assignments, view: impl Fn(u16, &ProxyUpdate) -> T) -> Vec<T> {
+    let mut updates = vec![];
+    assignments.publish(|proxy, update| updates.push(view(proxy, update)));
+    updates
+}
+
 fn published(assignments: &Assignments) -> Vec<Published> {
-    let mut published = vec![];
-    assignments.publish(|proxy, update| {
+    updates(assignments, |proxy, update| {
         let weights = update.tables.iter().flat_map(|table| table.weights);
         let weights = weights.map(|w| (w.server, w.weight)).collect();
-        let binds = update.tables.iter().any(|table| table.is_full);
-        let rules = update.admission.len();
-        published.push((proxy, binds, weights, rules, update.ack_token));
-    });
-    published
+        (proxy, update.is_new, weights, update.admission.len(), update.ack_token)
+    })
 }
 
 #[rstest]
@@ -60,15 +62,11 @@
 /// A table of an update: its number, its routes, true if it is full, and the number of weights.
 type PublishedTable = (u16, u16, bool, usize);
 
-/// Ends the turn and returns the proxies with updates and the tables of each update.
 fn published_tables(assignments: &Assignments) -> Vec<(u16, Vec<PublishedTable>)> {
-    let mut published = vec![];
-    assignments.publish(|proxy, update| {
-        let tables = update.tables.iter();
-        let tables = tables.map(|table| (table.table, table.routes, table.is_full, table.weights.len()));
-        published.push((proxy, tables.collect()));
-    });
-    published
+    updates(assignments, |proxy, update| {
+        let table = |table: &TableUpdate| (table.table, table.routes, update.is_new, table.weights.len());
+        (proxy, update.tables.iter().map(table).collect())
+    })
 }
 
 /// Routes that may not leave their zone have a table of their own; both tables have to arrive in one update.
@@ -98,14 +96,11 @@
 /// A proxy, and the routes, the level and the retry policy of each admission rule of its update.
 type PublishedRules = (u16, Vec<(u16, f32, RetryPolicy)>);
 
-/// Ends the turn and returns the admission rules of its updates.
 fn published_rules(assignments: &Assignments) -> Vec<PublishedRules> {
-    let mut published = vec![];
-    assignments.publish(|proxy, update| {
+    updates(assignments, |proxy, update| {
         let rules = update.admission.iter().map(|rule| (rule.routes, rule.level, rule.retry_policy));
-        published.push((proxy, rules.collect()));
-    });
-    published
+        (proxy, rules.collect())
+    })
 }
 
 /// Of a rule for all proxies and one of a table, the lower level and the retry policy of the table apply, at the proxies that
--- a/crates/controller/src/controller/publishing.rs
+++ b/crates/controller/src/controller/publishing.rs
@@ -78,7 +78,7 @@
 fn wire_changes(update: &ProxyUpdate, servers: &ServerIndices<ServerId>) -> (Vec<Change>, usize) {
     let (mut changes, mut entries) = (vec![], 0);
     for table in update.tables {
-        if table.is_full {
+        if update.is_new {
             // A binding replaces the admission rules, so each binding of the update contains all of them.
             entries += 1 + table.weights.len() + update.admission.len();
             changes.push(Change::BindTable(table_binding(table, update, servers)));
--- a/crates/platform-protocol/src/session_manager/publishing.rs
+++ b/crates/platform-protocol/src/session_manager/publishing.rs
@@ -7,8 +7,8 @@
 use crate::event_log::EventLog;
 use crate::weight_log::WeightLog;
 use crate::wire::UpdateEncoder;
-use grebespool::host::{HealthCheckResult, ProxyId, ServerIndex, TableId};
-use grebespool_assignments::{ProxyUpdate, TableUpdate};
+use grebespool::host::{HealthCheckResult, ProxyId, ServerIndex};
+use grebespool_assignments::{Binding, ProxyUpdate, TableUpdate};
 use std::collections::BTreeMap;
 
 impl<E: Effects> SessionManager<E> {
@@ -56,8 +56,8 @@
     event_log: &'a mut EventLog,
     weight_log: Option<&'a mut WeightLog>,
     encoder: UpdateEncoder<'a, F>,
-    /// The encoded updates, by the tables that a proxy is bound to and by whether it was bound in this turn.
-    encoded: BTreeMap<(Vec<TableId>, bool), Vec<u8>>,
+    /// The encoded updates, by the bindings of a proxy and by whether it was bound in this turn.
+    encoded: BTreeMap<(Vec<Binding>, bool), Vec<u8>>,
 }
 
 impl<'a, E: Effects, F: Fn(ServerIndex) -> &'a str> UpdateWriter<'a, E, F> {
@@ -66,9 +66,9 @@
         if update.is_new {
             self.log_bound(proxy, update);
         }
-        let key = (update.bound_tables.to_vec(), update.is_new);
+        let key = (update.bindings.to_vec(), update.is_new);
         if !self.encoded.contains_key(&key) {
-            update.tables.iter().for_each(|table| self.log_weights(table));
+            update.tables.iter().for_each(|table| self.log_weights(table, update.is_new));
             self.encoded.insert(key.clone(), self.encoder.encode(update));
         }
         self.effects.write(id, &self.encoded[&key]);
@@ -80,12 +80,12 @@
     fn log_bound(&mut self, proxy: ProxyId, update: &ProxyUpdate) {
         self.event_log.stream_changed(proxy, StreamChange::Bound);
         if let Some(weight_log) = &mut self.weight_log {
-            weight_log.proxy_bound(proxy, update.bound_tables.to_vec());
+            weight_log.proxy_bound(proxy, update.bindings.iter().map(|binding| binding.table).collect());
         }
     }
 
-    fn log_weights(&mut self, update: &TableUpdate) {
-        if !update.is_full {
+    fn log_weights(&mut self, update: &TableUpdate, is_new: bool) {
+        if !is_new {
             self.event_log.weights_written(update.weights);
         }
         if let Some(weight_log) = &mut self.weight_log {
--- a/crates/platform-protocol/src/wire/outgoing.rs
+++ b/crates/platform-protocol/src/wire/outgoing.rs
@@ -2,7 +2,7 @@
 
 use super::frame::encode_frame;
 use super::names::{field, kind};
-use grebespool::host::{RetryPolicy, RouteSet, ServerIndex};
+use grebespool::host::{ALL_ROUTES, RetryPolicy, RouteSet, ServerIndex};
 use grebespool_assignments::{AdmissionRule, ProxyUpdate, ServerWeight, TableUpdate};
 use serde_json::{Map, Value, json};
 
@@ -37,7 +37,7 @@
         let mut rules = self.merge_rules(update.admission);
         let mut parts: Vec<Map<String, Value>> = vec![];
         for table in update.tables {
-            let mut part = self.weights_part(table);
+            let mut part = self.weights_part(table, update.is_new);
             if let Some(position) = rules.iter().position(|rule| rule.routes == table.routes) {
                 insert_rule(&mut part, &rules.remove(position));
             }
@@ -50,11 +50,11 @@
         encode_parts(parts)
     }
 
-    fn weights_part(&self, update: &TableUpdate) -> Map<String, Value> {
+    fn weights_part(&self, update: &TableUpdate, is_whole: bool) -> Map<String, Value> {
         let mut part = Map::new();
         let weights = update.weights.iter().map(|weight| self.weight(weight));
         part.insert(field::WEIGHTS.into(), weights.collect());
-        if update.is_full {
+        if is_whole {
             part.insert(field::FULL_TABLE.into(), json!(true));
         }
         self.insert_routes(&mut part, update.routes);
@@ -73,6 +73,7 @@
     }
 
     fn insert_routes(&self, part: &mut Map<String, Value>, routes: RouteSet) {
+        // A part without the field of routes applies to all routes.
         if routes == ALL_ROUTES {
             return;
         }
@@ -102,9 +103,6 @@
     }
 }
 
-/// The set of all routes. On the wire, a part without the field of routes applies to all routes.
-const ALL_ROUTES: RouteSet = 0;
-
 fn insert_rule(part: &mut Map<String, Value>, rule: &AdmissionRule) {
     part.insert(field::ADMITTED.into(), shortest_number(rule.level));
     part.insert(field::RETRY.into(), json!(retry_code(rule.retry_policy)));
