Split the session manager's tests and the deployment's conversions by concern

What turns a deployment into the controller's terms is controller_terms.rs of grebespool-settings; the records and their checks stay in deployment.rs.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,6 +5,7 @@
 //! Constraints that the records cannot express (a route without callers, an unknown zone) are checked in Rust and named
 //! by field.
 
+mod controller_terms;
 mod day;
 mod deployment;
 mod experiment;
