--- a/tests/policy/helpers.rs
+++ b/tests/policy/helpers.rs
@@ -123,6 +123,25 @@
     servers.map(|server| endpoint(server, (server % zones) as ZoneId, EndpointState::Ready, None)).collect()
 }
 
+/// A route that may not leave its zone.
+pub fn zone_local_route(priority_weight: f64) -> Route {
+    Route { zone_local: true, ..route(priority_weight, Idempotency::Idempotent) }
+}
+
+pub const WARM_UP: Duration = Duration::from_secs(16);
+
+/// Returns proxies with levels as shares, which start no retry that could be in time.
+pub fn capabilities(zones: usize, proxies: usize, min_server_connections: f64) -> ProxyCapabilities {
+    ProxyCapabilities {
+        zones,
+        slices: 0,
+        admission_mode: AdmissionMode::Share,
+        attempt_timeout_factor: 1.2,
+        proxies,
+        min_server_connections,
+    }
+}
+
 pub const CHANNEL: ControlChannelLimits = ControlChannelLimits {
     entries_per_s: 10_000.0,
     max_queued_entries: 15_000.0,
@@ -168,14 +187,8 @@
         routes: Vec<Route>,
         attempt_timeout_factor: f64,
     ) -> PolicyHarness {
-        let capabilities = ProxyCapabilities {
-            zones,
-            slices: 0,
-            admission_mode,
-            attempt_timeout_factor,
-            proxies: 4,
-            min_server_connections: 200.0,
-        };
+        let capabilities =
+            ProxyCapabilities { admission_mode, attempt_timeout_factor, ..capabilities(zones, 4, 200.0) };
         let harness = PolicyHarness::with_capabilities(capabilities, channel, routes, true);
         harness.commands.borrow_mut().levels_are_rates = admission_mode == AdmissionMode::Rate;
         harness
@@ -189,8 +202,7 @@
     ) -> PolicyHarness {
         let drain_grace = Some(ms(2000));
         let cold_start = Some(ColdStart { capacity: 0.2, overload_multiple: 3.0 });
-        let timeouts =
-            Timeouts { warm_up: Duration::from_secs(16), removal_is_final, drain_grace, cold_start };
+        let timeouts = Timeouts { warm_up: WARM_UP, removal_is_final, drain_grace, cold_start };
         PolicyHarness::with_timeouts(capabilities, channel, routes, timeouts)
     }
 
@@ -226,34 +238,39 @@
         channel: ControlChannelLimits,
         removal_is_final: bool,
     ) -> PolicyHarness {
-        let capabilities = ProxyCapabilities {
-            zones: 2,
-            slices: 0,
-            admission_mode: AdmissionMode::Share,
-            attempt_timeout_factor: 1.2,
-            proxies,
-            min_server_connections: 20.0,
-        };
         let routes = vec![route(1.0, Idempotency::Idempotent)];
-        let mut harness = PolicyHarness::with_capabilities(capabilities, channel, routes, removal_is_final);
-        harness.update_endpoints(true, &warm_endpoints(0..servers, 2));
-        for proxy in 0..proxies {
-            harness.policy.proxy_joined(harness.now, proxy as ProxyId, (proxy % 2) as ZoneId, true, 1.0);
-        }
+        let mut harness = PolicyHarness::with_capabilities(
+            capabilities(2, proxies, 20.0),
+            channel,
+            routes,
+            removal_is_final,
+        );
+        harness.start(servers, 2, proxies);
         harness
     }
 
     /// Creates a harness with warm servers, distributed round-robin over the zones, and a joined proxy in each zone.
     pub fn with_servers(servers: usize, zones: usize) -> PolicyHarness {
         let routes = vec![route(1.0, Idempotency::Idempotent), route(2.0, Idempotency::NonIdempotent)];
+        PolicyHarness::with_routes(servers, zones, routes)
+    }
+
+    /// Creates a harness like [`PolicyHarness::with_servers`] with other routes.
+    pub fn with_routes(servers: usize, zones: usize, routes: Vec<Route>) -> PolicyHarness {
         let mut harness = PolicyHarness::new(zones, CHANNEL, routes, 1.2);
-        harness.update_endpoints(true, &warm_endpoints(0..servers, zones));
-        for zone in 0..zones {
-            harness.policy.proxy_joined(harness.now, zone as ProxyId, zone as ZoneId, true, 1.0);
-        }
+        harness.start(servers, zones, zones);
         harness
     }
 
+    /// Lists warm servers and lets proxies join, both distributed round-robin over the zones.
+    pub fn start(&mut self, servers: usize, zones: usize, proxies: usize) {
+        self.update_endpoints(true, &warm_endpoints(0..servers, zones));
+        for proxy in 0..proxies {
+            let zone = (proxy % zones) as ZoneId;
+            self.policy.proxy_joined(self.now, proxy as ProxyId, zone, true, 1.0);
+        }
+    }
+
     pub fn update_endpoints(&mut self, complete: bool, endpoints: &[Endpoint]) {
         self.commands.borrow_mut().now = self.now;
         self.policy.endpoints_updated(self.now, complete, endpoints);
--- a/tests/policy/message_limit.rs
+++ b/tests/policy/message_limit.rs
@@ -56,14 +56,6 @@
 
 impl LimitedPolicy {
     fn new(settings: LimitSettings, zones: usize, servers: usize, proxies: u16) -> LimitedPolicy {
-        let capabilities = ProxyCapabilities {
-            zones,
-            slices: 0,
-            admission_mode: AdmissionMode::Share,
-            attempt_timeout_factor: 1.2,
-            proxies: proxies.into(),
-            min_server_connections: 200.0,
-        };
         let LimitSettings { max_messages, window, max_transit, drain_grace } = settings;
         let channel = ControlChannelLimits {
             entries_per_s: 1e6,
@@ -73,14 +65,14 @@
             max_transit,
             ..CHANNEL
         };
-        let timeouts = Timeouts {
-            warm_up: Duration::from_secs(16),
-            removal_is_final: true,
-            drain_grace,
-            cold_start: None,
-        };
+        let timeouts = Timeouts { warm_up: WARM_UP, removal_is_final: true, drain_grace, cold_start: None };
         let routes = vec![route(1.0, Idempotency::Idempotent), route(2.0, Idempotency::Idempotent)];
-        let mut harness = PolicyHarness::with_timeouts(capabilities, channel, routes, timeouts);
+        let mut harness = PolicyHarness::with_timeouts(
+            capabilities(zones, proxies.into(), 200.0),
+            channel,
+            routes,
+            timeouts,
+        );
         harness.update_endpoints(true, &warm_endpoints(0..servers, zones));
         let (joined_at, told_at) = (BTreeMap::new(), BTreeMap::new());
         let mut limited = LimitedPolicy { harness, settings, zones, servers, joined_at, told_at };
--- a/tests/policy/route_tables.rs
+++ b/tests/policy/route_tables.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 const STEP: Duration = ms(250);
-const WARM_UP: Duration = Duration::from_secs(16);
 /// The age of a server when the list tells its start.
 const LISTED_AGE: Duration = ms(500);
 /// The time for which a changed table may be on its way to the recording host.
@@ -44,27 +43,16 @@
         }
     }
 
-    fn start(&self, zone_local: RouteSet) -> PolicyHarness {
-        let capabilities = ProxyCapabilities {
-            zones: self.zones,
-            slices: 0,
-            admission_mode: AdmissionMode::Share,
-            attempt_timeout_factor: 1.2,
-            proxies: self.proxies,
-            min_server_connections: self.connections,
-        };
+    fn start(&self) -> PolicyHarness {
+        let capabilities = capabilities(self.zones, self.proxies, self.connections);
         let channel =
             ControlChannelLimits { entries_per_s: 1e6, max_queued_entries: 1e9, max_messages: 0, ..CHANNEL };
         let routes = (0..self.routes).map(|position| Route {
-            zone_local: zone_local & 1 << position != 0,
+            zone_local: self.zone_local & 1 << position != 0,
             ..route(1.0 + position as f64, Idempotency::Idempotent)
         });
         let mut harness = PolicyHarness::with_capabilities(capabilities, channel, routes.collect(), true);
-        harness.update_endpoints(true, &warm_endpoints(0..self.servers, self.zones));
-        for proxy in 0..self.proxies {
-            let zone = (proxy % self.zones) as ZoneId;
-            harness.policy.proxy_joined(harness.now, proxy as ProxyId, zone, true, 1.0);
-        }
+        harness.start(self.servers, self.zones, self.proxies);
         harness
     }
 
@@ -116,7 +104,7 @@
     for seed in 0..100 {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let deployment = Deployment::random(&mut rng, 1000.0);
-        let mut harness = deployment.start(deployment.zone_local);
+        let mut harness = deployment.start();
         let mut listed = Listed::new(&deployment);
         for _ in 0..240 {
             let mut replay = rng.clone();
@@ -159,7 +147,7 @@
     for seed in 0..60 {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let deployment = Deployment::random(&mut rng, connections);
-        let mut harness = deployment.start(deployment.zone_local);
+        let mut harness = deployment.start();
         let mut listed = Listed::new(&deployment);
         for step in 0..240 {
             let mut replay = rng.clone();
--- a/tests/policy/zone_admission.rs
+++ b/tests/policy/zone_admission.rs
@@ -12,7 +12,6 @@
 const STEP: Duration = ms(500);
 const ZONES: usize = 3;
 const ZONE_LOCAL_ROUTE: usize = 1;
-const WARM_UP: Duration = Duration::from_secs(16);
 /// The requests that a warm server answers per second: half of it are answered at a utilization of a half.
 const CAPACITY_PER_S: f64 = 40.0;
 /// The usual requests per second of a proxy.
@@ -33,14 +32,6 @@
 impl ReturningZone {
     /// Starts the deployment, and removes the zone after some time.
     fn new(cold_start: ColdStart, servers: usize, requests_per_s: u32) -> ReturningZone {
-        let capabilities = ProxyCapabilities {
-            zones: ZONES,
-            slices: 0,
-            admission_mode: AdmissionMode::Share,
-            attempt_timeout_factor: 1.2,
-            proxies: ZONES,
-            min_server_connections: 1000.0,
-        };
         let timeouts = Timeouts {
             warm_up: WARM_UP,
             removal_is_final: true,
@@ -48,13 +39,10 @@
             cold_start: Some(cold_start),
         };
         let channel = ControlChannelLimits { max_messages: 0, ..CHANNEL };
-        let zone_local = Route { zone_local: true, ..route(2.0, Idempotency::Idempotent) };
-        let routes = vec![route(1.0, Idempotency::Idempotent), zone_local];
+        let routes = vec![route(1.0, Idempotency::Idempotent), zone_local_route(2.0)];
+        let capabilities = capabilities(ZONES, ZONES, 1000.0);
         let mut harness = PolicyHarness::with_timeouts(capabilities, channel, routes, timeouts);
-        harness.update_endpoints(true, &warm_endpoints(0..servers, ZONES));
-        for zone in 0..ZONES as ZoneId {
-            harness.policy.proxy_joined(harness.now, zone, zone, true, 1.0);
-        }
+        harness.start(servers, ZONES, ZONES);
         let mut zone =
             ReturningZone { harness, cold_start, servers, requests_per_s, started_at: BTreeMap::new() };
         (0..24).for_each(|_| zone.step());
@@ -201,8 +189,7 @@
     // rounded to steps of a tenth.
     let bearable = 0.5 * 3.0 * (0.2 + 0.8 * 2.1 / WARM_UP.as_secs_f64());
     let max_level = 1.05 * bearable * full_level;
-    let zone_local = Route { zone_local: true, ..route(2.0, Idempotency::Idempotent) };
-    let routes = vec![route(1.0, Idempotency::Idempotent), zone_local];
+    let routes = vec![route(1.0, Idempotency::Idempotent), zone_local_route(2.0)];
     let mut harness = PolicyHarness::with_admission_mode(admission_mode, ZONES, CHANNEL, routes, 1.2);
     let listed = (0..15).map(|server| {
         let zone = (server % ZONES) as ZoneId;
--- a/tests/policy/zone_spill.rs
+++ b/tests/policy/zone_spill.rs
@@ -33,14 +33,8 @@
 
 /// Creates a harness with a route that may leave its zone and one that may not, and a joined proxy in each zone.
 fn with_zone_local_route(servers: usize, zones: usize) -> PolicyHarness {
-    let local = Route { zone_local: true, ..route(2.0, Idempotency::Idempotent) };
-    let routes = vec![route(1.0, Idempotency::Idempotent), local];
-    let mut harness = PolicyHarness::new(zones, CHANNEL, routes, 1.2);
-    harness.update_endpoints(true, &warm_endpoints(0..servers, zones));
-    for zone in 0..zones as ZoneId {
-        harness.policy.proxy_joined(harness.now, zone, zone, true, 1.0);
-    }
-    harness
+    let routes = vec![route(1.0, Idempotency::Idempotent), zone_local_route(2.0)];
+    PolicyHarness::with_routes(servers, zones, routes)
 }
 
 /// Even while all local servers are ejected, a zone-local route must not get servers of other zones, and must not be left
