Show that a failed call after a move of discovery can leave the planner deaf for good

Cause: the former watch's answer clears the poll that a failed call at the new address has made due.

--- a/review/standin-2/standins.py
+++ b/review/standin-2/standins.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import signal
 import socket
 import struct
 import subprocess
@@ -124,9 +125,34 @@
         self.watch_began = None
         self.busy = None
         self.condition = threading.Condition()
+        self.timeout_s = 2.0
+        self.place = None
+        self._open(0.0)
+
+    def _open(self, busy_s):
+        """Opens another address. Calls there have their turn when the calls of others are done, after so many seconds."""
         self.listener = socket.create_server((HOST, 0), backlog=64)
         self.address = "%s:%d" % (HOST, self.listener.getsockname()[1])
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.place = {"free_at": time.monotonic() + busy_s, "connections": [], "failed_at": None}
+        threading.Thread(target=self._accept, args=(self.listener, self.place), daemon=True).start()
+
+    def move(self, planner, busy_s):
+        """Moves to another address and tells the planner by its file and SIGHUP. What was there takes no new connection, and
+        closes the open ones after 1.5 s."""
+        listener, place = self.listener, self.place
+        self._open(busy_s)
+        listener.close()
+        planner.reload(discovery=self.address)
+        self.record.add("discovery: moved to another address; SIGHUP is sent to the planner")
+        threading.Timer(1.5, self._close_all, (place,)).start()
+
+    def _close_all(self, place):
+        for sock in place["connections"]:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        self.record.add("discovery: the open connections at the former address are closed")
 
     def put(self, entries):
         """Publishes entries as one new version of the list."""
@@ -150,12 +176,16 @@
                    if (since is None and e["state"] != "DELETED") or (since is not None and self.changed_at[i] > since)]
         return {"version": self.version, "full": since is None, "servers": entries}
 
-    def _accept(self):
+    def _accept(self, listener, place):
         while True:
-            sock, _ = self.listener.accept()
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            place["connections"].append(sock)
+            threading.Thread(target=self._serve, args=(sock, place), daemon=True).start()
 
-    def _serve(self, sock):
+    def _serve(self, sock, place):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         data = b""
         try:
@@ -169,6 +199,13 @@
                 path = head.split(b" ", 2)[1].decode()
                 query = dict(p.split("=") for p in path.partition("?")[2].split("&") if "=" in p)
                 arrived = time.monotonic()
+                if place["free_at"] > arrived:
+                    time.sleep(min(self.timeout_s, place["free_at"] - arrived))
+                    if place["free_at"] - arrived > self.timeout_s:
+                        place["failed_at"] = time.monotonic()
+                        self.record.add("discovery: a call at the new address waited for too long and ends in 503")
+                        sock.sendall(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                        continue
                 answer = self._wait(query)
                 if self.busy and not self._take_turn(sock, query, arrived):
                     continue
@@ -247,6 +284,7 @@
         self.file = os.path.join(folder, "config.json")
         with open(self.file, "w", encoding="utf-8") as file:
             json.dump(config, file)
+        self.config = config
         self.folder = folder
         self.process = None
 
@@ -265,6 +303,14 @@
             time.sleep(0.05)
         raise CannotRun("the planner does not answer")
 
+    def reload(self, **changed):
+        """Replaces the file of the configuration as a whole and sends SIGHUP."""
+        self.config.update(changed)
+        with open(self.file + ".new", "w", encoding="utf-8") as file:
+            json.dump(self.config, file)
+        os.replace(self.file + ".new", self.file)
+        self.process.send_signal(signal.SIGHUP)
+
     def ping(self, limit):
         """Returns the seconds until the planner answered PING on a new connection; None if it did not within the limit."""
         began = time.monotonic()
