--- a/review/6/case.py
+++ b/review/6/case.py
@@ -37,7 +37,7 @@
             except OSError:
                 self.closed_after = time.monotonic() - self.began
                 break
-        ended = "closed after %.1f s" % self.closed_after if self.closed_after else "not closed for %.0f s, ends by itself" % FLOOD_S
+        ended = "its connection ended after %.1f s" % self.closed_after if self.closed_after else "not closed for %.0f s, ends by itself" % FLOOD_S
         self.record.add("endless client: %d bytes sent, %s" % (self.sent, ended))
         sock.close()
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Discovery has too many callers for some seconds, and a drain is due in that time."""
+"""Two rolling deploys, each drain right after a message of the planner."""
 
 import os
 import sys
@@ -7,58 +7,46 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standin-2"))
 
-from sites import zeilenwerk  # noqa: E402
+from sites import kolkata, unix_ms  # noqa: E402
 from standins import CannotRun, Discovery, Planner, entry, run_case  # noqa: E402
 from world import World  # noqa: E402
 
-SPELLS = 4
-SPELL_S = 4.2
-FIRST_WAIT_S = 1.6
-
-
-class Callers:
-    """Too many callers at discovery, which handles calls one after another, for one spell at a time.
-
-    The call that is due when they come waits for 1.6 s; one that comes later in the spell would wait for over 2 s.
-    """
-
-    def __init__(self):
-        self.began = None
-
-    def __call__(self, due):
-        if self.began is None or due > self.began + SPELL_S:
-            return None
-        return FIRST_WAIT_S if due < self.began + 0.5 else 3.0
+DEPLOYS = 2
+AT_A_TIME = 3
+STEPS = 5
+STEP_S = 5.0
 
 
 def case(record, folder, trouble, started):
-    settings, figures, servers, proxies = zeilenwerk()
+    settings, figures, servers, proxies = kolkata()
     discovery = Discovery(record)
     discovery.put([entry(server.name, server.zone, kind=server.kind) for server in servers])
     planner = Planner(record, folder, settings, discovery, discovery.full_list())
     started.append(planner)
     planner.start()
     world = World(record, settings, figures, servers, proxies, discovery, planner)
-    world.run(12)
-    callers = Callers()
-    discovery.busy = callers if trouble else None
-    for spell in range(SPELLS):
-        drained = servers[spell]
-        if not all(drained.name in table for proxy in proxies for table in proxy.tables.values()):
-            record.add("not every proxy has a line to " + drained.name)
-        seen = discovery.watch_began
-        if not world.run(8, until=lambda: discovery.watch_began != seen):
-            raise CannotRun("the planner does not watch the list")
-        world.run(max(0.0, discovery.watch_began + 3.2 - time.monotonic()))
-        if trouble:
-            callers.began = time.monotonic()
-            record.add("discovery: too many callers from now on, for %.1f s" % SPELL_S)
-        discovery.put([dict(discovery.entries[drained.name], state="DRAINING")])
-        world.run(14)
-        told = world.told(drained.name)
-        if told is None:
-            raise CannotRun("the drain of %s was not told" % drained.name)
-        record.add("the drain of %s counts as told at %.3f" % (drained.name, told - record.began))
+    world.run(14)
+    if not any(proxy.cold for proxy in proxies) and len(world.message_log) > len(proxies):
+        record.add("all proxies have tables; weights change")
+    else:
+        raise CannotRun("the planner sent no tables or no changes")
+    due = []
+    for _ in range(DEPLOYS):
+        for step in range(STEPS):
+            replaced = servers[step * AT_A_TIME:(step + 1) * AT_A_TIME]
+            began = time.monotonic()
+            seen = len(world.message_log)
+            world.run(2.5, until=lambda: len(world.message_log) > seen)
+            if trouble:
+                record.add("deploy: draining %s, %.0f ms after the last message"
+                           % (" ".join(s.name for s in replaced), 1000 * (time.monotonic() - world.message_log[-1][0])))
+                discovery.put([dict(discovery.entries[s.name], state="DRAINING") for s in replaced])
+                due.append(replaced)
+            while time.monotonic() - began < STEP_S:
+                world.run(0.05)
+                if trouble and due and time.monotonic() - began > 4.4:
+                    restart(world, due.pop(0))
+        world.run(20)
     record.add(world.summary())
     if planner.process.poll() is not None:
         return "the planner ended with %s" % planner.process.returncode
@@ -69,4 +57,12 @@
             % (len(world.late_sends), 1000 * latest))
 
 
+def restart(world, replaced):
+    """The drained servers are replaced by new processes, which start cold and are listed at once."""
+    for server in replaced:
+        server.restart(time.monotonic(), 0.35, 10.0)
+    listed = world.discovery.entries
+    world.discovery.put([dict(listed[s.name], state="SERVING", started_ms=unix_ms()) for s in replaced])
+
+
 run_case(HERE, case)
--- a/review/standin-2/standins.py
+++ b/review/standin-2/standins.py
@@ -1,16 +1,18 @@
-"""Stand-ins of the operators' platform for the cases of the second review: discovery, proxies, the planner process.
+"""Stand-ins of the operators' platform for the cases of the second review: discovery and the planner's process.
+
+The proxies are in world.py.
 
 Written from the platform's pages (PROTOCOL.md, DEPLOY.md) with the standard library alone. Every address is on loopback.
 """
 
 import json
 import os
+import random
 import re
 import signal
 import socket
 import struct
 import subprocess
-import sys
 import tempfile
 import threading
 import time
@@ -29,6 +31,7 @@
 
     def __init__(self, path):
         self.file = open(path, "w", encoding="utf-8")
+        self.seed = int(os.environ.get("SEED") or random.SystemRandom().getrandbits(32))
         self.began = time.monotonic()
         self.lock = threading.Lock()
 
@@ -278,7 +281,7 @@
         self.port = port or free_port()
         self.address = (HOST, self.port)
         config = {
-            "name": "n0", "listen": "%s:%d" % self.address, "discovery": discovery.address, "seed": "8c1f30d27a5be964",
+            "name": "n0", "listen": "%s:%d" % self.address, "discovery": discovery.address, "seed": "%x" % record.seed,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "known": known, "settings": settings,
         }
         self.file = os.path.join(folder, "config.json")
@@ -329,102 +332,21 @@
             self.process.wait()
 
 
-class Proxy:
-    """A proxy: one stream to the planner; its tables, levels and marks as ordered. It redials after a break."""
-
-    def __init__(self, record, planner, node, zone, classes, standing, rate=8.0):
-        self.record, self.planner, self.node, self.zone, self.rate = record, planner, node, zone, rate
-        self.tables = {name: {server: 1.0 for server in standing} for name in classes}
-        self.levels = {}
-        self.cold = True
-        self.lock = threading.Lock()
-        self.stopped = False
-        self.joined_at = None
-        self.sock = None
-        self.messages = []
-        self.removed_at = {}
-        threading.Thread(target=self._run, daemon=True).start()
-
-    def holds(self, server):
-        with self.lock:
-            return any(server in table for table in self.tables.values())
-
-    def servers(self, name):
-        with self.lock:
-            return dict(self.tables[name])
-
-    def send(self, message):
-        try:
-            self.sock.sendall(frame(message))
-        except (OSError, AttributeError):
-            pass
-
-    def _run(self):
-        while not self.stopped:
-            try:
-                with socket.create_connection(self.planner.address, timeout=5) as sock:
-                    sock.settimeout(None)
-                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                    self.sock = sock
-                    sock.sendall(frame({"msg": "SUBSCRIBE", "node": self.node, "locality": self.zone, "w": self.rate,
-                                        "cold": self.cold}))
-                    self.joined_at = time.monotonic()
-                    self._read(sock)
-            except OSError:
-                pass
-            if not self.stopped:
-                self.record.add("proxy %d: its stream broke" % self.node)
-                time.sleep(0.5)
-
-    def _read(self, sock):
-        began = time.monotonic()
-        first = True
-        while True:
-            message = read_frame(sock)
-            if message is None:
-                return
-            if message.get("msg") != "CONFIG":
-                continue
-            self._apply(message)
-            if first:
-                self.record.add("proxy %d: first table %d ms after its joining" % (self.node, 1000 * (time.monotonic() - began)))
-                first = False
-            if "ticket" in message:
-                sock.sendall(frame({"msg": "ACK", "node": self.node, "nonce": message["ticket"], "latency": 1.0}))
-
-    def _apply(self, message):
-        with self.lock:
-            now = time.monotonic()
-            names = message.get("classes") or list(self.tables)
-            if "lines" in message or message.get("whole"):
-                for name in names:
-                    if message.get("whole"):
-                        self.tables[name] = {}
-                        self.levels.pop(name, None)
-                    for server, weight in message.get("lines", []):
-                        if weight > 0:
-                            self.tables[name][server] = weight
-                        else:
-                            self.tables[name].pop(server, None)
-                            self.removed_at[server] = now
-                self.cold = False
-            if "level" in message:
-                for name in names:
-                    self.levels[name] = (message["level"], message["retry"])
-            if not message.get("more"):
-                self.messages.append(now)
-
-
 def entry(server, zone, state="SERVING", started_ms=0, kind="r3-std", cell=1, port=1):
     return {"id": server, "addr": "%s:%d" % (HOST, port), "zone": zone, "kind": kind, "cell": cell, "state": state,
             "weight": 1.0, "started_ms": started_ms}
 
 
+def _time_is_over(*_):
+    raise CannotRun("it was told to end")
+
+
 def run_case(folder, case):
     """Runs `case(record, temporary folder, trouble)`; it returns a text that says how the rule was broken, or None."""
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record.add("case %s, %s the disruption" % (os.path.basename(folder), "with" if trouble else "without"))
+    record.add("case %s, %s the disruption, SEED=%d" % (os.path.basename(folder), "with" if trouble else "without", record.seed))
+    signal.signal(signal.SIGTERM, _time_is_over)
     started = []
     with tempfile.TemporaryDirectory() as temporary:
         try:
--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -14,12 +14,21 @@
 import struct
 import time
 
-from standins import HOST, CannotRun, entry, frame
+from standins import frame
 
 STEP = 0.005
 SLACK = 0.3
 
 
+def _describe(part):
+    lines = part.get("lines", [])
+    removed = [server for server, weight in lines if weight == 0]
+    text = ("whole table, " if part.get("whole") else "") + "%d lines" % len(lines)
+    text += ", without " + " ".join(removed) if removed else ""
+    text += ", level %s retry %s" % (part["level"], part["retry"]) if "level" in part else ""
+    return "[%s]" % text
+
+
 class Server:
     """A server: queued work is done at its cores' speed times its warmth. Overloaded for too long while cold, it falls over."""
 
@@ -106,11 +115,11 @@
 class World:
     """`sites` are the figures of the deployment; see `kolkata` and `zeilenwerk` for their names."""
 
-    def __init__(self, record, settings, figures, servers, proxies, discovery, planner, seed=7):
+    def __init__(self, record, settings, figures, servers, proxies, discovery, planner):
         self.record, self.settings, self.figures = record, settings, figures
         self.servers = {server.name: server for server in servers}
         self.proxies, self.discovery, self.planner = proxies, discovery, planner
-        self.random = random.Random(seed)
+        self.random = random.Random(record.seed)
         self.classes = [c["name"] for c in settings["classes"]]
         self.zones = settings["zones"]
         info, rules = settings["familyInfo"], settings["invariants"]
@@ -132,6 +141,8 @@
         self.late_sends, self.bare, self.most_waiting = [], [], 0.0
         self.most_messages = 0
         self.message_log = []
+        self.next_line = self.loop_at + 1.0
+        self.counted = (0, 0)
 
     # What happens to the deployment.
 
@@ -172,10 +183,18 @@
         self._apply(now)
         self._requests(now, elapsed)
         self._reports(now)
+        if now >= self.next_line:
+            self._write_line()
         pause = STEP - (time.monotonic() - now)
         if pause > 0:
             time.sleep(pause)
 
+    def _write_line(self):
+        self.next_line += 1.0
+        asked, answered = sum(self.asked.values()), sum(self.answered.values())
+        self.record.add("proxies: %d requests came, %d were answered" % (asked - self.counted[0], answered - self.counted[1]))
+        self.counted = (asked, answered)
+
     def _streams(self, now):
         for proxy in self.proxies:
             if proxy.sock is None and now >= proxy.redial_at and not proxy.silent:
@@ -248,6 +267,8 @@
             arrives = max(arrives, proxy.due[-1][0])
         proxy.due.append((arrives, now, parts))
         self.message_log.append((now, proxy.node))
+        said = " ".join(_describe(part) for part in parts)
+        self.record.add("planner: to proxy %d, in effect after %.0f ms: %s" % (proxy.node, 1000 * (arrives - now), said))
 
     def _apply(self, now):
         for proxy in self.proxies:
