--- a/review/standin-2/sites.py
+++ b/review/standin-2/sites.py
@@ -1,4 +1,9 @@
-"""Small deployments of the sites, with figures from within the ranges of their pages; figures that no page gives are said so."""
+"""Small deployments of the sites, with figures from within the ranges of their pages.
+
+What a site's page doesn't give is taken from the example of the wire page (unservedMaxMs, askEveryMs, holdMs, tenureMs, writeLifeMs) or
+chosen here: what kinds of machine there are in which zone, how the load is divided among the proxies, an even rise of a cold
+server's capacity, an exponential way of a message that is cut at worstTransitMs. Probes are off, so servers need no address.
+"""
 
 import random
 import time
