Name each case's record.txt in the case itself

Cause: the cases left the name of their record to the stand-ins, so nothing in review/6 to review/10 named it.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -160,4 +160,4 @@
             % (DRAINING, settings["invariants"]["drainGraceMs"]))
 
 
-run_case(HERE, case)
+run_case(os.path.join(HERE, "record.txt"), case)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -79,4 +79,4 @@
             % (len(world.late_sends), DRAINED, latest, closing)).strip()
 
 
-run_case(HERE, case)
+run_case(os.path.join(HERE, "record.txt"), case)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -65,4 +65,4 @@
     world.discovery.put([dict(listed[s.name], state="SERVING", started_ms=unix_ms()) for s in replaced])
 
 
-run_case(HERE, case)
+run_case(os.path.join(HERE, "record.txt"), case)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -69,4 +69,4 @@
             % (len(world.late_sends), 1000 * latest))
 
 
-run_case(HERE, case)
+run_case(os.path.join(HERE, "record.txt"), case)
--- a/review/standin-2/standins.py
+++ b/review/standin-2/standins.py
@@ -341,11 +341,11 @@
     raise CannotRun("it was told to end")
 
 
-def run_case(folder, case):
-    """Runs `case(record, temporary folder, trouble)`; it returns a text that says how the rule was broken, or None."""
-    record = Record(os.path.join(folder, "record.txt"))
+def run_case(path, case):
+    """Runs `case` with its record at `path`; it returns a text that says how the rule was broken, or None."""
+    record = Record(path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record.add("case %s, %s the disruption, SEED=%d" % (os.path.basename(folder), "with" if trouble else "without", record.seed))
+    record.add("case %s, %s the disruption, SEED=%d" % (os.path.basename(os.path.dirname(path)), "with" if trouble else "without", record.seed))
     signal.signal(signal.SIGTERM, _time_is_over)
     started = []
     with tempfile.TemporaryDirectory() as temporary:
