Drop the commands of a killed instance from the reply of its batch

Cause: all instances write to one reply of bare bytes; the end of an instance left what it had written. Evidence: the binding stands in the reply of the batch of the kill. With Down one batch later, or the join after the successor's birth, it doesn't (foretold; both run).

Change: the reply holds each command with its instance until the batch ends, and the end of an instance, by a kill or by a start in its place, removes its commands. So a reply has only what running instances have sent since their start.

--- a/crates/wirehost/src/frame.rs
+++ b/crates/wirehost/src/frame.rs
@@ -115,41 +115,55 @@
     }
 }
 
-/// The records of a reply. A record that names the instance precedes a command only if the instance differs from that of the
-/// previous command.
+/// A command of one instance, as a record of the reply.
+struct Command {
+    instance: u32,
+    record: [u8; COMMAND_BYTES],
+}
+
+/// The commands of a reply, in the order in which they were sent.
 #[derive(Default)]
 pub(crate) struct Reply {
-    records: Vec<u8>,
-    count: u32,
-    instance: Option<u32>,
+    commands: Vec<Command>,
 }
 
 impl Reply {
     /// Appends a command of an instance.
     pub(crate) fn append(&mut self, instance: u32, code: u16, fields: &[&[u8]]) {
-        if self.instance != Some(instance) {
-            self.instance = Some(instance);
-            self.append_record(command::INSTANCE, &[&instance.to_be_bytes()]);
-        }
-        self.append_record(code, fields);
+        self.commands.push(Command { instance, record: command_record(code, fields) });
     }
 
-    fn append_record(&mut self, code: u16, fields: &[&[u8]]) {
-        let end = self.records.len() + COMMAND_BYTES;
-        self.records.extend(code.to_be_bytes());
-        for field in fields {
-            self.records.extend(*field);
-        }
-        self.records.resize(end, 0);
-        self.count += 1;
+    /// Removes the commands of an instance that has ended. The simulator would carry them out for the instance that has this
+    /// number after the batch.
+    pub(crate) fn discard(&mut self, instance: u32) {
+        self.commands.retain(|command| command.instance != instance);
     }
 
-    /// Returns the frame of the reply and clears the reply.
+    /// Returns the frame of the reply and clears the reply. A record that names the instance precedes a command only if the
+    /// instance differs from that of the previous command.
     pub(crate) fn take_frame(&mut self) -> Vec<u8> {
-        let mut frame = self.count.to_be_bytes().to_vec();
-        frame.extend((self.records.len() as u32 + REPLY_HEADER_BYTES).to_be_bytes());
-        frame.append(&mut self.records);
-        *self = Reply::default();
+        let commands = std::mem::take(&mut self.commands);
+        let mut records = Vec::with_capacity(commands.len() * COMMAND_BYTES);
+        for run in commands.chunk_by(|command, next| command.instance == next.instance) {
+            let instance = run[0].instance.to_be_bytes();
+            records.extend(command_record(command::INSTANCE, &[&instance]));
+            records.extend(run.iter().flat_map(|command| command.record));
+        }
+        let count = (records.len() / COMMAND_BYTES) as u32;
+        let length = records.len() as u32 + REPLY_HEADER_BYTES;
+        let mut frame = [count.to_be_bytes(), length.to_be_bytes()].concat();
+        frame.append(&mut records);
         frame
     }
 }
+
+/// Returns a record of the reply: the code and the fields, padded with zeros.
+fn command_record(code: u16, fields: &[&[u8]]) -> [u8; COMMAND_BYTES] {
+    let mut record = [0; COMMAND_BYTES];
+    let mut end = 0;
+    for field in [&code.to_be_bytes()[..]].iter().chain(fields) {
+        record[end..end + field.len()].copy_from_slice(field);
+        end += field.len();
+    }
+    record
+}
--- a/crates/wirehost/src/instances.rs
+++ b/crates/wirehost/src/instances.rs
@@ -55,7 +55,7 @@
         match record.u16(0) {
             event::INSTANCE_STARTED => self.start(batch, record, number),
             event::INSTANCE_STOPPED => {
-                self.instances.remove(&number);
+                self.stop(number);
                 Ok(())
             }
             _ => {
@@ -77,9 +77,16 @@
     /// Starts an instance and replaces an existing instance with the same number.
     fn start(&mut self, batch: &Batch, record: Fields, number: u32) -> Result<(), RecordError> {
         let settings = PlatformSettings::from_pairs(batch.tail(record, 10, 1)?)?;
+        self.stop(number);
         let reply = self.reply.clone();
         let instance = Instance::start(number, batch.clock_ms, record.u64(2), &settings, reply)?;
         self.instances.insert(number, instance);
         Ok(())
     }
+
+    /// Ends an instance. Its commands of this batch have had no effect yet, and must not affect a successor.
+    fn stop(&mut self, number: u32) {
+        self.instances.remove(&number);
+        self.reply.borrow_mut().discard(number);
+    }
 }
