Keep a due poll of the endpoint list due, whatever list arrives before it

Cause: any list cleared the time of the next poll, also one that a failure had just made due. Evidence: failure then list, no poll; list then failure, a poll with the next tick; both foretold and run on the former code.

Change: EndpointPoll is due, pending or answered, and a list answers only a pending poll. The failure needs no time any more.

--- a/crates/controller/src/controller/endpoints.rs
+++ b/crates/controller/src/controller/endpoints.rs
@@ -73,7 +73,7 @@
 
     /// Handles a failed poll of the endpoint list or the end of its watch.
     pub fn endpoint_poll_failed(&mut self, now: Duration) {
-        self.policy.endpoint_poll_failed(now);
+        self.policy.endpoint_poll_failed();
         self.publish(now, UpdateCause::EndpointsChanged);
     }
 
--- a/crates/platform-protocol/src/session_manager/endpoints.rs
+++ b/crates/platform-protocol/src/session_manager/endpoints.rs
@@ -76,7 +76,7 @@
     pub fn endpoint_list_failed(&mut self, now: Duration, cause: &str) {
         self.warn(now, WarningKind::ListRequestFailed, &cause);
         self.list_requested = false;
-        self.policy.endpoint_poll_failed(now);
+        self.policy.endpoint_poll_failed();
         self.flush();
     }
 
--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -117,7 +117,7 @@
             list_kind::CHANGES => false,
             list_kind::COMPLETE | list_kind::COMPLETE_AT_START => true,
             list_kind::POLL_FAILED => {
-                self.policy.endpoint_poll_failed(now);
+                self.policy.endpoint_poll_failed();
                 return Ok(());
             }
             unknown => return Err(RecordError::UnknownListKind(unknown)),
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -3,7 +3,9 @@
 //! A list may be late or wrong: if removals are not final, a removed server that answers stays in use.
 
 use crate::host::{Endpoint, EndpointState, LoadMetric, LoadReport, PolicyHost, ServerIndex};
-use crate::state::{LoadSample, OutlierDetector, Policy, ServerState, SlowStart, evict_expired};
+use crate::state::{
+    EndpointPoll, LoadSample, OutlierDetector, Policy, ServerState, SlowStart, evict_expired,
+};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -63,9 +65,9 @@
 impl<H: PolicyHost> Policy<H> {
     /// Applies an endpoint list. A `complete` list removes all servers that it does not contain.
     pub fn endpoints_updated(&mut self, now: Duration, complete: bool, endpoints: &[Endpoint]) {
-        // A list that is present at the start is not the answer to a poll.
-        if !now.is_zero() {
-            self.next_poll_at = None;
+        // A list that arrives while no poll is pending is not the answer to the poll that is due.
+        if matches!(self.endpoint_poll, EndpointPoll::Pending { .. }) {
+            self.endpoint_poll = EndpointPoll::Answered;
         }
         for endpoint in endpoints {
             self.update_endpoint(now, endpoint);
@@ -116,15 +118,20 @@
 
     /// Records that a poll of the list failed. The next tick repeats the poll; this call does not, so that a service that
     /// rejects polls is not flooded.
-    pub fn endpoint_poll_failed(&mut self, now: Duration) {
-        self.next_poll_at = Some(now);
+    pub fn endpoint_poll_failed(&mut self) {
+        self.endpoint_poll = EndpointPoll::Due;
     }
 
     /// Polls the endpoint list if a poll is due. Polls are repeated at half of the longest permitted interval.
     pub(super) fn poll_endpoints_if_due(&mut self, now: Duration) {
         let Some(interval) = self.observability.endpoint_poll_interval else { return };
-        if self.next_poll_at.is_some_and(|at| now >= at) {
-            self.next_poll_at = Some(now + interval / 2);
+        let due = match self.endpoint_poll {
+            EndpointPoll::Due => true,
+            EndpointPoll::Pending { repeat_at } => now >= repeat_at,
+            EndpointPoll::Answered => false,
+        };
+        if due {
+            self.endpoint_poll = EndpointPoll::Pending { repeat_at: now + interval / 2 };
             self.host.poll_endpoints();
         }
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -28,7 +28,7 @@
     ControlChannelLimits, Observability, PolicyHost, ProxyCapabilities, Route, Timeouts, Timer,
 };
 pub use crate::state::Policy;
-use crate::state::{AdmissionControl, ControlChannel, SubsetSize, ZoneSpill, mean};
+use crate::state::{AdmissionControl, ControlChannel, EndpointPoll, SubsetSize, ZoneSpill, mean};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
@@ -66,7 +66,7 @@
             timeouts,
             observability,
             servers: vec![],
-            next_poll_at: Some(Duration::ZERO),
+            endpoint_poll: EndpointPoll::Due,
             ticks: 0,
             channel: ControlChannel::new(channel_limits, timeouts.drain_grace),
             pools: vec![],
--- a/src/state.rs
+++ b/src/state.rs
@@ -263,6 +263,17 @@
     pub(crate) bound: bool,
 }
 
+/// The state of polling the endpoint list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EndpointPoll {
+    /// The next tick polls the list: no poll was sent yet, or the last one has failed.
+    Due,
+    /// A poll was sent and is repeated at this time unless a list arrives.
+    Pending { repeat_at: Duration },
+    /// A list has arrived since the last poll. The host reports further changes, or a failure.
+    Answered,
+}
+
 /// The load-balancing policy of one planner: see [`crate::policy`].
 pub struct Policy<H> {
     pub(crate) host: H,
@@ -274,8 +285,7 @@
     pub(crate) observability: Observability,
     /// By [`ServerIndex`](crate::host::ServerIndex).
     pub(crate) servers: Vec<ServerState>,
-    /// The time of the next poll of the endpoint list; `None` after a list has arrived, until a poll fails.
-    pub(crate) next_poll_at: Option<Duration>,
+    pub(crate) endpoint_poll: EndpointPoll,
     /// The number of ticks since the start.
     pub(crate) ticks: u32,
     pub(crate) admission: AdmissionControl,
