Await each answer of discovery for as long as the protocol gives it

Cause: the planner hung up 0.7 s after the wait of its long poll; the protocol gives discovery 2 s beyond the wait. Evidence: an answer 0.2 s after the wait brings the drain, one 1.9 s after it doesn't, as foretold; the warning says "no answer within 4.7s".

Change: each request is awaited for its wait, 2 s and 0.2 s for the network. An answer that is 0.7 s overdue may be lost, so the next request goes out then, beside the pending one, in the place where requests to former addresses already were. An answer that is older than the known list changes nothing.

--- a/crates/launcher/tests/platform.rs
+++ b/crates/launcher/tests/platform.rs
@@ -11,6 +11,10 @@
 use std::net::SocketAddr;
 use std::process::Command;
 use std::thread;
+use std::time::Duration;
+
+/// The time for which the planner asks discovery to wait for changes.
+const LONG_POLL_WAIT: Duration = ms(4000);
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_grebespool");
 
@@ -43,6 +47,31 @@
     assert!(proxies.iter().all(|p| !p.ended() && p.state().full_tables == 1));
 }
 
+/// The time that the platform's protocol gives discovery for an answer, beyond the wait of the request.
+const DISCOVERY_ANSWER_TIME: Duration = ms(2000);
+
+/// Guards against a planner that hangs up on discovery before the answer of its watch is due: the drain is in that answer,
+/// and discovery rejects all other requests.
+#[rstest]
+#[case::soon_after_the_wait(ms(200))]
+#[case::as_late_as_the_protocol_allows(DISCOVERY_ANSWER_TIME - ms(100))]
+fn drain_in_a_late_answer_of_a_long_poll_reaches_every_proxy(#[case] delay: Duration) {
+    let discovery = Discovery::new(6);
+    let planner = start(&discovery, 128);
+    let proxies = join_all(&planner, 6, true);
+    wait_until("the planner watches the list", ms(5000), || {
+        discovery.list().requests.last().is_some_and(|path| path.ends_with("timeout_ms=4000"))
+    });
+    discovery.set_behavior(DiscoveryBehavior::Busy(LONG_POLL_WAIT + delay));
+    discovery.publish(&[endpoint(2, "DRAINING")]);
+    wait_until(
+        "the draining server has left every table",
+        LONG_POLL_WAIT + DISCOVERY_ANSWER_TIME + ms(700),
+        || proxies.iter().all(|p| !p.has("s2")),
+    );
+    assert!(proxies.iter().all(|p| !p.ended()));
+}
+
 #[rstest]
 fn watches_the_list_instead_of_polling() {
     let discovery = Discovery::new(6);
--- a/crates/platform-protocol/src/endpoint_watch.rs
+++ b/crates/platform-protocol/src/endpoint_watch.rs
@@ -7,13 +7,15 @@
 /// The time that a long poll waits for changes. The platform counts a planner as notified of a change 2 s after the
 /// wait of the request in which the change occurred, so a longer wait would leave drains unknown for longer.
 const LONG_POLL_WAIT: Duration = Duration::from_secs(4);
-/// The time that an answer may take beyond the wait of a long poll: the round trip and a slow service.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 /// The wait of a request that discovery has to answer at once.
 const NO_WAIT: Duration = Duration::from_millis(1);
-/// The time limit of a request that discovery has to answer at once. Discovery serves one request after another, and
-/// ends a request with its own, shorter time limit.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(2200);
+/// The time that the platform's protocol gives discovery for an answer, beyond the wait of the request. Discovery serves one
+/// request after another, and ends a request that takes longer.
+const MAX_ANSWER_TIME: Duration = Duration::from_secs(2);
+/// The time for connecting and for the way of a request and its answer.
+const MAX_ROUND_TRIP: Duration = Duration::from_millis(200);
+/// The time beyond the wait of a long poll after which its answer may be lost, so that another request is sent beside it.
+const OVERDUE_AFTER: Duration = Duration::from_millis(700);
 
 /// One request for the endpoint list.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -26,6 +28,9 @@
     pub path: String,
     /// True if discovery delays the answer until the list changes or the wait ends.
     pub long_poll: bool,
+    /// The time after which the next request is sent even if this one is not answered. Unset if the next request has to wait
+    /// for the answer.
+    pub overdue_after: Option<Duration>,
     /// The time limit of the whole request, from connecting to the last byte of the answer.
     pub timeout: Duration,
 }
@@ -39,7 +44,7 @@
     /// True until a full list was received. A failed request does not reset this flag.
     needs_full_list: bool,
     active: bool,
-    /// True if no request was answered since the watch began or changed its address.
+    /// True if no request was answered since the watch began, changed its address or had an overdue answer.
     unanswered: bool,
 }
 
@@ -90,9 +95,19 @@
         let since = known_version.filter(|_| !self.needs_full_list);
         let long_poll = since.is_some() && !self.unanswered;
         let wait = if long_poll { LONG_POLL_WAIT } else { NO_WAIT };
-        let timeout = if long_poll { LONG_POLL_WAIT + ANSWER_TIMEOUT } else { REQUEST_TIMEOUT };
-        let path = endpoint_list_path(since.map(|version| (version, wait)));
-        ListRequest { address: self.address, since, path, long_poll, timeout }
+        ListRequest {
+            address: self.address,
+            since,
+            path: endpoint_list_path(since.map(|version| (version, wait))),
+            long_poll,
+            overdue_after: long_poll.then_some(wait + OVERDUE_AFTER),
+            timeout: wait + MAX_ANSWER_TIME + MAX_ROUND_TRIP,
+        }
+    }
+
+    /// Records that the answer to a long poll is overdue. Discovery answers the next request at once.
+    pub fn request_overdue(&mut self) {
+        self.unanswered = true;
     }
 
     /// Records that the answer to a request was applied. An answer from a former address does not count as an answer of
--- a/crates/platform-protocol/src/server_registry.rs
+++ b/crates/platform-protocol/src/server_registry.rs
@@ -194,6 +194,12 @@
         list: &EndpointList,
     ) -> ListUpdate {
         let mut update = ListUpdate::default();
+        // A later request was answered first. The next answer starts from its version.
+        let is_outdated = since.is_some_and(|since| since <= list.version)
+            && self.version.is_some_and(|known| list.version < known);
+        if is_outdated {
+            return update;
+        }
         // These are not changes since the known version: discovery has restarted or has answered another watcher's
         // request.
         let went_back = !list.full && since.is_none_or(|since| list.version < since);
--- a/crates/platform-protocol/tests/endpoint_watch.rs
+++ b/crates/platform-protocol/tests/endpoint_watch.rs
@@ -3,8 +3,14 @@
 #![allow(missing_docs, unreachable_pub, clippy::unwrap_used, reason = "a test fails by a panic")]
 
 use grebespool_platform_protocol::{EndpointWatch, ListRequest};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The time that the platform's protocol gives discovery beyond the wait of a request.
+const PROTOCOL_ANSWER_TIME: Duration = Duration::from_secs(2);
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -87,3 +93,46 @@
     watch.request();
     assert!(!watch.is_active() && watch.begin());
 }
+
+/// Returns the time for which discovery may wait for changes before it answers.
+fn wait(request: &ListRequest) -> Duration {
+    let wait = request.path.split("timeout_ms=").nth(1).map_or(0, |wait| wait.parse().unwrap());
+    Duration::from_millis(wait)
+}
+
+/// Guards against a request that is given up before its answer is due: each request is awaited for as long as the protocol
+/// gives discovery, in any order of answers, failures, overdue answers and changes of the address. A long poll that is
+/// overdue does not delay the next request, which is answered at once.
+#[rstest]
+fn every_request_is_awaited_as_long_as_discovery_may_take() {
+    let mut rng = Pcg64Mcg::seed_from_u64(9);
+    let (mut watch, mut known) = (EndpointWatch::new(address(1)), None);
+    let mut long_polls = 0;
+    for _ in 0..2000 {
+        if !watch.is_active() {
+            watch.request();
+            assert!(watch.begin());
+        }
+        let request = watch.next_request(known);
+        assert!(request.timeout >= wait(&request) + PROTOCOL_ANSWER_TIME, "{request:?}");
+        assert_eq!(request.long_poll, request.overdue_after.is_some());
+        assert!(
+            request.overdue_after.is_none_or(|overdue| wait(&request) < overdue && overdue < request.timeout)
+        );
+        long_polls += u32::from(request.long_poll);
+        match rng.random_range(0..8) {
+            0 => watch.end(),
+            1 => watch.request_full_list(),
+            2 => assert!(watch.set_address(address(request.address.port() + 1))),
+            3 if request.long_poll => {
+                watch.request_overdue();
+                assert!(!watch.next_request(known).long_poll);
+            }
+            _ => {
+                watch.request_answered(&request);
+                known = Some(known.map_or(1, |version: u64| version + rng.random_range(0..2)));
+            }
+        }
+    }
+    assert!(long_polls > 500);
+}
--- a/crates/platform-protocol/tests/session_manager/endpoint_lists.rs
+++ b/crates/platform-protocol/tests/session_manager/endpoint_lists.rs
@@ -157,3 +157,19 @@
     }
     assert_eq!(proxy_table.contains_key("s0"), stays_in_table, "{proxy_table:?}");
 }
+
+/// Two requests are pending at once if an answer is overdue. Guards against the older answer, arriving last, undoing a drain
+/// of the newer one.
+#[rstest]
+#[case::changes(false)]
+#[case::full_list(true)]
+fn answer_that_is_older_than_the_known_list_changes_nothing(#[case] full: bool) {
+    let mut harness = Harness::new(2);
+    harness.join(1, 5);
+    harness.receive_list(Some(3), &list(6, false, vec![server(0, "DRAINING", 0)])).unwrap();
+    harness.receive_list(Some(3), &list(4, full, vec![server(0, "SERVING", 0)])).unwrap();
+    assert_eq!(harness.manager.endpoint_list_version(), Some(6));
+    harness.run_until(ms(3000));
+    let table = table(&harness.written(1), BTreeMap::new());
+    assert_eq!(table.into_keys().collect::<Vec<_>>(), ["s1"]);
+}
--- a/crates/test-cluster/src/discovery/answer.rs
+++ b/crates/test-cluster/src/discovery/answer.rs
@@ -12,6 +12,8 @@
 const INTERVAL: Duration = ms(3);
 /// Pause after each byte of an answer that trickles.
 const TRICKLE_INTERVAL: Duration = ms(100);
+/// Shortest wait of a long poll.
+const MIN_LONG_POLL: Duration = ms(100);
 /// Time for which a request that is never answered is held open.
 const HANG_DURATION: Duration = ms(60_000);
 
@@ -57,7 +59,10 @@
     while let Some(request) = Request::read(&mut reader)? {
         discovery.list().count_request(&request.path);
         let (behavior, body) = wait_for_answer(discovery, &request);
-        let is_open = write_answer(discovery, behavior, &body, &mut writer)?;
+        let is_open = match behavior {
+            DiscoveryBehavior::Busy(delay) => write_busy_answer(discovery, &request, delay, &mut writer)?,
+            _ => write_answer(discovery, behavior, &body, &mut writer)?,
+        };
         if !is_open {
             return Ok(());
         }
@@ -65,6 +70,21 @@
     Ok(())
 }
 
+/// Answers a long poll after a delay, and rejects any other request. Returns true if the connection stays open.
+fn write_busy_answer(
+    discovery: &Discovery,
+    request: &Request,
+    delay: Duration,
+    writer: &mut TcpStream,
+) -> io::Result<bool> {
+    if request.wait < MIN_LONG_POLL {
+        return write_answer(discovery, DiscoveryBehavior::Unavailable, "", writer);
+    }
+    thread::sleep(delay);
+    let body = list_if_due(discovery, request, DiscoveryBehavior::Answers, request.wait).unwrap_or_default();
+    write_answer(discovery, DiscoveryBehavior::Answers, &body, writer)
+}
+
 /// Waits until the request is due for an answer. Returns the behavior at that moment and the list as JSON.
 fn wait_for_answer(discovery: &Discovery, request: &Request) -> (DiscoveryBehavior, String) {
     let started_at = Instant::now();
@@ -120,7 +140,7 @@
         DiscoveryBehavior::SendsHalf => {
             write_in_halves(discovery, bytes, head.len() + body.len() / 2, writer)?;
         }
-        DiscoveryBehavior::Unavailable => {
+        DiscoveryBehavior::Unavailable | DiscoveryBehavior::Busy(_) => {
             writer.write_all(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n")?;
         }
         DiscoveryBehavior::Resets => {
--- a/crates/test-cluster/src/discovery/mod.rs
+++ b/crates/test-cluster/src/discovery/mod.rs
@@ -11,6 +11,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
+use std::time::Duration;
 
 /// Behavior of one address of the discovery service.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -29,6 +30,8 @@
     SendsHalf,
     /// Sends this number of bytes of an answer and ends the connection.
     BreaksOff(usize),
+    /// Is busy: answers a long poll this long after its wait, and rejects every other request with status 503.
+    Busy(Duration),
     /// Answers with the full list, even if changes were requested.
     SendsFullList,
     /// Answers with changes up to the version before the one that the client has.
@@ -38,8 +41,8 @@
 impl DiscoveryBehavior {
     /// Returns true if a request waits until there are changes. The other behaviors take effect at once.
     fn waits_for_changes(self) -> bool {
-        use DiscoveryBehavior::{Answers, BreaksOff, SendsHalf};
-        matches!(self, Answers | SendsHalf | BreaksOff(_))
+        use DiscoveryBehavior::{Answers, BreaksOff, Busy, SendsHalf};
+        matches!(self, Answers | SendsHalf | BreaksOff(_) | Busy(_))
     }
 }
 
