--- a/crates/platform-protocol/src/config.rs
+++ b/crates/platform-protocol/src/config.rs
@@ -1,6 +1,7 @@
 //! Parsing of the file that a planner is started with (the start file).
 
 use crate::connections::Connections;
+use crate::read_budget::ReadLimits;
 use crate::wire::names::config as names;
 use grebespool::host::{ControlChannelLimits, Observability, ProxyCapabilities, Route, Timeouts};
 use grebespool_platform_settings::{PlatformSettings, SettingsError};
@@ -65,6 +66,8 @@
     pub seed: u64,
     /// The number of descriptors that the process may hold.
     pub max_descriptors: usize,
+    /// The memory that the process may take, in bytes.
+    pub max_memory: usize,
     /// The endpoint list that this planner last knew, as JSON.
     pub known_endpoints: Option<Value>,
     /// The routes, in the order of `route_names`. A route's position is its id.
@@ -91,6 +94,18 @@
     const DEFAULT_LIST_INTERVAL: Duration = Duration::from_secs(10);
     /// The number of descriptors that the process may hold if the file gives no number.
     const DEFAULT_DESCRIPTORS: usize = 256;
+    /// The memory in MB that the process may take if the file gives none.
+    const DEFAULT_MEMORY_MB: u64 = 32;
+    /// The largest accepted memory in MB; a larger one in the file is reduced to this one.
+    const MAX_MEMORY_MB: u64 = 1 << 20;
+    /// The part of the memory that the listed servers may take.
+    const SERVERS_PART: usize = 4;
+    /// The memory that a listed server may take in bytes, with its reports of all zones and its entries in tables.
+    const BYTES_PER_SERVER: usize = 8 << 10;
+    /// The part of the memory that an answer of discovery may take; several may be pending.
+    const LIST_PART: usize = 32;
+    /// The longest answer of discovery in bytes, whatever the memory. A list of some 10,000 servers fits.
+    const MAX_LIST_LENGTH: usize = 2 << 20;
     /// The largest accepted number of descriptors; a larger number in the file is reduced to this one.
     const MAX_DESCRIPTORS: u64 = 1 << 20;
 
@@ -115,6 +130,7 @@
             discovery: address(&file, names::DISCOVERY)?,
             seed,
             max_descriptors: max_descriptors(&file),
+            max_memory: max_memory(&file),
             known_endpoints: file.get(names::KNOWN_ENDPOINTS).filter(|list| list.is_object()).cloned(),
             routes,
             route_names: route_names(route_entries)?,
@@ -127,6 +143,21 @@
         })
     }
 
+    /// Returns the largest number of servers that fit into the memory.
+    pub fn max_servers(&self) -> usize {
+        self.max_memory / Self::SERVERS_PART / Self::BYTES_PER_SERVER
+    }
+
+    /// Returns the longest accepted answer of discovery, in bytes.
+    pub fn max_list_length(&self) -> usize {
+        (self.max_memory / Self::LIST_PART).min(Self::MAX_LIST_LENGTH)
+    }
+
+    /// Returns the limits of the bytes that are held for received messages.
+    pub fn read_limits(&self) -> ReadLimits {
+        ReadLimits::new(self.max_memory, self.max_descriptors, Connections::MAX_MESSAGE)
+    }
+
     /// Returns the number of connections that may be open without having joined: the descriptors that are left after
     /// `reserved` descriptors and those for the proxies and the collectors.
     pub fn unknown_peer_limit(&self, reserved: usize) -> usize {
@@ -160,6 +191,12 @@
     })
 }
 
+fn max_memory(file: &Value) -> usize {
+    let limit = file[names::LIMITS][names::MEMORY_MB].as_u64().filter(|limit| *limit > 0);
+    let limit = limit.unwrap_or(PlannerConfig::DEFAULT_MEMORY_MB).min(PlannerConfig::MAX_MEMORY_MB);
+    (limit << 20) as usize
+}
+
 fn array<'a>(value: Option<&'a Value>, field: &'static str) -> Result<&'a [Value], ConfigError> {
     value.and_then(Value::as_array).map(Vec::as_slice).ok_or(ConfigError::NoList(field))
 }
--- a/crates/platform-protocol/src/connections.rs
+++ b/crates/platform-protocol/src/connections.rs
@@ -1,6 +1,7 @@
 //! Open connections: the peer of each connection, the time limits after which a connection is closed, and the order in
 //! which connections are evicted when too many are open.
 
+use crate::read_budget::{ReadBudget, ReadLimits};
 use crate::wire::FrameDecoder;
 use grebespool::host::{ProxyId, ZoneId};
 use std::collections::{BTreeMap, VecDeque};
@@ -34,6 +35,8 @@
     pub unreadable_messages: u32,
     /// The ack tokens that were sent on this stream and not returned, oldest first.
     pub pending_acks: VecDeque<u16>,
+    /// The number of bytes that are reserved for the message in progress; 0 if it needs no reservation.
+    reserved: usize,
 }
 
 impl Connection {
@@ -48,6 +51,7 @@
             last_received_at: now,
             unreadable_messages: 0,
             pending_acks: VecDeque::new(),
+            reserved: 0,
         }
     }
 
@@ -91,6 +95,11 @@
         true
     }
 
+    /// Returns true if memory is reserved for the message in progress.
+    pub(crate) fn has_reservation(&self) -> bool {
+        self.reserved > 0
+    }
+
     /// Returns the time at which the connection is closed unless the peer joins or completes its message.
     fn deadline(&self) -> Option<Duration> {
         match self.peer {
@@ -107,6 +116,7 @@
 pub(crate) struct Connections {
     open: BTreeMap<ConnectionId, Connection>,
     unknown_limit: usize,
+    budget: ReadBudget,
 }
 
 impl Connections {
@@ -115,6 +125,8 @@
     /// The longest message of a known peer, in bytes: a report has a few names and numbers. This limit bounds the
     /// memory that streams with garbage take.
     const MAX_BODY_AFTER_JOIN: usize = 64 << 10;
+    /// The longest message, in bytes, with its length field.
+    pub(crate) const MAX_MESSAGE: usize = Self::MAX_BODY_AFTER_JOIN + FrameDecoder::HEADER_LENGTH;
     /// The time in which a peer has to join. The platform closes such a connection after 3 s; within this time, a join
     /// that arrives in pieces over a slow network is still accepted.
     const JOIN_TIMEOUT: Duration = Duration::from_millis(1900);
@@ -128,8 +140,12 @@
 
     /// Creates an empty set that holds at most `unknown_limit` connections of unknown peers, or
     /// [`Self::MIN_UNKNOWN`] if that is more.
-    pub(crate) fn new(unknown_limit: usize) -> Self {
-        Connections { open: BTreeMap::new(), unknown_limit: unknown_limit.max(Self::MIN_UNKNOWN) }
+    pub(crate) fn new(unknown_limit: usize, limits: ReadLimits) -> Self {
+        Connections {
+            open: BTreeMap::new(),
+            unknown_limit: unknown_limit.max(Self::MIN_UNKNOWN),
+            budget: ReadBudget::new(limits),
+        }
     }
 
     /// Adds an accepted connection. Returns the connection that the caller must close if too many peers are unknown.
@@ -151,7 +167,41 @@
 
     /// Removes the connection and returns it if it was open.
     pub(crate) fn remove(&mut self, id: ConnectionId) -> Option<Connection> {
-        self.open.remove(&id)
+        let connection = self.open.remove(&id)?;
+        self.budget.release(connection.reserved);
+        Some(connection)
+    }
+
+    /// Returns the number of bytes that may be read from the connection now, after its complete messages were handled.
+    /// Returns 0 if the memory for its message in progress is not available; it is asked again after
+    /// [`Self::message_handled`] or [`Self::remove`] of a connection with a reservation.
+    pub(crate) fn read_allowance(&mut self, id: ConnectionId) -> usize {
+        let chunk = self.budget.limits().chunk;
+        let Some(connection) = self.open.get_mut(&id) else { return chunk };
+        let Some(frame) = connection.frames.frame_in_progress().filter(|frame| frame.length > chunk) else {
+            return chunk;
+        };
+        if connection.reserved == 0 {
+            if !self.budget.try_reserve(frame.length) {
+                return 0;
+            }
+            connection.reserved = frame.length;
+            connection.frames.reserve(frame.missing);
+        }
+        frame.missing
+    }
+
+    /// Ends the reservation of the message that was taken from the connection. Returns true if there was one.
+    pub(crate) fn message_handled(&mut self, id: ConnectionId) -> bool {
+        let Some(connection) = self.open.get_mut(&id) else { return false };
+        let reserved = std::mem::take(&mut connection.reserved);
+        self.budget.release(reserved);
+        reserved > 0
+    }
+
+    /// Returns the number of bytes that are held for messages that were not handled yet.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.open.values().map(|connection| connection.frames.held_bytes()).sum()
     }
 
     /// Returns the number of unknown peers.
--- a/crates/platform-protocol/src/lib.rs
+++ b/crates/platform-protocol/src/lib.rs
@@ -13,6 +13,7 @@
 mod event;
 mod event_log;
 mod log_aggregator;
+mod read_budget;
 mod server_registry;
 mod session_manager;
 mod weight_log;
@@ -25,9 +26,10 @@
     EndpointGroup, Event, LoggedWeight, NameList, StreamChange, TableChange, TableWeights, Warning,
     WarningKind,
 };
+pub use read_budget::ReadLimits;
 pub use server_registry::ReceivedAt;
 pub use session_manager::{Effects, SessionManager, Status};
 pub use wire::{
-    EndpointListError, FieldError, FieldFault, FrameDecoder, FrameError, JoinRequest, Message, MessageError,
-    ServerReport, UsageReport, parse_message,
+    EndpointListError, FieldError, FieldFault, FrameDecoder, FrameError, FrameInProgress, JoinRequest,
+    Message, MessageError, ServerReport, UsageReport, parse_message,
 };
--- a/crates/platform-protocol/src/server_registry.rs
+++ b/crates/platform-protocol/src/server_registry.rs
@@ -36,6 +36,14 @@
         /// The reason why the placement cannot be used.
         error: EntryError,
     },
+    /// A new server does not fit into the memory of the process.
+    #[error("server {id:?}: expected at most {limit} listed servers")]
+    TooManyServers {
+        /// The id of the server.
+        id: String,
+        /// The largest accepted number of servers.
+        limit: usize,
+    },
     /// A server is in a zone that is not in the settings.
     #[error("server {id:?}: zone {zone:?} is not in the settings")]
     UnknownZone {
@@ -144,6 +152,7 @@
     kinds: Vec<String>,
     version: Option<u64>,
     servers: BTreeMap<String, RegisteredServer>,
+    max_servers: usize,
 }
 
 impl ServerRegistry {
@@ -153,9 +162,14 @@
     /// [`ListFault::StartsInFuture`] names this time.
     const MAX_START_AHEAD_MS: f64 = 3_600_000.0;
 
-    /// Creates an empty registry for these zones.
-    pub(crate) fn new(zones: Vec<String>) -> Self {
-        ServerRegistry { zones, kinds: vec![], version: None, servers: BTreeMap::new() }
+    /// Creates an empty registry for these zones and up to `max_servers` servers.
+    pub(crate) fn new(zones: Vec<String>, max_servers: usize) -> Self {
+        ServerRegistry { zones, kinds: vec![], version: None, servers: BTreeMap::new(), max_servers }
+    }
+
+    /// Returns the largest number of servers that may be listed.
+    pub(crate) fn max_servers(&self) -> usize {
+        self.max_servers
     }
 
     /// Returns the version of the last list. Unset before the first list, whose version may be 0.
@@ -283,6 +297,10 @@
             update.faults.push(ListFault::StartsInFuture { id, started_ms });
         }
         let known = self.servers.get(&entry.id);
+        if known.is_none() && self.servers.len() >= self.max_servers {
+            let (id, limit) = (entry.id.clone(), self.max_servers);
+            return update.faults.push(ListFault::TooManyServers { id, limit });
+        }
         let same_start = known.filter(|server| server.started_ms == placement.started_ms);
         let age =
             same_start.map_or_else(|| Age::from_start(placement.started_ms, received), |server| server.age);
--- a/crates/platform-protocol/src/session_manager/endpoints.rs
+++ b/crates/platform-protocol/src/session_manager/endpoints.rs
@@ -21,7 +21,7 @@
         since: Option<u64>,
         body: &[u8],
     ) -> Result<(), EndpointListError> {
-        let list = EndpointList::parse(body)?;
+        let list = EndpointList::parse(body, self.registry.max_servers())?;
         self.apply_endpoint_list(received, since, &list);
         Ok(())
     }
--- a/crates/platform-protocol/src/session_manager/mod.rs
+++ b/crates/platform-protocol/src/session_manager/mod.rs
@@ -34,6 +34,8 @@
     /// Closes the connection after all written bytes were sent. The host may omit the call of
     /// [`SessionManager::connection_closed`] afterwards.
     fn close(&mut self, connection: ConnectionId);
+    /// Continues to read from the connections whose [`SessionManager::read_allowance`] was 0.
+    fn resume_reading(&mut self);
     /// Starts a health check of the server at this address.
     fn start_health_check(&mut self, server: &str, address: SocketAddr);
     /// Requests the changes of the endpoint list and continues to watch the list.
@@ -57,6 +59,8 @@
     pub ready_servers: usize,
     /// The number of server indices in use or reserved.
     pub server_indices: usize,
+    /// The number of bytes that are held for received messages, complete or not.
+    pub unread_bytes: usize,
     /// The version of the endpoint list.
     pub list_version: Option<u64>,
     /// The urgent changes of tables that could not be sent at once.
@@ -102,6 +106,8 @@
     /// proxies and collectors. `unix_ms` is the wall clock of the machine at this moment, in Unix milliseconds.
     pub fn new(effects: E, config: PlannerConfig, reserved_descriptors: usize, unix_ms: f64) -> Self {
         let unknown_limit = config.unknown_peer_limit(reserved_descriptors);
+        let read_limits = config.read_limits();
+        let max_servers = config.max_servers();
         let assignments = Assignments::default();
         let mut manager = SessionManager {
             effects,
@@ -116,8 +122,8 @@
             ),
             assignments,
             server_indices: ServerIndices::new(Self::INDEX_RESERVATION),
-            registry: ServerRegistry::new(config.zones),
-            connections: Connections::new(unknown_limit),
+            registry: ServerRegistry::new(config.zones, max_servers),
+            connections: Connections::new(unknown_limit, read_limits),
             streams: BTreeMap::new(),
             proxy_count: config.proxy_capabilities.proxies,
             route_names: config.route_names,
@@ -136,7 +142,7 @@
 
     fn apply_known_endpoints(&mut self, unix_ms: f64, list: &Value) {
         let received = ReceivedAt { now: Duration::ZERO, unix_ms };
-        match EndpointList::from_json(list) {
+        match EndpointList::from_json(list, self.registry.max_servers()) {
             Ok(list) => self.apply_endpoint_list(received, None, &list),
             Err(error) => self.warn(received.now, WarningKind::KnownListRejected, &error),
         }
@@ -165,6 +171,7 @@
             listed_servers: self.registry.listed_count(),
             ready_servers: self.registry.ready_count(),
             server_indices: self.server_indices.len(),
+            unread_bytes: self.connections.held_bytes(),
             list_version: self.registry.version(),
             urgent_delays: self.policy.urgent_delays(),
         }
--- a/crates/platform-protocol/src/session_manager/peers.rs
+++ b/crates/platform-protocol/src/session_manager/peers.rs
@@ -39,19 +39,39 @@
         self.remove_connection(id, StreamChange::Left);
     }
 
-    /// Handles bytes that were received on the connection.
+    /// Returns the number of bytes that the host may read from the connection now. If it is 0, the host asks again after
+    /// [`Effects::resume_reading`].
+    pub fn read_allowance(&mut self, id: ConnectionId) -> usize {
+        self.connections.read_allowance(id)
+    }
+
+    /// Stores bytes that were received on the connection, at most as many as [`Self::read_allowance`] has returned.
+    /// [`Self::handle_next_message`] then handles the messages that they complete.
     pub fn bytes_received(&mut self, now: Duration, id: ConnectionId, bytes: &[u8]) {
-        let Some(connection) = self.connections.get_mut(id) else { return };
-        connection.receive(now, bytes);
-        // Looked up again for each message: handling a message may close its connection.
-        while let Some(connection) = self.connections.get_mut(id) {
-            match next_message(now, connection) {
-                Ok(None) => return,
-                Ok(Some(Ok(message))) => self.handle_message(now, id, message),
-                Ok(Some(Err(error))) => self.handle_unreadable(now, id, error),
-                Err(error) => return self.close(now, id, &error.into()),
+        if let Some(connection) = self.connections.get_mut(id) {
+            connection.receive(now, bytes);
+        }
+    }
+
+    /// Handles the next complete message of the connection. Returns false if there is none, or if the connection is closed.
+    pub fn handle_next_message(&mut self, now: Duration, id: ConnectionId) -> bool {
+        let Some(connection) = self.connections.get_mut(id) else { return false };
+        let message = match next_message(now, connection) {
+            Ok(None) => return false,
+            Ok(Some(message)) => message,
+            Err(error) => {
+                self.close(now, id, &error.into());
+                return false;
             }
+        };
+        if self.connections.message_handled(id) {
+            self.effects.resume_reading();
         }
+        match message {
+            Ok(message) => self.handle_message(now, id, message),
+            Err(error) => self.handle_unreadable(now, id, error),
+        }
+        true
     }
 
     fn handle_unreadable(&mut self, now: Duration, id: ConnectionId, error: MessageError) {
@@ -97,6 +117,9 @@
     /// Removes an ended connection. If it is the newest stream of a proxy, the proxy has left.
     pub(super) fn remove_connection(&mut self, id: ConnectionId, change: StreamChange) {
         let Some(connection) = self.connections.remove(id) else { return };
+        if connection.has_reservation() {
+            self.effects.resume_reading();
+        }
         let Peer::Proxy(proxy) = connection.peer else { return };
         if self.streams.get(&proxy) != Some(&id) {
             return;
--- a/crates/platform-protocol/src/wire/endpoint_list.rs
+++ b/crates/platform-protocol/src/wire/endpoint_list.rs
@@ -1,13 +1,25 @@
 //! Parses answers of discovery into typed values. The server registry checks that the named zones exist.
 
+use super::known_fields::{KnownField, ObjectSeed, scalar};
 use super::names::endpoint;
 use super::object::{FieldError, ObjectReader};
 use grebespool::host::EndpointState;
-use serde_json::Value;
+use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
+use serde_json::{Map, Value};
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
 
+/// The fields of an entry.
+const ENTRY_FIELDS: [KnownField; 6] = [
+    scalar(endpoint::ID),
+    scalar(endpoint::ADDRESS),
+    scalar(endpoint::ZONE),
+    scalar(endpoint::SERVER_KIND),
+    scalar(endpoint::STATE),
+    scalar(endpoint::STARTED),
+];
 /// The longest id of a server and the longest name of a kind, in bytes.
 const MAX_NAME_LENGTH: usize = 128;
 
@@ -26,6 +38,14 @@
     /// The entries are missing or not an array.
     #[error("the list: expected an array in servers")]
     NoEntries,
+    /// The list has more entries than fit into the memory of the process.
+    #[error("the list: expected at most {limit} entries in servers, found {entries}")]
+    TooManyEntries {
+        /// The number of entries.
+        entries: usize,
+        /// The largest accepted number.
+        limit: usize,
+    },
     /// The flag that says whether the list is full is missing or not a boolean.
     #[error(transparent)]
     Field(#[from] FieldError),
@@ -97,32 +117,123 @@
 }
 
 impl EndpointList {
-    /// Parses the body of an answer.
+    /// Parses the body of an answer with at most `max_entries` entries.
     ///
     /// # Errors
     ///
-    /// Returns an error if the body is not an endpoint list.
-    pub(crate) fn parse(body: &[u8]) -> Result<Self, EndpointListError> {
-        let value: Value =
-            serde_json::from_slice(body).map_err(|error| EndpointListError::NotJson(error.to_string()))?;
-        Self::from_json(&value)
+    /// Returns an error if the body is not an endpoint list or has too many entries.
+    pub(crate) fn parse(body: &[u8], max_entries: usize) -> Result<Self, EndpointListError> {
+        let is_object = body.trim_ascii_start().starts_with(b"{");
+        let mut deserializer = serde_json::Deserializer::from_slice(body);
+        let fields = ListFields::read(&mut deserializer, is_object, max_entries)?;
+        deserializer.end().map_err(|error| EndpointListError::NotJson(error.to_string()))?;
+        fields.check(max_entries)
     }
 
     /// Reads a list that is part of another JSON document.
     ///
     /// # Errors
     ///
-    /// Returns an error if the value is not an endpoint list.
-    pub(crate) fn from_json(value: &Value) -> Result<Self, EndpointListError> {
-        let Value::Object(fields) = value else { return Err(EndpointListError::NotAnObject) };
-        let object = ObjectReader { kind: "the list", fields };
-        let version = fields.get(endpoint::VERSION).and_then(Value::as_u64);
+    /// Returns an error if the value is not an endpoint list or has too many entries.
+    pub(crate) fn from_json(value: &Value, max_entries: usize) -> Result<Self, EndpointListError> {
+        ListFields::read(value, value.is_object(), max_entries)?.check(max_entries)
+    }
+}
+
+/// The fields of a list, before they are checked.
+struct ListFields {
+    scalars: Map<String, Value>,
+    entries: Option<Entries>,
+}
+
+impl ListFields {
+    fn read<'de, D>(deserializer: D, is_object: bool, max_entries: usize) -> Result<Self, EndpointListError>
+    where
+        D: Deserializer<'de, Error = serde_json::Error>,
+    {
+        // Only two values must have a certain type: the list itself and its entries.
+        deserializer.deserialize_map(ListVisitor { max_entries }).map_err(|error| match error.is_data() {
+            true if is_object => EndpointListError::NoEntries,
+            true => EndpointListError::NotAnObject,
+            false => EndpointListError::NotJson(error.to_string()),
+        })
+    }
+
+    fn check(self, max_entries: usize) -> Result<EndpointList, EndpointListError> {
+        let object = ObjectReader { kind: "the list", fields: &self.scalars };
+        let version = self.scalars.get(endpoint::VERSION).and_then(Value::as_u64);
         let version = version.ok_or(EndpointListError::NoVersion)?;
         let full = object.boolean(endpoint::FULL)?;
-        let Some(Value::Array(entries)) = fields.get(endpoint::ENTRIES) else {
-            return Err(EndpointListError::NoEntries);
-        };
-        Ok(EndpointList { version, full, entries: entries.iter().map(parse_entry).collect() })
+        let Entries { accepted, count } = self.entries.ok_or(EndpointListError::NoEntries)?;
+        if count > max_entries {
+            return Err(EndpointListError::TooManyEntries { entries: count, limit: max_entries });
+        }
+        Ok(EndpointList { version, full, entries: accepted })
+    }
+}
+
+struct ListVisitor {
+    max_entries: usize,
+}
+
+impl<'de> Visitor<'de> for ListVisitor {
+    type Value = ListFields;
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("an endpoint list")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut fields: A) -> Result<ListFields, A::Error> {
+        let (mut scalars, mut entries) = (Map::new(), None);
+        while let Some(name) = fields.next_key::<String>()? {
+            match name.as_str() {
+                endpoint::ENTRIES => entries = Some(fields.next_value_seed(EntriesSeed(self.max_entries))?),
+                endpoint::VERSION | endpoint::FULL => {
+                    drop(scalars.insert(name, fields.next_value_seed(ObjectSeed(&[]))?));
+                }
+                _ => drop(fields.next_value::<IgnoredAny>()?),
+            }
+        }
+        Ok(ListFields { scalars, entries })
+    }
+}
+
+/// The entries of a list. Those beyond the limit are counted and skipped.
+struct Entries {
+    accepted: Vec<Result<EndpointEntry, InvalidEntry>>,
+    count: usize,
+}
+
+/// Reads an array with up to this number of entries.
+struct EntriesSeed(usize);
+
+impl<'de> DeserializeSeed<'de> for EntriesSeed {
+    type Value = Entries;
+
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<Entries, D::Error> {
+        deserializer.deserialize_seq(self)
+    }
+}
+
+impl<'de> Visitor<'de> for EntriesSeed {
+    type Value = Entries;
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("an array of entries")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut elements: A) -> Result<Entries, A::Error> {
+        let mut entries = Entries { accepted: vec![], count: 0 };
+        while entries.accepted.len() < self.0
+            && let Some(value) = elements.next_element_seed(ObjectSeed(&ENTRY_FIELDS))?
+        {
+            entries.accepted.push(parse_entry(&value));
+            entries.count += 1;
+        }
+        while elements.next_element::<IgnoredAny>()?.is_some() {
+            entries.count += 1;
+        }
+        Ok(entries)
     }
 }
 
--- a/crates/platform-protocol/src/wire/frame.rs
+++ b/crates/platform-protocol/src/wire/frame.rs
@@ -3,9 +3,6 @@
 use serde_json::Value;
 use thiserror::Error;
 
-/// The size in bytes of the length field before each body.
-const HEADER_LENGTH: usize = 4;
-
 /// The reason why received bytes are not frames. The start of the next frame cannot be found after them, so the
 /// connection is unusable.
 ///
@@ -28,6 +25,15 @@
     NotAnObject(u8),
 }
 
+/// A frame whose length is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FrameInProgress {
+    /// The length of the frame in bytes, with its length field.
+    pub length: usize,
+    /// The number of bytes that were not received yet.
+    pub missing: usize,
+}
+
 /// A decoder that splits the byte stream of one connection into frames.
 ///
 /// The decoder allocates memory only for received bytes, not for the length that a frame announces.
@@ -39,6 +45,9 @@
 }
 
 impl FrameDecoder {
+    /// The size in bytes of the length field before each body.
+    pub const HEADER_LENGTH: usize = 4;
+
     /// Creates a decoder that accepts bodies of up to `body_limit` bytes.
     pub fn new(body_limit: usize) -> Self {
         FrameDecoder { buffer: vec![], consumed: 0, body_limit }
@@ -65,21 +74,41 @@
     /// Returns an error if the bytes are not frames, as soon as the received bytes show this.
     pub fn next_body(&mut self) -> Result<Option<&[u8]>, FrameError> {
         let unread = &self.buffer[self.consumed..];
-        let Some(header) = unread.first_chunk::<HEADER_LENGTH>() else {
+        let Some(header) = unread.first_chunk::<{ Self::HEADER_LENGTH }>() else {
             self.check_partial_header()?;
             return Ok(self.incomplete());
         };
         let length = u32::from_be_bytes(*header) as usize;
         self.check_length(length)?;
-        check_first_byte(unread.get(HEADER_LENGTH).copied())?;
-        if unread.len() < HEADER_LENGTH + length {
+        check_first_byte(unread.get(Self::HEADER_LENGTH).copied())?;
+        if unread.len() < Self::HEADER_LENGTH + length {
             return Ok(self.incomplete());
         }
-        let start = self.consumed + HEADER_LENGTH;
+        let start = self.consumed + Self::HEADER_LENGTH;
         self.consumed = start + length;
         Ok(Some(&self.buffer[start..start + length]))
     }
 
+    /// Returns the number of bytes that the frame in progress still lacks and its whole length, if its length is known.
+    pub fn frame_in_progress(&self) -> Option<FrameInProgress> {
+        let unread = &self.buffer[self.consumed..];
+        let header = unread.first_chunk::<{ Self::HEADER_LENGTH }>()?;
+        let length = Self::HEADER_LENGTH + u32::from_be_bytes(*header) as usize;
+        Some(FrameInProgress { length, missing: length.saturating_sub(unread.len()) })
+    }
+
+    /// Allocates memory for `bytes` further bytes at once, so that a long frame takes no more than its length.
+    pub fn reserve(&mut self, bytes: usize) {
+        self.buffer.drain(..self.consumed);
+        self.consumed = 0;
+        self.buffer.reserve_exact(bytes);
+    }
+
+    /// Returns the number of bytes of memory that the decoder holds.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Returns true if part of a frame was received without the rest.
     pub fn has_partial_frame(&self) -> bool {
         self.buffer.len() > self.consumed
--- a/crates/platform-protocol/src/wire/message.rs
+++ b/crates/platform-protocol/src/wire/message.rs
@@ -1,8 +1,10 @@
 //! Parses messages from proxies and collectors into typed values. The session manager checks that the named zones,
 //! servers, routes and proxies exist.
 
+use super::known_fields::{FieldForm, KnownField, ObjectSeed, scalar};
 use super::names::{field, kind};
 use super::object::{FieldError, FieldFault, ObjectReader};
+use serde::de::DeserializeSeed;
 use serde_json::{Map, Value};
 use thiserror::Error;
 
@@ -13,6 +15,23 @@
 const MAX_MILLISECONDS: f64 = 86_400_000.0;
 /// The largest accepted metric of a load report, and the largest accepted request rate per second.
 const MAX_METRIC: f64 = 1e7;
+/// The fields of all messages that a planner receives.
+const FIELDS: [KnownField; 14] = [
+    scalar(field::KIND),
+    scalar(field::ZONE),
+    scalar(field::PROXY),
+    scalar(field::REQUESTS_PER_SECOND),
+    scalar(field::WITHOUT_TABLE),
+    scalar(field::ACKNOWLEDGED_TOKEN),
+    scalar(field::APPLY_TIME),
+    scalar(field::ROUTE),
+    scalar(field::TOTAL),
+    scalar(field::FAILED),
+    scalar(field::INTERVAL),
+    scalar(field::SERVER),
+    scalar(field::MEAN_LATENCY),
+    KnownField { name: field::METRICS, form: FieldForm::Scalars },
+];
 /// The number of characters of an unknown kind that an error contains.
 const MAX_KIND_SHOWN: usize = 20;
 
@@ -102,9 +121,7 @@
 ///
 /// Returns an error if the body is not a message that a planner receives, or if one of its fields is invalid.
 pub fn parse_message(body: &[u8]) -> Result<Message, MessageError> {
-    let Ok(Value::Object(fields)) = serde_json::from_slice(body) else {
-        return Err(MessageError::NotAnObject);
-    };
+    let Ok(Value::Object(fields)) = read_fields(body) else { return Err(MessageError::NotAnObject) };
     let object = ObjectReader { kind: kind_of(&fields)?, fields: &fields };
     match object.kind {
         kind::PING => Ok(Message::Ping),
@@ -117,6 +134,13 @@
     }
 }
 
+fn read_fields(body: &[u8]) -> serde_json::Result<Value> {
+    let mut deserializer = serde_json::Deserializer::from_slice(body);
+    let value = ObjectSeed(&FIELDS).deserialize(&mut deserializer)?;
+    deserializer.end()?;
+    Ok(value)
+}
+
 fn kind_of(fields: &Map<String, Value>) -> Result<&str, FieldError> {
     match fields.get(field::KIND) {
         Some(Value::String(kind)) => Ok(kind),
--- a/crates/platform-protocol/src/wire/mod.rs
+++ b/crates/platform-protocol/src/wire/mod.rs
@@ -3,6 +3,7 @@
 
 mod endpoint_list;
 mod frame;
+mod known_fields;
 mod message;
 pub(crate) mod names;
 mod object;
@@ -10,7 +11,7 @@
 
 pub use endpoint_list::EndpointListError;
 pub(crate) use endpoint_list::{EndpointEntry, EndpointList, EntryError, Placement, endpoint_list_path};
-pub use frame::{FrameDecoder, FrameError};
+pub use frame::{FrameDecoder, FrameError, FrameInProgress};
 pub use message::{JoinRequest, Message, MessageError, ServerReport, UsageReport, parse_message};
 pub use object::{FieldError, FieldFault};
 pub(crate) use outgoing::{UpdateEncoder, encode_pong, encode_refusal};
--- a/crates/platform-protocol/src/wire/names.rs
+++ b/crates/platform-protocol/src/wire/names.rs
@@ -120,6 +120,8 @@
     pub(crate) const LIMITS: &str = "limits";
     /// Within [`LIMITS`]: the number of descriptors that the process may hold.
     pub(crate) const DESCRIPTORS: &str = "sockets";
+    /// Within [`LIMITS`]: the memory that the process may take, in MB.
+    pub(crate) const MEMORY_MB: &str = "memory_mb";
     /// The endpoint list that the planner last knew.
     pub(crate) const KNOWN_ENDPOINTS: &str = "known";
     /// Within the settings: the routes.
--- a/crates/platform-protocol/tests/frames.rs
+++ b/crates/platform-protocol/tests/frames.rs
@@ -161,3 +161,42 @@
         }
     }
 }
+
+/// Guards against messages of very many fields that take much memory and time: only the fields that a message has are read.
+#[rstest]
+#[case::before(true)]
+#[case::after(false)]
+fn unknown_fields_of_a_message_are_skipped(#[case] unknown_first: bool) {
+    let unknown: String = (0..5000).map(|field| format!(r#""x{field}":[{{"a":[{field}]}},null],"#)).collect();
+    let known = r#""msg":"RATE","node":1,"route":"store","total":2,"errors":0,"interval":500"#;
+    let body = if unknown_first {
+        format!("{{{unknown}{known}}}")
+    } else {
+        format!("{{{known},{}}}", unknown.trim_end_matches(','))
+    };
+    assert_eq!(parse_message(body.as_bytes()), parse_message(format!("{{{known}}}").as_bytes()));
+    assert!(parse_message(body.as_bytes()).is_ok());
+}
+
+#[rstest]
+#[case::array(r#""route":[1,"a"]"#, "RATE: route is no text")]
+#[case::object(r#""route":{"a":1}"#, "RATE: route is no text")]
+#[case::number(r#""route":3"#, "RATE: route is no text")]
+#[case::last_of_two(r#""route":3,"route":null"#, "RATE: route is no text")]
+fn field_of_another_form_is_an_error(#[case] route: &str, #[case] message: &str) {
+    let body = format!(r#"{{"msg":"RATE","node":1,"total":2,"errors":0,"interval":500,{route}}}"#);
+    assert_eq!(parse_message(body.as_bytes()).unwrap_err().to_string(), message);
+}
+
+#[rstest]
+#[case::usual(30, 30)]
+#[case::more_than_any_deployment_has(5000, 256)]
+fn metrics_are_read_up_to_a_limit(#[case] sent: usize, #[case] read: usize) {
+    let metrics: Vec<String> = (0..sent).map(|metric| format!(r#""m{metric}":{metric}"#)).collect();
+    let body = format!(
+        r#"{{"msg":"LOAD","locality":"a","endpoint":"s","total":2,"errors":0,"rtt":1,"interval":500,"metrics":{{{}}}}}"#,
+        metrics.join(",")
+    );
+    let Ok(Message::ServerReport(report)) = parse_message(body.as_bytes()) else { panic!("{body}") };
+    assert_eq!(report.metrics.len(), read);
+}
--- a/crates/platform-protocol/tests/helpers/mod.rs
+++ b/crates/platform-protocol/tests/helpers/mod.rs
@@ -40,10 +40,14 @@
 }
 
 pub fn config_with(servers: usize, settings: Value) -> PlannerConfig {
+    config_with_limits(servers, settings, 32, 100)
+}
+
+pub fn config_with_limits(servers: usize, settings: Value, memory_mb: u64, sockets: u64) -> PlannerConfig {
     let known = list(3, true, (0..servers).map(|k| server(k, "SERVING", 0)).collect());
     let file = json!({
         "name": "p0", "listen": "127.0.0.1:9", "discovery": "127.0.0.1:8", "seed": "8c1f", "known": known,
-        "limits": {"cores": 0.5, "memory_mb": 32, "sockets": 100}, "settings": settings, "unheard_of": [1, {}],
+        "limits": {"cores": 0.5, "memory_mb": memory_mb, "sockets": sockets}, "settings": settings, "unheard_of": [1, {}],
     });
     PlannerConfig::parse(file.to_string().as_bytes()).unwrap()
 }
@@ -54,6 +58,7 @@
     pub closed: Vec<ConnectionId>,
     pub health_checks: Vec<String>,
     pub watch_requests: usize,
+    pub resumptions: usize,
     pub full_list_requests: usize,
     pub warnings: Vec<Warning>,
     /// The events that are always logged.
@@ -74,6 +79,10 @@
         self.0.borrow_mut().closed.push(connection);
     }
 
+    fn resume_reading(&mut self) {
+        self.0.borrow_mut().resumptions += 1;
+    }
+
     fn start_health_check(&mut self, server: &str, _: SocketAddr) {
         self.0.borrow_mut().health_checks.push(server.into());
     }
@@ -126,8 +135,25 @@
         self.manager.connection_opened(self.now, connection);
     }
 
+    /// Passes bytes to the session manager in the parts in which it allows them, and handles all messages.
     pub fn receive(&mut self, connection: ConnectionId, bytes: &[u8]) {
-        self.manager.bytes_received(self.now, connection, bytes);
+        let taken = self.receive_allowed(connection, bytes);
+        assert_eq!(taken, bytes.len(), "the memory for received bytes is exhausted");
+    }
+
+    /// Like [`Self::receive`], but stops where the session manager allows no more bytes. Returns the number of bytes taken.
+    pub fn receive_allowed(&mut self, connection: ConnectionId, bytes: &[u8]) -> usize {
+        let mut taken = 0;
+        while taken < bytes.len() {
+            let part = self.manager.read_allowance(connection).min(bytes.len() - taken);
+            if part == 0 {
+                break;
+            }
+            self.manager.bytes_received(self.now, connection, &bytes[taken..taken + part]);
+            taken += part;
+            while self.manager.handle_next_message(self.now, connection) {}
+        }
+        taken
     }
 
     pub fn receive_message(&mut self, connection: ConnectionId, message: &Value) {
--- a/crates/platform-protocol/tests/session_manager/main.rs
+++ b/crates/platform-protocol/tests/session_manager/main.rs
@@ -11,4 +11,5 @@
 mod logs;
 #[path = "../parity/mod.rs"]
 mod parity;
+mod read_limits;
 mod tables;
--- a/crates/platform-server/src/connection.rs
+++ b/crates/platform-server/src/connection.rs
@@ -1,13 +1,12 @@
-//! Accepts, reads and writes the connections at the planner's address.
+//! Accepts the connections at the planner's address, and runs the tasks that read and write them.
 
+use crate::reading::{ReadEnd, read_all};
 use crate::shared::Shared;
 use grebespool_platform_protocol::ConnectionId;
 use grebespool_write_queue::{WriteLimits, WriteOutcome, WriteQueue};
-use std::io::ErrorKind;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
@@ -65,7 +64,7 @@
         let _ = socket.set_nodelay(true);
         self.last_accepted += 1;
         let id = self.last_accepted;
-        let queue = Rc::new(WriteQueue::new(WRITE_LIMITS));
+        let queue = Rc::new(WriteQueue::with_total(WRITE_LIMITS, self.shared.unwritten.clone()));
         self.shared.write_queues.borrow_mut().insert(id, queue.clone());
         self.shared.call(|manager, now| manager.connection_opened(now, id));
         self.tasks.spawn_local(serve_connection(self.shared.clone(), socket, id, queue));
@@ -80,7 +79,21 @@
     }
 }
 
-/// A guard that removes the connection when it is dropped, whether the connection's task returns or panics.
+/// A guard that removes the write queue of a connection when it is dropped. It outlives the connection's session, so that the
+/// last bytes still count as unwritten.
+struct WriteQueueGuard {
+    shared: Rc<Shared>,
+    id: ConnectionId,
+}
+
+impl Drop for WriteQueueGuard {
+    fn drop(&mut self) {
+        self.shared.write_queues.borrow_mut().remove(&self.id);
+    }
+}
+
+/// A guard that removes the connection from the session manager when it is dropped, whether the connection's task returns or
+/// panics.
 struct ConnectionGuard {
     shared: Rc<Shared>,
     id: ConnectionId,
@@ -88,7 +101,6 @@
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        self.shared.write_queues.borrow_mut().remove(&self.id);
         // The session manager is still borrowed only if it has panicked in a call from this task.
         if let Ok(mut manager) = self.shared.manager.try_borrow_mut() {
             manager.connection_closed(self.id);
@@ -97,6 +109,7 @@
 }
 
 async fn serve_connection(shared: Rc<Shared>, socket: TcpStream, id: ConnectionId, queue: Rc<WriteQueue>) {
+    let _queue_guard = WriteQueueGuard { shared: shared.clone(), id };
     let guard = ConnectionGuard { shared: shared.clone(), id };
     let (reader, writer) = socket.into_split();
     let mut writing = pin!(queue.run(writer, shared.started));
@@ -118,27 +131,3 @@
     }
     debug!(connection = id, "ending the task of a connection");
 }
-
-/// The reason for the end of reading.
-#[derive(PartialEq)]
-enum ReadEnd {
-    /// The peer sends no more.
-    Finished,
-    /// The connection broke.
-    Broken,
-}
-
-async fn read_all(shared: &Shared, id: ConnectionId, reader: &OwnedReadHalf) -> ReadEnd {
-    loop {
-        if reader.readable().await.is_err() {
-            return ReadEnd::Broken;
-        }
-        let mut buffer = shared.read_buffer.borrow_mut();
-        match reader.try_read(&mut buffer) {
-            Ok(0) => return ReadEnd::Finished,
-            Ok(length) => shared.call(|manager, now| manager.bytes_received(now, id, &buffer[..length])),
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return ReadEnd::Broken,
-        }
-    }
-}
--- a/crates/platform-server/src/discovery.rs
+++ b/crates/platform-server/src/discovery.rs
@@ -117,7 +117,7 @@
         let known_version = shared.manager.borrow().endpoint_list_version();
         let request = shared.discovery.watch.borrow().next_request(known_version);
         let sent_at = Instant::now();
-        let mut pending = Box::pin(send(request.clone(), client.take()));
+        let mut pending = Box::pin(send(request.clone(), client.take(), shared.max_list_length));
         match wait_for_progress(shared, &request, &mut pending, superseded).await {
             Progress::Ended(outcome) => {
                 client = apply_outcome(shared, &request, outcome)?;
@@ -144,8 +144,8 @@
     }
 }
 
-async fn send(request: ListRequest, mut client: Option<Client>) -> Outcome {
-    let response = get(&mut client, request.address, &request.path, request.timeout).await?;
+async fn send(request: ListRequest, mut client: Option<Client>, max_length: usize) -> Outcome {
+    let response = get(&mut client, request.address, &request.path, request.timeout, max_length).await?;
     Ok((client, response))
 }
 
--- a/crates/platform-server/src/health_check.rs
+++ b/crates/platform-server/src/health_check.rs
@@ -1,6 +1,6 @@
 //! Runs health checks of servers over HTTP.
 
-use crate::http::get;
+use crate::http::get_status;
 use crate::shared::Shared;
 use grebespool::host::HealthCheckResult;
 use std::net::SocketAddr;
@@ -31,9 +31,9 @@
 }
 
 async fn run_health_check(shared: Rc<Shared>, server: String, address: SocketAddr) {
-    let result = match get(&mut None, address, HEALTH_PATH, TIMEOUT).await {
-        Ok(response) if response.status == STATUS_HEALTHY => HealthCheckResult::Healthy,
-        Ok(response) if response.status == STATUS_REJECTED => HealthCheckResult::Rejected,
+    let result = match get_status(address, HEALTH_PATH, TIMEOUT).await {
+        Ok(STATUS_HEALTHY) => HealthCheckResult::Healthy,
+        Ok(STATUS_REJECTED) => HealthCheckResult::Rejected,
         Ok(_) | Err(_) => HealthCheckResult::Failed,
     };
     shared.health_check_finished(server, address, result);
--- a/crates/platform-server/src/lib.rs
+++ b/crates/platform-server/src/lib.rs
@@ -11,6 +11,7 @@
 mod http;
 mod log;
 mod log_event;
+mod reading;
 mod shared;
 mod startup;
 mod tasks;
--- a/crates/platform-server/src/shared.rs
+++ b/crates/platform-server/src/shared.rs
@@ -6,7 +6,7 @@
 use grebespool_platform_protocol::{
     ConnectionId, Effects, EndpointWatch, Event, PlannerConfig, ReceivedAt, SessionManager,
 };
-use grebespool_write_queue::WriteQueue;
+use grebespool_write_queue::{QueuedMemory, WriteQueue};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -27,6 +27,9 @@
 /// has fallen behind and would not take the rest.
 const MAX_UNWRITTEN_AT_CLOSE: usize = 1 << 10;
 
+/// The part of the memory that unwritten bytes may take, over all connections.
+const UNWRITTEN_PART: usize = 4;
+
 /// The write queues of all connections.
 type WriteQueues = Rc<RefCell<BTreeMap<ConnectionId, Rc<WriteQueue>>>>;
 
@@ -40,6 +43,12 @@
     pub(crate) started: Instant,
     pub(crate) manager: RefCell<SessionManager<TaskEffects>>,
     pub(crate) write_queues: WriteQueues,
+    /// The memory that all write queues take.
+    pub(crate) unwritten: Rc<QueuedMemory>,
+    /// Notifies the tasks that wait for memory to read a long message.
+    pub(crate) reading_resumed: Rc<Notify>,
+    /// The longest accepted answer of discovery, in bytes.
+    pub(crate) max_list_length: usize,
     /// Notifies the timer task that the session manager was called and that its next deadline may have changed.
     pub(crate) manager_called: Notify,
     pub(crate) discovery: Rc<DiscoveryState>,
@@ -67,9 +76,15 @@
             address_changed: Notify::new(),
         });
         let health_checks = Rc::new(HealthChecks::default());
+        let unwritten = Rc::<QueuedMemory>::default();
+        let reading_resumed = Rc::new(Notify::new());
+        let max_list_length = config.max_list_length();
         let effects = TaskEffects {
             started,
             write_queues: write_queues.clone(),
+            unwritten: unwritten.clone(),
+            max_unwritten: config.max_memory / UNWRITTEN_PART,
+            reading_resumed: reading_resumed.clone(),
             discovery: discovery.clone(),
             health_checks: health_checks.clone(),
         };
@@ -81,6 +96,9 @@
             started,
             manager: RefCell::new(manager),
             write_queues,
+            unwritten,
+            reading_resumed,
+            max_list_length,
             manager_called: Notify::new(),
             discovery,
             health_checks,
@@ -125,6 +143,10 @@
 pub(crate) struct TaskEffects {
     started: Instant,
     write_queues: WriteQueues,
+    unwritten: Rc<QueuedMemory>,
+    /// The memory in bytes above which the longest queue is aborted.
+    max_unwritten: usize,
+    reading_resumed: Rc<Notify>,
     discovery: Rc<DiscoveryState>,
     health_checks: Rc<HealthChecks>,
 }
@@ -134,6 +156,12 @@
         if let Some(queue) = self.write_queues.borrow().get(&connection) {
             queue.push(self.started.elapsed(), bytes);
         }
+        let queues = self.write_queues.borrow();
+        self.unwritten.limit(self.max_unwritten, queues.values().map(Rc::as_ref));
+    }
+
+    fn resume_reading(&mut self) {
+        self.reading_resumed.notify_waiters();
     }
 
     fn close(&mut self, connection: ConnectionId) {
--- a/crates/platform-server/src/tasks.rs
+++ b/crates/platform-server/src/tasks.rs
@@ -85,6 +85,7 @@
             listed_servers,
             ready_servers,
             server_indices,
+            unread_bytes,
             list_version,
             urgent_delays,
         } = shared.manager.borrow().status();
@@ -94,6 +95,8 @@
             listed_servers,
             ready_servers,
             server_indices,
+            unread_bytes,
+            unwritten_bytes = shared.unwritten.bytes(),
             list_version,
             message_limit_delays = urgent_delays.by_message_limit,
             queue_delays = urgent_delays.by_queue,
--- a/crates/scale-bench/src/station.rs
+++ b/crates/scale-bench/src/station.rs
@@ -64,6 +64,7 @@
         self.bytes.set(self.bytes.get() + bytes.len() as u64);
     }
     fn close(&mut self, _: ConnectionId) {}
+    fn resume_reading(&mut self) {}
     fn start_health_check(&mut self, _: &str, _: SocketAddr) {}
     fn watch_endpoints(&mut self) {}
     fn request_full_list(&mut self) {}
@@ -138,6 +139,7 @@
         let join = json!({"msg": "SUBSCRIBE", "node": proxy, "locality": format!("zone-{}", proxy % size.zones),
                           "w": 1.0, "cold": true});
         manager.bytes_received(now, conn, &encode_frame(&join));
+        while manager.handle_next_message(now, conn) {}
     }
     run(&mut manager, &mut now, Duration::from_secs(3));
     let station_bytes = allocated().saturating_sub(before);
--- a/crates/write-queue/src/backlog.rs
+++ b/crates/write-queue/src/backlog.rs
@@ -61,6 +61,17 @@
         }
     }
 
+    /// Forgets all waiting messages.
+    pub(crate) fn clear(&mut self) {
+        self.messages = VecDeque::new();
+        self.written_bytes = self.queued_bytes;
+    }
+
+    /// Returns the memory that the records of the waiting messages take, in bytes.
+    pub(crate) fn memory(&self) -> usize {
+        self.messages.capacity() * size_of::<QueuedMessage>()
+    }
+
     /// Returns the time at which the oldest waiting message reaches the time limit; `None` if no message waits.
     pub fn deadline(&self) -> Option<Duration> {
         self.messages.front().map(|message| message.queued_at + self.limits.max_wait)
--- a/crates/write-queue/src/lib.rs
+++ b/crates/write-queue/src/lib.rs
@@ -5,7 +5,9 @@
 //! of a queue have to be on one thread; no borrow is held across an await.
 
 mod backlog;
+mod memory;
 mod queue;
 
 pub use backlog::{Backlog, BacklogStatus, WriteLimits};
+pub use memory::QueuedMemory;
 pub use queue::{WriteOutcome, WriteQueue};
--- a/crates/write-queue/src/queue.rs
+++ b/crates/write-queue/src/queue.rs
@@ -1,8 +1,10 @@
 //! The queue of one connection, and the loop that writes the queued bytes.
 
 use crate::backlog::{Backlog, BacklogStatus, WriteLimits};
+use crate::memory::QueuedMemory;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -36,25 +38,54 @@
     backlog: RefCell<Backlog>,
     /// True if the queue accepts no more messages. Waiting bytes are still written, unless the queue was aborted.
     closing: Cell<bool>,
+    is_aborted: Cell<bool>,
     /// True if the queue was aborted because its reader is too slow.
     too_slow: Cell<bool>,
     changed: Notify,
     aborted: Notify,
+    /// The memory of all queues that share this total.
+    total: Rc<QueuedMemory>,
+    /// The part of the total that this queue has.
+    counted: Cell<usize>,
+}
+
+impl Drop for WriteQueue {
+    fn drop(&mut self) {
+        self.total.change(self.counted.get(), 0);
+    }
 }
 
 impl WriteQueue {
     /// Creates an empty queue.
     pub fn new(limits: WriteLimits) -> Self {
+        Self::with_total(limits, Rc::default())
+    }
+
+    /// Creates an empty queue whose memory counts towards a total.
+    pub fn with_total(limits: WriteLimits, total: Rc<QueuedMemory>) -> Self {
         WriteQueue {
             bytes: RefCell::default(),
             backlog: RefCell::new(Backlog::new(limits)),
             closing: Cell::new(false),
+            is_aborted: Cell::new(false),
             too_slow: Cell::new(false),
             changed: Notify::new(),
             aborted: Notify::new(),
+            total,
+            counted: Cell::new(0),
         }
     }
 
+    /// Returns the memory that the queue takes, in bytes: the waiting bytes and the records of their messages.
+    pub fn memory(&self) -> usize {
+        self.bytes.borrow().capacity() + self.backlog.borrow().memory()
+    }
+
+    fn update_total(&self) {
+        let memory = self.memory();
+        self.total.change(self.counted.replace(memory), memory);
+    }
+
     /// Queues a message. Does nothing once the queue is closed.
     ///
     /// Aborts the queue if the waiting bytes exceed the limit already. Without this limit, a reader that keeps sending
@@ -64,11 +95,11 @@
             return;
         }
         if self.backlog.borrow().is_full() {
-            self.too_slow.set(true);
-            return self.abort();
+            return self.abort_slow_reader();
         }
         self.backlog.borrow_mut().message_queued(now, bytes.len());
         self.bytes.borrow_mut().extend(bytes);
+        self.update_total();
         self.changed.notify_one();
     }
 
@@ -78,12 +109,22 @@
         self.changed.notify_one();
     }
 
-    /// Ends writing immediately. Waiting bytes are not written.
+    /// Ends writing immediately and releases the waiting bytes, which are not written.
     pub fn abort(&self) {
         self.closing.set(true);
+        self.is_aborted.set(true);
+        self.bytes.take();
+        self.backlog.borrow_mut().clear();
+        self.update_total();
         self.aborted.notify_one();
     }
 
+    /// Aborts the queue of a reader that is too slow.
+    pub fn abort_slow_reader(&self) {
+        self.too_slow.set(true);
+        self.abort();
+    }
+
     /// Returns the number of waiting bytes.
     pub fn queued_bytes(&self) -> usize {
         self.bytes.borrow().len()
@@ -104,6 +145,10 @@
 
     async fn write_all(&self, mut connection: OwnedWriteHalf, epoch: Instant) -> WriteOutcome {
         loop {
+            // The abort may come while a write is polled, before the task sees its notification.
+            if self.is_aborted.get() {
+                return self.abort_outcome();
+            }
             let chunk = self.next_chunk();
             if chunk.is_empty() {
                 if self.closing.get() {
@@ -111,6 +156,7 @@
                     return WriteOutcome::Closed;
                 }
                 self.bytes.borrow_mut().shrink_to(IDLE_CAPACITY_BYTES);
+                self.update_total();
                 self.changed.notified().await;
                 continue;
             }
@@ -118,6 +164,7 @@
             // The write is attempted before the deadline is checked: after a stall of the machine, the connection may accept
             // all bytes although their deadline has passed.
             match tokio::time::timeout_at(epoch + deadline, connection.write(&chunk)).await {
+                _ if self.is_aborted.get() => return self.abort_outcome(),
                 Ok(Ok(written)) if written > 0 => self.take_written(written),
                 Ok(_) => return WriteOutcome::ConnectionLost,
                 Err(_) => {}
@@ -135,5 +182,6 @@
     fn take_written(&self, written: usize) {
         self.bytes.borrow_mut().drain(..written);
         self.backlog.borrow_mut().bytes_written(written);
+        self.update_total();
     }
 }
--- a/crates/write-queue/tests/write_queue.rs
+++ b/crates/write-queue/tests/write_queue.rs
@@ -2,8 +2,11 @@
 
 #![allow(missing_docs, unreachable_pub, clippy::unwrap_used, reason = "a test stops at a surprise")]
 
-use grebespool_write_queue::{Backlog, BacklogStatus, WriteLimits, WriteOutcome, WriteQueue};
+use grebespool_write_queue::{Backlog, BacklogStatus, QueuedMemory, WriteLimits, WriteOutcome, WriteQueue};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -86,3 +89,33 @@
     assert_eq!(ended, WriteOutcome::ReaderTooSlow);
     assert!(max_queued <= (96 << 10) + (8 << 10), "{max_queued}");
 }
+
+/// Guards against a process that is killed for its memory because many readers are slow, each within its own limits.
+/// Whatever the limit, the number of queues and the order of messages, the queues together take no more than the limit, and
+/// the queue of a reader that takes its bytes is never aborted for others.
+#[rstest]
+fn queues_together_take_no_more_than_the_limit() {
+    let mut rng = Pcg64Mcg::seed_from_u64(4);
+    for _ in 0..30 {
+        let max = rng.random_range(200_000..2_000_000);
+        let total = Rc::<QueuedMemory>::default();
+        let limits = WriteLimits { max_wait: ms(20_000), max_bytes: 96 << 10 };
+        let mut queues: Vec<WriteQueue> =
+            (0..rng.random_range(2..300)).map(|_| WriteQueue::with_total(limits, total.clone())).collect();
+        let fast = WriteQueue::with_total(limits, total.clone());
+        for step in 0..2_000 {
+            let slow = rng.random_range(0..queues.len());
+            queues[slow].push(ms(step), &vec![7; rng.random_range(10..6_000)]);
+            total.limit(max, queues.iter().chain([&fast]));
+            assert!(total.bytes() <= max, "{} bytes of {max}", total.bytes());
+            assert_eq!(total.bytes(), queues.iter().map(WriteQueue::memory).sum::<usize>() + fast.memory());
+            if queues[slow].memory() == 0 {
+                queues[slow] = WriteQueue::with_total(limits, total.clone());
+            }
+        }
+        fast.push(ms(0), b"abc");
+        assert_eq!(fast.queued_bytes(), 3);
+        drop(queues);
+        assert_eq!(total.bytes(), fast.memory());
+    }
+}
