Handle each connection's messages in bounded turns, and bound the stored reports

Cause: the task that reads a connection never gave way while its socket had bytes, and the policy stored each report of the last 8 s.

Change: a connection has turns of one read, or of 200 ms / descriptors, 1 ms at most; between two long messages all other tasks have a turn. A source's reports are stored one by one up to four times the number that the report interval gives, then merged within a quarter of it. Decisions on reports at the usual rate are the same. The line serving has stored_reports.

Tests: client_that_sends_without_end_delays_no_other_and_takes_no_memory (12 kinds of messages) and long_messages_of_hundreds_of_streams_delay_no_other fail before; stored_reports_are_bounded_by_the_settings_alone and five more hold the bound. a_stream_that_sends_without_end_does_not_delay_another_join shows that serve doesn't have the fault; it passes before.

--- a/crates/controller-server/tests/streams.rs
+++ b/crates/controller-server/tests/streams.rs
@@ -160,6 +160,33 @@
     });
 }
 
+/// Sends reports as fast as the socket takes them, until the planner closes the stream.
+fn send_reports_without_end(socket: std::net::TcpStream) {
+    let report = Message::ProxyReport(ProxyReport { servers: vec![], routes: vec![] }).to_frame();
+    let reports = report.repeat(1000);
+    socket.set_nonblocking(false).unwrap();
+    while std::io::Write::write_all(&mut &socket, &reports).is_ok() {}
+}
+
+/// Guards against one stream that always has messages and delays all others for as long as it sends.
+#[rstest]
+fn a_stream_that_sends_without_end_does_not_delay_another_join() {
+    const JOIN_LIMIT: Duration = Duration::from_secs(1);
+    with_planner(|planner| async move {
+        let (busy, _) = join(planner, KEY, "busy", "east").await.unwrap();
+        let busy = busy.into_std().unwrap();
+        let flooding = busy.try_clone().unwrap();
+        let sender = std::thread::spawn(move || send_reports_without_end(flooding));
+        for attempt in 0..5 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let joined = timeout(JOIN_LIMIT, join(planner, KEY, &format!("p{attempt}"), "east")).await;
+            assert!(joined.is_ok_and(|joined| joined.is_ok()), "join {attempt}");
+        }
+        busy.shutdown(std::net::Shutdown::Both).unwrap();
+        sender.join().unwrap();
+    });
+}
+
 #[rstest]
 fn the_older_stream_of_a_name_that_joins_again_is_closed() {
     with_planner(|planner| async move {
--- a/crates/platform-protocol/src/connections.rs
+++ b/crates/platform-protocol/src/connections.rs
@@ -191,6 +191,13 @@
         frame.missing
     }
 
+    /// Returns true if a message for which memory was reserved is complete.
+    pub(crate) fn has_long_message(&self, id: ConnectionId) -> bool {
+        let Some(connection) = self.open.get(&id) else { return false };
+        let is_complete = connection.frames.frame_in_progress().is_some_and(|frame| frame.missing == 0);
+        connection.has_reservation() && is_complete
+    }
+
     /// Ends the reservation of the message that was taken from the connection. Returns true if there was one.
     pub(crate) fn message_handled(&mut self, id: ConnectionId) -> bool {
         let Some(connection) = self.open.get_mut(&id) else { return false };
--- a/crates/platform-protocol/src/session_manager/mod.rs
+++ b/crates/platform-protocol/src/session_manager/mod.rs
@@ -61,6 +61,8 @@
     pub server_indices: usize,
     /// The number of bytes that are held for received messages, complete or not.
     pub unread_bytes: usize,
+    /// The number of stored reports.
+    pub stored_reports: usize,
     /// The version of the endpoint list.
     pub list_version: Option<u64>,
     /// The urgent changes of tables that could not be sent at once.
@@ -172,6 +174,7 @@
             ready_servers: self.registry.ready_count(),
             server_indices: self.server_indices.len(),
             unread_bytes: self.connections.held_bytes(),
+            stored_reports: self.policy.stored_reports(),
             list_version: self.registry.version(),
             urgent_delays: self.policy.urgent_delays(),
         }
--- a/crates/platform-protocol/src/session_manager/peers.rs
+++ b/crates/platform-protocol/src/session_manager/peers.rs
@@ -45,6 +45,11 @@
         self.connections.read_allowance(id)
     }
 
+    /// Returns true if the next message of the connection is complete and longer than the usual ones.
+    pub fn has_long_message(&self, id: ConnectionId) -> bool {
+        self.connections.has_long_message(id)
+    }
+
     /// Stores bytes that were received on the connection, at most as many as [`Self::read_allowance`] has returned.
     /// [`Self::handle_next_message`] then handles the messages that they complete.
     pub fn bytes_received(&mut self, now: Duration, id: ConnectionId, bytes: &[u8]) {
--- a/crates/platform-server/src/shared.rs
+++ b/crates/platform-server/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::health_check_queue::HealthChecks;
 use crate::log_event::log_event;
+use crate::reading::turn_length;
 use grebespool::host::HealthCheckResult;
 use grebespool_platform_protocol::{
     ConnectionId, Effects, EndpointWatch, Event, PlannerConfig, ReceivedAt, SessionManager,
@@ -12,7 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
 use tracing::Level;
 
@@ -47,8 +48,12 @@
     pub(crate) unwritten: Rc<QueuedMemory>,
     /// Notifies the tasks that wait for memory to read a long message.
     pub(crate) reading_resumed: Rc<Notify>,
+    /// The permit to handle a long message.
+    pub(crate) long_messages: Semaphore,
     /// The longest accepted answer of discovery, in bytes.
     pub(crate) max_list_length: usize,
+    /// The time after which a connection with many messages lets other tasks run.
+    pub(crate) turn_length: Duration,
     /// Notifies the timer task that the session manager was called and that its next deadline may have changed.
     pub(crate) manager_called: Notify,
     pub(crate) discovery: Rc<DiscoveryState>,
@@ -78,6 +83,7 @@
         let health_checks = Rc::new(HealthChecks::default());
         let unwritten = Rc::<QueuedMemory>::default();
         let reading_resumed = Rc::new(Notify::new());
+        let turn_length = turn_length(config.max_descriptors);
         let max_list_length = config.max_list_length();
         let effects = TaskEffects {
             started,
@@ -98,7 +104,9 @@
             write_queues,
             unwritten,
             reading_resumed,
+            long_messages: Semaphore::new(1),
             max_list_length,
+            turn_length,
             manager_called: Notify::new(),
             discovery,
             health_checks,
--- a/crates/platform-server/src/tasks.rs
+++ b/crates/platform-server/src/tasks.rs
@@ -86,6 +86,7 @@
             ready_servers,
             server_indices,
             unread_bytes,
+            stored_reports,
             list_version,
             urgent_delays,
         } = shared.manager.borrow().status();
@@ -97,6 +98,7 @@
             server_indices,
             unread_bytes,
             unwritten_bytes = shared.unwritten.bytes(),
+            stored_reports,
             list_version,
             message_limit_delays = urgent_delays.by_message_limit,
             queue_delays = urgent_delays.by_queue,
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -4,8 +4,8 @@
 
 use super::capacity::{CapacityEstimate, WindowTotals, retention_span_s};
 use crate::host::{AdmissionMode, PolicyHost, ProxyId, Route};
-use crate::state::{AdmissionControl, Policy, RequestCount, ServerState, evict_expired};
-use std::collections::{BTreeMap, VecDeque};
+use crate::state::{AdmissionControl, Policy, RequestCount, RequestHistory, ServerState};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// The number of requests to admit in a window.
@@ -119,20 +119,20 @@
     }
 }
 
-fn requests_since(counts: &VecDeque<RequestCount>, from: Duration) -> f64 {
-    counts.iter().filter(|count| count.at > from).map(|count| count.requests).sum()
+fn requests_since(counts: &RequestHistory, from: Duration) -> f64 {
+    counts.since(from).map(|count| count.requests).sum()
 }
 
 /// Returns the requests per second that each counted proxy received, over the retention time of the samples.
 fn rates_by_proxy(
-    received: &VecDeque<RequestCount>,
+    received: &RequestHistory,
     now: Duration,
     is_counted: impl Fn(ProxyId) -> bool,
 ) -> Vec<f64> {
     let from = now.saturating_sub(ServerState::SAMPLE_RETENTION);
     let span_s = retention_span_s(now);
     let mut rates: BTreeMap<ProxyId, f64> = BTreeMap::new();
-    for count in received.iter().filter(|count| count.at > from && is_counted(count.proxy)) {
+    for count in received.since(from).filter(|count| is_counted(count.proxy)) {
         *rates.entry(count.proxy).or_default() += count.requests / span_s;
     }
     rates.into_values().collect()
@@ -159,8 +159,8 @@
     /// Records how many requests of a route a proxy received in a report interval. Unknown routes are ignored.
     pub fn requests_received(&mut self, now: Duration, proxy: ProxyId, route: usize, requests: u32) {
         if let Some(counts) = self.admission.received.get_mut(route) {
-            counts.push_back(RequestCount { at: now, requests: f64::from(requests), proxy });
-            evict_expired(counts, now, ServerState::SAMPLE_RETENTION, |count| count.at);
+            let count = RequestCount { at: now, requests: f64::from(requests), proxy };
+            counts.add(count, ServerState::SAMPLE_RETENTION, self.history_limit);
         }
     }
 
--- a/src/policy/capacity.rs
+++ b/src/policy/capacity.rs
@@ -3,8 +3,7 @@
 //! This module only estimates; [`admission`](super::admission) decides what is admitted.
 
 use crate::host::{PolicyHost, ProxyId, ZoneCapacity, ZoneId};
-use crate::state::{AdmissionControl, LoadSample, Policy, RequestCount, ServerState, median};
-use std::collections::VecDeque;
+use crate::state::{AdmissionControl, LoadSample, Policy, RequestHistory, ServerState, median};
 use std::time::Duration;
 
 /// The utilization from which a server counts as full.
@@ -149,7 +148,7 @@
         let mut covered = 0.0;
         let mut all = 0.0;
         let from = now.saturating_sub(window);
-        for count in self.admission.received.iter().flatten().filter(|count| count.at > from) {
+        for count in self.admission.received.iter().flat_map(|counts| counts.since(from)) {
             let zone = self.proxies.get(&count.proxy).map(|proxy| proxy.zone);
             covered += if zone.is_none_or(is_reporting) { count.requests } else { 0.0 };
             all += count.requests;
@@ -183,8 +182,8 @@
     pub(super) fn received_per_s(&self, now: Duration, is_counted: impl Fn(ProxyId) -> bool) -> Vec<f64> {
         let from = now.saturating_sub(ServerState::SAMPLE_RETENTION);
         let span_s = retention_span_s(now);
-        let received = |counts: &VecDeque<RequestCount>| {
-            let counted = counts.iter().filter(|count| count.at > from && is_counted(count.proxy));
+        let received = |counts: &RequestHistory| {
+            let counted = counts.since(from).filter(|count| is_counted(count.proxy));
             counted.map(|count| count.requests).sum::<f64>() / span_s
         };
         self.admission.received.iter().map(received).collect()
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -4,7 +4,7 @@
 
 use crate::host::{Endpoint, EndpointState, LoadMetric, LoadReport, PolicyHost, ServerIndex};
 use crate::state::{
-    EndpointPoll, LoadSample, OutlierDetector, Policy, ServerState, SlowStart, evict_expired,
+    EndpointPoll, HistoryLimit, LoadSample, OutlierDetector, Policy, RequestHistory, ServerState, SlowStart,
 };
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -43,12 +43,11 @@
 
     /// Records a sample. A load that does not change is marked as invalid: a server whose reported load stays low would get
     /// more and more requests.
-    fn add_sample(&mut self, sample: LoadSample) {
+    fn add_sample(&mut self, sample: LoadSample, limit: HistoryLimit) {
         let now = sample.at;
         let load = sample.reported_load;
+        self.load.add(sample, Self::SAMPLE_RETENTION, limit);
         let samples = &mut self.load.samples;
-        evict_expired(samples, now, Self::SAMPLE_RETENTION, |sample| sample.at);
-        samples.push_back(sample);
         let reported = samples.iter().rev().filter(|sample| sample.reported_load.is_some());
         let equal: Vec<Duration> =
             reported.take_while(|sample| sample.reported_load == load).map(|sample| sample.at).collect();
@@ -162,7 +161,14 @@
             latency_s: report.latency.map(|latency| latency.as_secs_f64()),
         };
         if let Some(state) = self.servers.get_mut(server) {
-            state.add_sample(sample);
+            state.add_sample(sample, self.history_limit);
         }
     }
+
+    /// Returns the number of stored load reports and reports of requests, which the settings and the list bound.
+    pub fn stored_reports(&self) -> usize {
+        let load_reports: usize = self.servers.iter().map(|server| server.load.samples.len()).sum();
+        let request_reports: usize = self.admission.received.iter().map(RequestHistory::len).sum();
+        load_reports + request_reports
+    }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -28,7 +28,9 @@
     ControlChannelLimits, Observability, PolicyHost, ProxyCapabilities, Route, Timeouts, Timer,
 };
 pub use crate::state::Policy;
-use crate::state::{AdmissionControl, ControlChannel, EndpointPoll, SubsetSize, ZoneSpill, mean};
+use crate::state::{
+    AdmissionControl, ControlChannel, EndpointPoll, HistoryLimit, ServerState, SubsetSize, ZoneSpill, mean,
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
@@ -64,6 +66,7 @@
             routes,
             capabilities,
             timeouts,
+            history_limit: HistoryLimit::new(observability.report_interval, ServerState::SAMPLE_RETENTION),
             observability,
             servers: vec![],
             endpoint_poll: EndpointPoll::Due,
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,9 +5,11 @@
 
 mod load;
 mod pools;
+mod requests;
 
-pub(crate) use load::{LoadHistory, LoadSample, evict_expired, mean, median};
+pub(crate) use load::{HistoryLimit, LoadHistory, LoadSample, evict_expired, mean, median};
 pub(crate) use pools::{Pool, SubsetSize, TableKind, TableScope, WeightEntry};
+pub(crate) use requests::{RequestCount, RequestHistory};
 
 use crate::host::{
     ControlChannelLimits, EndpointState, Observability, ProxyCapabilities, ProxyId, RetryPolicy, Route,
@@ -124,16 +126,6 @@
     pub(crate) evidence_from: Duration,
 }
 
-/// The requests of a route that a proxy received within a report interval.
-pub(crate) struct RequestCount {
-    /// The time at which the report arrived.
-    pub(crate) at: Duration,
-    /// The number of requests.
-    pub(crate) requests: f64,
-    /// The proxy that received the requests.
-    pub(crate) proxy: ProxyId,
-}
-
 /// The admission level and the retry policy of a route, as sent to the proxies.
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) struct AdmissionSetting {
@@ -153,8 +145,8 @@
     /// The load of all servers as a part of their capacity, in steps of a tenth; at 1 the servers are just full. Two lower
     /// bounds apply: one that falls from 3 to 0 over the first 10 s, and 0.7 times the mean number of attempts per answer.
     pub(crate) pressure: f64,
-    /// By route: the requests received, oldest first.
-    pub(crate) received: Vec<VecDeque<RequestCount>>,
+    /// By route: the requests received.
+    pub(crate) received: Vec<RequestHistory>,
     /// By route: the share of the requests to admit, 0 to 1.
     pub(crate) admitted_share: Vec<f32>,
     /// By route: the upper limit on the admitted share, set from outside the policy, 0 to 1.
@@ -170,7 +162,7 @@
     pub(crate) fn new(routes: usize, pressure: f64) -> AdmissionControl {
         AdmissionControl {
             pressure,
-            received: (0..routes).map(|_| VecDeque::new()).collect(),
+            received: (0..routes).map(|_| RequestHistory::default()).collect(),
             admitted_share: vec![1.0; routes],
             share_limits: vec![1.0; routes],
             overloaded: false,
@@ -283,6 +275,8 @@
     pub(crate) capabilities: ProxyCapabilities,
     pub(crate) timeouts: Timeouts,
     pub(crate) observability: Observability,
+    /// The limit of the stored reports of one zone on a server, and of one proxy on a route.
+    pub(crate) history_limit: HistoryLimit,
     /// By [`ServerIndex`](crate::host::ServerIndex).
     pub(crate) servers: Vec<ServerState>,
     pub(crate) endpoint_poll: EndpointPoll,
--- a/src/state/load.rs
+++ b/src/state/load.rs
@@ -29,6 +29,57 @@
     pub(crate) fn answered(&self) -> f64 {
         (self.attempts - self.failures).max(0.0)
     }
+
+    /// Adds the attempts of a newer sample of the same zone, and takes its load.
+    fn merge(&mut self, newer: &LoadSample) {
+        self.latency_s = self.merged_latency_s(newer);
+        self.attempts += newer.attempts;
+        self.failures += newer.failures;
+        self.reported_load = newer.reported_load;
+        self.load = newer.load;
+        self.utilization = newer.utilization;
+    }
+
+    /// Returns the mean latency of the answered attempts of both samples.
+    fn merged_latency_s(&self, newer: &LoadSample) -> Option<f64> {
+        let (Some(own), Some(other)) = (self.latency_s, newer.latency_s) else {
+            return self.latency_s.or(newer.latency_s);
+        };
+        let answered = self.answered() + newer.answered();
+        if answered == 0.0 {
+            return Some(other);
+        }
+        Some((own * self.answered() + other * newer.answered()) / answered)
+    }
+}
+
+/// A limit on the stored reports of one source, which follows from the settings alone. A source that reports more often has
+/// its reports merged, so that it takes no more memory and time than the others.
+#[derive(Clone, Copy)]
+pub(crate) struct HistoryLimit {
+    /// The number of stored reports from which reports in quick succession are merged.
+    reports: usize,
+    /// The time that a stored report then covers.
+    slot: Duration,
+}
+
+impl HistoryLimit {
+    /// The number of reports that a source may send in a report interval: late reports arrive together.
+    const REPORTS_PER_INTERVAL: f64 = 4.0;
+    /// The shortest interval of reports that is taken into account.
+    const MIN_INTERVAL: Duration = Duration::from_millis(100);
+
+    /// Returns the limit for reports that arrive at this interval and are stored for `retention`.
+    pub(crate) fn new(report_interval: Duration, retention: Duration) -> HistoryLimit {
+        let intervals = retention.div_duration_f64(report_interval.max(Self::MIN_INTERVAL)).max(1.0);
+        let reports = (Self::REPORTS_PER_INTERVAL * intervals).ceil();
+        HistoryLimit { reports: reports as usize, slot: retention.div_f64(reports) }
+    }
+
+    /// Returns true if a report that arrives at `now` is to be merged into the newest of the source's `stored` reports.
+    pub(crate) fn merges(&self, stored: usize, newest_at: Duration, now: Duration) -> bool {
+        stored >= self.reports && now.saturating_sub(newest_at) < self.slot
+    }
 }
 
 /// The recent samples of a server.
@@ -39,6 +90,18 @@
 }
 
 impl LoadHistory {
+    /// Adds a sample and removes those that are older than `retention`. A sample beyond the limit of its zone is merged into
+    /// the newest one of the zone.
+    pub(crate) fn add(&mut self, sample: LoadSample, retention: Duration, limit: HistoryLimit) {
+        evict_expired(&mut self.samples, sample.at, retention, |sample| sample.at);
+        let of_zone = |stored: &&mut LoadSample| stored.client_zone == sample.client_zone;
+        let stored = self.samples.iter_mut().filter(of_zone).count();
+        match self.samples.iter_mut().rev().find(of_zone) {
+            Some(newest) if limit.merges(stored, newest.at, sample.at) => newest.merge(&sample),
+            _ => self.samples.push_back(sample),
+        }
+    }
+
     /// Returns the samples from after `from`.
     pub(crate) fn since(&self, from: Duration) -> impl Iterator<Item = &LoadSample> {
         self.samples.iter().filter(move |sample| sample.at > from)
--- a/tests/policy/helpers.rs
+++ b/tests/policy/helpers.rs
@@ -9,7 +9,7 @@
 
 /// The number of servers for which [`PolicyHarness::run`] may report a load.
 const REPORTED_SERVERS: ServerIndex = 64;
-const REPORT_INTERVAL: Duration = ms(500);
+pub const REPORT_INTERVAL: Duration = ms(500);
 
 /// The values of a load report on a server over one interval.
 #[derive(Clone, Copy)]
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod channel;
 mod endpoints;
+mod flooding;
 mod helpers;
 mod message_limit;
 mod outlier_detection;
