Leave unread what a proxy, or a replaced collector, sent before it closed

Cause: the end of a connection was noticed only after everything before it had been read.

Change: the system tells at once that a peer has closed its side. A proxy's bytes are then left unread, and a collector's once a newer one of its zone has connected; a peer that has not joined is read to its end.

--- a/crates/launcher/tests/misbehaving_clients.rs
+++ b/crates/launcher/tests/misbehaving_clients.rs
@@ -6,7 +6,7 @@
 use grebespool_test_cluster::*;
 use rstest::rstest;
 use serde_json::{Map, Value, json};
-use std::io::{Read, Write};
+use std::io::{Read, Seek, SeekFrom, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -191,3 +191,62 @@
     };
     (0..STREAMS).map(open).collect()
 }
+
+/// Guards against a newer stream that waits for what an ended one of its proxy left unread.
+#[rstest]
+fn stream_that_ends_with_much_unread_does_not_delay_the_newer_one() {
+    const UNREAD: usize = 2 << 20;
+    let (_discovery, planner) = start(12);
+    let mut older = connect(planner.listen, Some(subscribe(5)));
+    let reports: Vec<u8> = encode_frame(&usage(5, "store")).repeat(UNREAD / 100);
+    older.set_write_timeout(Some(ms(500))).unwrap();
+    planner.pause();
+    let _ = older.write_all(&reports);
+    older.shutdown(Shutdown::Both).unwrap();
+    planner.resume();
+    let newer = TestProxy::join(planner.listen, 5, false);
+    wait_until("the newer stream has a table", ms(2000), || newer.server_count() == 6);
+    assert_others_are_answered(planner.listen, ms(500), "the rest of an ended stream");
+    assert!(!newer.ended());
+}
+
+/// Returns how many warnings about dropped messages the log has counted without a line of their own.
+fn suppressed_warnings(log: &str) -> Option<usize> {
+    let line = log.lines().rfind(|line| line.contains("dropping a message"))?;
+    let count: String = line.split("suppressed").nth(1)?.chars().filter(char::is_ascii_digit).collect();
+    count.parse().ok()
+}
+
+/// Guards against reports of a collector that has closed its connection, which are counted after a newer one of its zone has
+/// connected. The reports name an unknown server, so that the log counts those that are handled.
+#[rstest]
+fn reports_of_an_ended_collector_do_not_count_beside_a_newer_one() {
+    const REPORTS: usize = 350;
+    /// The interval in which the log has at most one warning of a kind.
+    const WARNING_INTERVAL: Duration = ms(10_500);
+    let discovery = Discovery::new(6);
+    let mut log = tempfile::tempfile().unwrap();
+    let planner = PlannerProcess::spawn_with_log(
+        PROGRAM,
+        &discovery,
+        128,
+        &default_settings(),
+        log.try_clone().unwrap(),
+    );
+    planner.wait_until_ready();
+    let mut older = connect(planner.listen, Some(source()));
+    thread::sleep(ms(300));
+    planner.pause();
+    older.write_all(&encode_frame(&load("x")).repeat(REPORTS)).unwrap();
+    older.shutdown(Shutdown::Both).unwrap();
+    let mut newer = connect(planner.listen, Some(source()));
+    planner.resume();
+    thread::sleep(WARNING_INTERVAL);
+    newer.write_all(&encode_frame(&load("x"))).unwrap();
+    thread::sleep(ms(500));
+    log.seek(SeekFrom::Start(0)).unwrap();
+    let mut text = String::new();
+    log.read_to_string(&mut text).unwrap();
+    let handled = suppressed_warnings(&text).unwrap_or_else(|| panic!("{text}")) + 1;
+    assert!(handled < REPORTS / 2, "{handled} of {REPORTS} reports were handled");
+}
--- a/crates/platform-protocol/src/connections.rs
+++ b/crates/platform-protocol/src/connections.rs
@@ -230,6 +230,12 @@
         self.open.iter().find(|(_, connection)| connection.peer == Peer::Unknown).map(|(id, _)| *id)
     }
 
+    /// Returns true if a collector of the zone has connected after this connection.
+    pub(crate) fn has_newer_collector(&self, zone: ZoneId, id: ConnectionId) -> bool {
+        let mut newer = self.open.range(id + 1..);
+        newer.any(|(_, connection)| connection.peer == Peer::Collector(zone))
+    }
+
     /// Returns the collector of a zone that has been silent for the longest time, if the zone has more than
     /// [`Self::COLLECTORS_PER_ZONE`].
     pub(crate) fn surplus_collector(&self, zone: ZoneId) -> Option<ConnectionId> {
--- a/crates/platform-protocol/src/session_manager/peers.rs
+++ b/crates/platform-protocol/src/session_manager/peers.rs
@@ -39,6 +39,16 @@
         self.remove_connection(id, StreamChange::Left);
     }
 
+    /// Returns true if the messages that the peer sent before it closed the connection still count. A proxy has left with the
+    /// end of its stream, and the reports of a collector would be older than those of a newer one of its zone.
+    pub fn counts_after_end(&self, id: ConnectionId) -> bool {
+        match self.connections.peer(id) {
+            None | Some(Peer::Unknown) => true,
+            Some(Peer::Proxy(_)) => false,
+            Some(Peer::Collector(zone)) => !self.connections.has_newer_collector(zone, id),
+        }
+    }
+
     /// Returns the number of bytes that the host may read from the connection now. If it is 0, the host asks again after
     /// [`Effects::resume_reading`].
     pub fn read_allowance(&mut self, id: ConnectionId) -> usize {
--- a/crates/platform-protocol/tests/session_manager/main.rs
+++ b/crates/platform-protocol/tests/session_manager/main.rs
@@ -5,6 +5,7 @@
 #![allow(clippy::wildcard_imports, reason = "all helpers are for these tests")]
 
 mod connections;
+mod ended_streams;
 mod endpoint_lists;
 #[path = "../helpers/mod.rs"]
 mod helpers;
--- a/crates/platform-server/src/reading.rs
+++ b/crates/platform-server/src/reading.rs
@@ -4,6 +4,7 @@
 use grebespool_platform_protocol::ConnectionId;
 use std::io::ErrorKind;
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::task::yield_now;
 use tokio::time::Instant;
@@ -30,8 +31,9 @@
 /// Reads and handles messages until the peer sends no more or the connection breaks.
 pub(crate) async fn read_all(shared: &Shared, id: ConnectionId, reader: &OwnedReadHalf) -> ReadEnd {
     loop {
-        if reader.readable().await.is_err() {
-            return ReadEnd::Broken;
+        let Ok(ready) = reader.ready(Interest::READABLE).await else { return ReadEnd::Broken };
+        if ready.is_read_closed() && !shared.manager.borrow().counts_after_end(id) {
+            return ReadEnd::Finished;
         }
         let allowance = shared.manager.borrow_mut().read_allowance(id);
         if allowance == 0 {
