--- a/crates/platform-protocol/tests/session_manager/read_limits.rs
+++ b/crates/platform-protocol/tests/session_manager/read_limits.rs
@@ -134,3 +134,31 @@
     assert!(limits.pool <= (memory / 8).max(MAX_MESSAGE));
     assert!(limits.chunk == 512 || 2 * limits.chunk * connections <= memory / 8);
 }
+
+/// Guards against a process that passes its memory limit by the stored reports on as many servers as the list may have.
+/// Listed servers may take half of the memory, with their reports.
+#[rstest]
+fn reports_on_all_listed_servers_fit_into_their_part_of_the_memory() {
+    const MEMORY_MB: usize = 1;
+    /// The least memory that a stored report takes: its time and its figures.
+    const MIN_REPORT_BYTES: usize = 64;
+    let config = config_with_limits(4, settings(), MEMORY_MB as u64, 100);
+    let servers = config.max_servers();
+    let mut harness = Harness::with_config(config);
+    let entries = (0..servers).map(|k| server(k, "SERVING", 0)).collect();
+    harness.receive_list(Some(3), &list(4, true, entries)).unwrap();
+    for (connection, zone) in [(1, "north"), (2, "south")] {
+        harness.open(connection);
+        harness.receive_message(connection, &json!({"msg": "SOURCE", "locality": zone}));
+        for _ in 0..130 {
+            for k in 0..servers {
+                let report = json!({"msg": "LOAD", "locality": zone, "endpoint": format!("s{k}"), "total": 9,
+                                    "errors": 0, "rtt": 20.0, "interval": 500});
+                harness.receive_message(connection, &report);
+            }
+        }
+    }
+    let bytes = harness.manager.status().stored_reports * MIN_REPORT_BYTES;
+    let limit = (MEMORY_MB << 20) / 2;
+    assert!(bytes <= limit, "at least {bytes} bytes of {limit} for {servers} servers");
+}
