Bound the wait of urgent changes also after a burst that used up their reserve

Ten drains 0.3 s apart used up a window of 10 s, and the next one waited for its end; the form of the test had allowed it. Change: an urgent message that may wait no longer is sent only if others can follow it at the even interval of the messages that are not reserved, and other messages leave room for the reserved ones and for these. The property test now bounds the wait after a burst by that interval, which follows from the settings.

--- a/src/policy/message_limit.rs
+++ b/src/policy/message_limit.rs
@@ -3,8 +3,9 @@
 //! The limit allows a number of messages in a sliding window. An urgent change, which has to take effect within a time limit,
 //! is sent at once if others can follow it, and otherwise as late as its time limit permits, together with all that have
 //! come until then. Any other change is sent only if urgent ones can still follow it at the shortest interval at which they
-//! may have to. Where the limit admits urgent messages at that interval without end, an urgent change is always in time;
-//! where it does not, one is in time unless [`MessageLimit::reserved_messages`] urgent messages were sent within the window.
+//! may have to. Where the limit admits urgent messages at that interval without end, an urgent change is always in time.
+//! Where it does not, one is in time unless [`MessageLimit::reserved_messages`] urgent messages were sent within the window,
+//! and waits for [`MessageLimit::sustained_interval`] at most.
 
 use super::control_channel::Priority;
 use crate::host::PolicyHost;
@@ -45,13 +46,15 @@
         }
         evict_expired(sent, now, self.window, |at| *at);
         if priority == Priority::Mandatory && self.may_wait_no_longer(now, waiting_since) {
-            return sent.len() < self.available_messages();
+            return self.urgent_may_follow(now, sent, 0);
         }
         let within_share = (sent.len() as f64) < self.shared_messages() * priority.channel_share();
         let is_spaced = sent.back().is_none_or(|last| now >= *last + self.even_interval());
         // Shedding load cannot wait. Other changes leave the spare messages of the grace to it.
         let may_follow_early = priority == Priority::Overload;
-        within_share && (is_spaced || may_follow_early) && self.urgent_may_follow(now, sent)
+        within_share
+            && (is_spaced || may_follow_early)
+            && self.urgent_may_follow(now, sent, self.reserved_messages())
     }
 
     /// Returns true if an urgent change that was first tried at `waiting_since`, or now, takes effect late unless it is sent
@@ -63,8 +66,13 @@
 
     /// Returns the shortest interval at which messages can be sent without end.
     fn even_interval(&self) -> Duration {
+        self.interval_of(self.available_messages())
+    }
+
+    /// Returns the interval of this number of messages in a window, or of one message if it is 0.
+    fn interval_of(&self, messages: usize) -> Duration {
         // Rounded up, so that no window contains one message too many.
-        let nanos = self.window.as_nanos().div_ceil(self.available_messages() as u128);
+        let nanos = self.window.as_nanos().div_ceil(messages.max(1) as u128);
         Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX))
     }
 
@@ -74,27 +82,38 @@
         self.max_wait.unwrap_or_else(|| self.even_interval())
     }
 
-    /// Returns the number of urgent messages that have to be able to follow any other message: all, if the limit admits them
-    /// without end; otherwise half of the available messages, because limits admit all that cannot wait twice over.
-    fn reserved_messages(&self) -> u128 {
-        if self.urgent_interval() >= self.even_interval() {
-            u128::MAX
+    /// Returns true if the limit admits urgent messages at their shortest interval without end.
+    fn admits_all_urgent(&self) -> bool {
+        self.urgent_interval() >= self.even_interval()
+    }
+
+    /// Returns the number of messages that are reserved for urgent changes at their shortest interval, where the limit does
+    /// not admit them without end: half of the available messages, because limits admit all that cannot wait twice over.
+    fn reserved_messages(&self) -> usize {
+        if self.admits_all_urgent() { 0 } else { self.available_messages().div_ceil(2) }
+    }
+
+    /// Returns the interval at which urgent messages can be sent without end, after the reserved ones.
+    fn sustained_interval(&self) -> Duration {
+        if self.admits_all_urgent() {
+            self.urgent_interval()
         } else {
-            self.available_messages().div_ceil(2) as u128
+            self.interval_of(self.available_messages() - self.reserved_messages())
         }
     }
 
-    /// Returns true if a message may be sent now, and the reserved urgent ones may follow it at their shortest interval.
+    /// Returns true if a message may be sent now, and urgent ones may follow it: `reserved` ones at their shortest interval,
+    /// and then others at the sustained interval without end.
     ///
     /// Each message shares a window with those after it, and with the urgent ones that follow before it leaves the window.
-    fn urgent_may_follow(&self, now: Duration, sent: &VecDeque<Duration>) -> bool {
-        let interval = self.urgent_interval().as_nanos().max(1);
-        let reserved = self.reserved_messages();
+    fn urgent_may_follow(&self, now: Duration, sent: &VecDeque<Duration>, reserved: usize) -> bool {
+        let burst = self.urgent_interval().saturating_mul(u32::try_from(reserved).unwrap_or(u32::MAX));
         let fits = |(position, at): (usize, &Duration)| {
-            let remaining = (*at + self.window).saturating_sub(now).as_nanos();
-            let following = remaining.div_ceil(interval).saturating_sub(1).min(reserved);
+            let remaining = (*at + self.window).saturating_sub(now);
+            let early = intervals_within(remaining, self.urgent_interval()).min(reserved as u128);
+            let later = intervals_within(remaining.saturating_sub(burst), self.sustained_interval());
             let until_now = (sent.len() + 1 - position) as u128;
-            remaining == 0 || until_now + following <= self.available_messages() as u128
+            remaining.is_zero() || until_now + early + later <= self.available_messages() as u128
         };
         sent.iter().chain(iter::once(&now)).enumerate().all(fits)
     }
@@ -110,6 +129,11 @@
     }
 }
 
+/// Returns the number of whole intervals that end before `length` is over.
+fn intervals_within(length: Duration, interval: Duration) -> u128 {
+    length.as_nanos().div_ceil(interval.as_nanos().max(1)).saturating_sub(1)
+}
+
 impl<H: PolicyHost> Policy<H> {
     /// Returns the limit on the messages to each proxy.
     pub(super) fn message_limit(&self) -> MessageLimit {
--- a/tests/policy/message_limit.rs
+++ b/tests/policy/message_limit.rs
@@ -59,6 +59,13 @@
         let interval = grace.saturating_sub(self.max_transit + RETRY_DELAY);
         (interval < self.mean_interval()).then_some(self.available().div_ceil(2))
     }
+
+    /// The longest time that an urgent change may wait once urgent ones have used up the limit: until the next message of
+    /// the mean interval of the messages that are not reserved.
+    fn longest_wait_after_a_burst(&self) -> Duration {
+        let unreserved = self.available() - self.reserved().unwrap_or(0);
+        (self.window + ms(1)) / unreserved.max(1) as u32 + RETRY_DELAY + STEP * 2
+    }
 }
 
 /// An urgent change that a table has not shown yet.
@@ -215,7 +222,8 @@
                     continue;
                 }
                 assert!(
-                    self.is_used_up_by_urgent(obligation.table),
+                    self.is_used_up_by_urgent(obligation.table)
+                        && waits <= self.settings.longest_wait_after_a_burst(),
                     "proxy {proxy}, server {}: an urgent change waits {waits:?}, {longest:?} allowed by {:?}",
                     obligation.server,
                     self.settings
@@ -225,18 +233,13 @@
         }
     }
 
-    /// Returns true if the limit admits no further message to the proxies of a table, and as many urgent ones as are
-    /// reserved were sent within the window.
+    /// Returns true if as many urgent messages as are reserved were sent to the proxies of a table within the window.
     fn is_used_up_by_urgent(&self, table: TableId) -> bool {
         let Some(reserved) = self.settings.reserved() else { return false };
         // The change is tried again some time after a message has left the window.
         let from = self.harness.now.saturating_sub(self.settings.window + RETRY_DELAY + STEP);
-        let commands = self.harness.commands.borrow();
-        let updates = commands.update_times_by_table.get(&table).into_iter().flatten();
-        let sent: BTreeSet<&Duration> =
-            updates.chain(&commands.admission_times).filter(|at| **at >= from).collect();
         let urgent = self.urgent_times.get(&table).into_iter().flatten().filter(|at| **at >= from).count();
-        sent.len() >= self.settings.available() && urgent >= reserved
+        urgent >= reserved
     }
 
     /// Advances the time by `length`, with reports of random loads.
