Count the first reduction of a weight after a server's start as urgent

Callers would see proxies send a restarted server the load of a warm one while only urgent messages may be sent. Cause: priority compares with the weight last sent; a start takes a quarter of the present weight, which may have risen since, so the change was below the threshold of 0.3. Change: each entry knows whether the server has started since its weight was last sent.

--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -107,6 +107,7 @@
             server.slow_start = SlowStart { step: 1, warming: true, evidence_from: now };
             server.load.samples.clear();
             server.outlier.reset(now, SlowStart::STEPS);
+            self.pools.iter_mut().for_each(|pool| pool.server_started(endpoint.server));
         }
         server.zone = endpoint.zone;
         server.kind = endpoint.kind;
--- a/src/policy/pool_updates.rs
+++ b/src/policy/pool_updates.rs
@@ -65,7 +65,7 @@
             table,
             entry: position,
             weight,
-            priority: self.priority(entry, entry.last_sent[table], weight),
+            priority: self.priority(entry, table, weight),
         };
         let entries = pool.entries.iter().zip(weights).enumerate();
         entries.filter(|(_, (entry, weight))| *weight != entry.last_sent[table]).map(change).collect()
@@ -78,11 +78,16 @@
         self.pools[pool].entries.iter().any(is_usable)
     }
 
-    /// Returns the priority of a change, which is higher for larger reductions of a weight.
-    fn priority(&self, entry: &WeightEntry, last_sent: f32, weight: f32) -> Priority {
+    /// Returns the priority of a change, which is higher for larger reductions of a weight. Whatever the reduction is, proxies
+    /// may not go on to send a server that has started the load of a warm one.
+    fn priority(&self, entry: &WeightEntry, table: usize, weight: f32) -> Priority {
+        let last_sent = entry.last_sent[table];
         let factor = f64::from(weight) / f64::from(last_sent);
         let server = &self.servers[entry.server];
         let warming = server.slow_start.warming;
+        if entry.start_unsent[table] && weight < last_sent {
+            return Priority::Mandatory;
+        }
         // The factor is not a number if both weights are 0.
         if factor.is_nan() || factor > ORDINARY_FACTOR_FRACTION * MIN_FACTOR {
             Priority::Ordinary
--- a/src/policy/publishing.rs
+++ b/src/policy/publishing.rs
@@ -111,6 +111,7 @@
     pub(super) fn send_weight(&mut self, pool: usize, table: usize, position: usize, weight: f32) {
         let pool = &mut self.pools[pool];
         let entry = &mut pool.entries[position];
+        entry.start_unsent[table] = false;
         if entry.last_sent[table] != weight {
             entry.last_sent[table] = weight;
             self.host.set_weight(pool.tables[table].id, entry.server, weight);
--- a/src/state/pools.rs
+++ b/src/state/pools.rs
@@ -16,6 +16,8 @@
     pub(crate) changed_at: Duration,
     /// By table of the pool: the weight that was last sent; 0 if no weight was sent.
     pub(crate) last_sent: [f32; Pool::MAX_TABLES],
+    /// By table of the pool: true if the server has started since its weight was last sent.
+    pub(crate) start_unsent: [bool; Pool::MAX_TABLES],
     /// True if the pool no longer needs the server. The entry is removed after a weight of 0 has been sent.
     pub(crate) retiring: bool,
 }
@@ -98,8 +100,21 @@
     /// Adds a server with a weight given as a multiple of the pool's mean weight.
     pub(crate) fn add_server(&mut self, server: ServerIndex, weight: f64) {
         let learned = weight * self.mean_weight();
-        let (changed_at, last_sent, retiring) = (Duration::ZERO, [0.0; Pool::MAX_TABLES], false);
-        self.entries.push(WeightEntry { server, learned, changed_at, last_sent, retiring });
+        self.entries.push(WeightEntry {
+            server,
+            learned,
+            changed_at: Duration::ZERO,
+            last_sent: [0.0; Pool::MAX_TABLES],
+            start_unsent: [false; Pool::MAX_TABLES],
+            retiring: false,
+        });
+    }
+
+    /// Records that a server has started, which the pool's proxies do not know.
+    pub(crate) fn server_started(&mut self, server: ServerIndex) {
+        for entry in self.entries.iter_mut().filter(|entry| entry.server == server) {
+            entry.start_unsent = [true; Pool::MAX_TABLES];
+        }
     }
 
     /// Returns the mean of the learned weights; 1 for an empty pool.
--- a/tests/policy/message_limit.rs
+++ b/tests/policy/message_limit.rs
@@ -14,6 +14,9 @@
 /// The delay after which a change that does not fit is tried again.
 const RETRY_DELAY: Duration = ms(100);
 
+/// The age of a weight up to which the start of a server reduces it: learned weights rise by a quarter in 2 s at most, and a
+/// start reduces them to a quarter.
+const MAX_WEIGHT_AGE: Duration = Duration::from_secs(8);
 /// The factor below which a reduction of a warming server's weight is urgent.
 const URGENT_FACTOR: f32 = 0.3;
 
@@ -74,6 +77,15 @@
     server: ServerIndex,
     /// The time at which the policy was told.
     told_at: Duration,
+    /// The weight of the server in the table at that time.
+    weight: f32,
+}
+
+/// A weight in a table.
+#[derive(Clone, Copy)]
+struct ShownWeight {
+    weight: f32,
+    set_at: Duration,
 }
 
 /// A policy under a message limit, and what its proxies were sent.
@@ -90,7 +102,7 @@
     started_at: BTreeMap<ServerIndex, Duration>,
     obligations: Vec<Obligation>,
     /// The weights in the tables.
-    weights: BTreeMap<(TableId, ServerIndex), f32>,
+    weights: BTreeMap<(TableId, ServerIndex), ShownWeight>,
     /// By table: the times of the messages that carried an urgent change.
     urgent_times: BTreeMap<TableId, BTreeSet<Duration>>,
     /// The number of checks in which an urgent change was late because urgent ones before it had used up the limit.
@@ -147,17 +159,17 @@
         self.harness.policy.proxy_left(proxy);
     }
 
-    /// Lists a server in a state. A drain has to show in all tables in time.
+    /// Lists a server in a state. A drain, and the start of a server that was warm, have to show in all tables in time.
     fn list(&mut self, server: ServerIndex, state: EndpointState, age: Option<Duration>) {
         let now = self.harness.now;
         let is_ready = state == EndpointState::Ready;
         if is_ready {
             self.obligations.retain(|obligation| obligation.server != server);
         }
-        if is_ready {
-            self.unusable.remove(&server);
-        } else if self.unusable.insert(server) {
-            self.oblige(server);
+        if !is_ready && self.unusable.insert(server) {
+            self.oblige(server, |_, _, _| true);
+        } else if is_ready && !self.unusable.remove(&server) && age.is_some() && self.is_warm(server) {
+            self.oblige(server, |limited, table, shown| limited.start_reduces(server, table, shown));
         }
         if age.is_some() {
             self.started_at.insert(server, now);
@@ -167,17 +179,39 @@
         self.record_commands();
     }
 
-    fn oblige(&mut self, server: ServerIndex) {
+    /// Adds an obligation for each table that contains the server and that `is_due` accepts.
+    fn oblige(&mut self, server: ServerIndex, is_due: impl Fn(&LimitedPolicy, TableId, ShownWeight) -> bool) {
         self.obligations.retain(|obligation| obligation.server != server);
-        let holding = self.weights.iter().filter(|((_, other), weight)| *other == server && **weight > 0.0);
         let told_at = self.harness.now;
-        let new = holding.map(|((table, _), _)| Obligation { table: *table, server, told_at });
+        let holding =
+            self.weights.iter().filter(|((_, other), shown)| *other == server && shown.weight > 0.0);
+        let due = holding.filter(|((table, _), shown)| is_due(self, *table, **shown));
+        let new: Vec<Obligation> = due
+            .map(|((table, _), shown)| Obligation { table: *table, server, told_at, weight: shown.weight })
+            .collect();
         self.obligations.extend(new);
     }
 
-    /// Returns true if a table shows an urgent change.
+    /// Returns true if the start of a server has to reduce its weight in a table: the weight is recent, and none of the
+    /// table's other servers, of which at least two are warm, has a higher one.
+    fn start_reduces(&self, server: ServerIndex, table: TableId, shown: ShownWeight) -> bool {
+        let others: Vec<(ServerIndex, f32)> = (self.weights.iter())
+            .filter(|((of, other), _)| *of == table && *other != server && !self.unusable.contains(other))
+            .map(|((_, other), shown)| (*other, shown.weight))
+            .collect();
+        let warm = others.iter().filter(|(other, weight)| *weight > 0.0 && self.is_warm(*other)).count();
+        let is_highest = others.iter().all(|(_, weight)| *weight <= shown.weight);
+        warm >= 2 && is_highest && self.harness.now - shown.set_at <= MAX_WEIGHT_AGE
+    }
+
+    fn is_warm(&self, server: ServerIndex) -> bool {
+        self.started_at.get(&server).is_none_or(|at| self.harness.now > *at + WARM_UP)
+    }
+
+    /// Returns true if the table shows an urgent change.
     fn is_met(&self, obligation: &Obligation) -> bool {
-        self.weights[&(obligation.table, obligation.server)] == 0.0
+        let weight = self.weights[&(obligation.table, obligation.server)].weight;
+        if self.unusable.contains(&obligation.server) { weight == 0.0 } else { weight < obligation.weight }
     }
 
     /// Removes the obligations that the tables show, and records the messages that carried urgent changes.
@@ -188,23 +222,27 @@
                 self.urgent_times.entry(command.table).or_default().insert(command.at);
             }
         }
-        for WeightCommand { table, server, weight, .. } in recorded {
-            self.weights.insert((table, server), weight);
+        for WeightCommand { at, table, server, weight, .. } in recorded {
+            self.weights.insert((table, server), ShownWeight { weight, set_at: at });
         }
         let obligations = std::mem::take(&mut self.obligations);
         self.obligations = obligations.into_iter().filter(|obligation| !self.is_met(obligation)).collect();
     }
 
-    /// Returns true if a weight may not wait: it removes a server that must not be used, reduces that of a server that has
-    /// just started by much, or is the first one of a table without usable servers.
+    /// Returns true if a weight may not wait: it removes a server that must not be used, is the first reduction since a
+    /// server's start or a large one while it warms up, or is the first weight of a table without usable servers.
     fn is_urgent(&self, command: &WeightCommand) -> bool {
         let WeightCommand { at, table, server, before, weight } = *command;
-        let is_cold = self.started_at.get(&server).is_some_and(|started_at| at <= *started_at + WARM_UP);
-        let usable = |((of, other), weight): (&(TableId, ServerIndex), &f32)| {
-            *of == table && *weight > 0.0 && !self.unusable.contains(other)
+        let started_at = self.started_at.get(&server);
+        let is_cold = started_at.is_some_and(|started_at| at <= *started_at + WARM_UP);
+        let shown = self.weights.get(&(table, server));
+        let knows_start =
+            shown.is_none_or(|shown| started_at.is_none_or(|started_at| shown.set_at > *started_at));
+        let usable = |((of, other), shown): (&(TableId, ServerIndex), &ShownWeight)| {
+            *of == table && shown.weight > 0.0 && !self.unusable.contains(other)
         };
         let drains = self.unusable.contains(&server) && before > 0.0 && weight == 0.0;
-        let protects = is_cold && weight < URGENT_FACTOR * before;
+        let protects = is_cold && weight < if knows_start { URGENT_FACTOR * before } else { before };
         drains || protects || (weight > 0.0 && !self.weights.iter().any(usable))
     }
 
@@ -335,6 +373,28 @@
     assert_eq!(limited.excused, 0);
 }
 
+/// A server that restarted kept the weight of a warm one for as long as only urgent changes could be sent, if the weight to
+/// send had risen since the last message: its reduction was too small to count as urgent.
+#[rstest]
+#[case::weight_has_risen(0.1)]
+#[case::weight_is_unchanged(0.5)]
+fn start_of_a_server_takes_effect_within_the_grace(#[case] utilization: f32) {
+    let settings = LimitSettings {
+        max_messages: 3,
+        window: Duration::from_secs(10),
+        max_transit: ms(500),
+        drain_grace: Some(ms(2000)),
+    };
+    let mut limited = LimitedPolicy::new(settings, 1, 6, 1);
+    let loads = |server| observed(10, 0, if server == 0 { utilization } else { 0.5 }, 0.0);
+    limited.harness.run(Duration::from_secs(6), |server| (server < 6).then_some(loads(server)));
+    let before = limited.harness.weight(0, 0);
+    limited.list(0, EndpointState::Ready, Some(ms(100)));
+    limited.harness.run(settings.longest_wait(), |server| (server < 6).then_some(loads(server)));
+    let after = limited.harness.weight(0, 0);
+    assert!(after < 0.6 * before, "weight {before}, then {after}");
+}
+
 /// Ordinary changes leave room for urgent ones, and no more room than that.
 #[rstest]
 fn ordinary_changes_use_the_messages_that_are_not_reserved() {
