Divide the memory for load reports among the servers, and derive their number from it

Callers saw a planner pass its memory limit while collectors report without end on very many servers: 2,000 servers took 58 MB of 32 in a trial. Cause: the limit on listed servers took 4 KiB for each, while a flood stores up to twice four reports for each zone and report interval. Evidence: 191,666 stored reports, 24 KB of unread bytes; 200 servers took 10 MB. Change: the number of servers follows from what is stored for one at the least, and HistoryLimit, which moves to src/policy, divides the memory for reports among the servers: four an interval while they fit, the usual one otherwise. Beyond the limit of a source its two oldest reports are merged, so it stores half as many as before.

--- a/crates/platform-protocol/src/config.rs
+++ b/crates/platform-protocol/src/config.rs
@@ -4,6 +4,7 @@
 use crate::read_budget::ReadLimits;
 use crate::wire::names::config as names;
 use grebespool::host::{ControlChannelLimits, Observability, ProxyCapabilities, Route, Timeouts};
+use grebespool::policy;
 use grebespool_platform_settings::{PlatformSettings, SettingsError};
 use serde_json::Value;
 use std::net::{AddrParseError, SocketAddr};
@@ -100,8 +101,8 @@
     const MAX_MEMORY_MB: u64 = 1 << 20;
     /// The part of the memory that the listed servers may take.
     const SERVERS_PART: usize = 2;
-    /// The memory that a listed server may take in bytes, with its reports of all zones and its entries in tables.
-    const BYTES_PER_SERVER: usize = 4 << 10;
+    /// The memory that a listed server may take in bytes beside the reports on it: its entries in the list, pools and tables.
+    const BYTES_PER_LISTED_SERVER: usize = 2 << 10;
     /// The part of the memory that an answer of discovery may take; several may be pending.
     const LIST_PART: usize = 32;
     /// The longest answer of discovery in bytes, whatever the memory. A list of some 10,000 servers fits.
@@ -143,9 +144,18 @@
         })
     }
 
-    /// Returns the largest number of servers that fit into the memory.
+    /// Returns the largest number of servers that fit into the memory, each with the reports that the policy needs.
     pub fn max_servers(&self) -> usize {
-        self.max_memory / Self::SERVERS_PART / Self::BYTES_PER_SERVER
+        self.max_memory / Self::SERVERS_PART / (Self::BYTES_PER_LISTED_SERVER + self.min_report_bytes())
+    }
+
+    /// Returns the memory that the reports on all servers may take, in bytes.
+    pub fn report_memory(&self) -> usize {
+        self.max_servers() * self.min_report_bytes()
+    }
+
+    fn min_report_bytes(&self) -> usize {
+        policy::min_report_bytes(&self.observability, self.zones.len())
     }
 
     /// Returns the longest accepted answer of discovery, in bytes.
--- a/crates/platform-protocol/src/session_manager/mod.rs
+++ b/crates/platform-protocol/src/session_manager/mod.rs
@@ -109,7 +109,7 @@
     pub fn new(effects: E, config: PlannerConfig, reserved_descriptors: usize, unix_ms: f64) -> Self {
         let unknown_limit = config.unknown_peer_limit(reserved_descriptors);
         let read_limits = config.read_limits();
-        let max_servers = config.max_servers();
+        let (max_servers, report_memory) = (config.max_servers(), config.report_memory());
         let assignments = Assignments::default();
         let mut manager = SessionManager {
             effects,
@@ -136,6 +136,7 @@
             list_requested: false,
             next_sweep_at: Duration::ZERO,
         };
+        manager.policy.limit_report_memory(report_memory);
         if let Some(list) = &config.known_endpoints {
             manager.apply_known_endpoints(unix_ms, list);
         }
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -160,7 +160,7 @@
     pub fn requests_received(&mut self, now: Duration, proxy: ProxyId, route: usize, requests: u32) {
         if let Some(counts) = self.admission.received.get_mut(route) {
             let count = RequestCount { at: now, requests: f64::from(requests), proxy };
-            counts.add(count, ServerState::SAMPLE_RETENTION, self.history_limit);
+            counts.add(count, ServerState::SAMPLE_RETENTION, self.request_report_limit);
         }
     }
 
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -2,9 +2,10 @@
 //!
 //! A list may be late or wrong: if removals are not final, a removed server that answers stays in use.
 
+use super::history_limit::HistoryLimit;
 use crate::host::{Endpoint, EndpointState, LoadMetric, LoadReport, PolicyHost, ServerIndex};
 use crate::state::{
-    EndpointPoll, HistoryLimit, LoadSample, OutlierDetector, Policy, RequestHistory, ServerState, SlowStart,
+    EndpointPoll, LoadSample, OutlierDetector, Policy, RequestHistory, ServerState, SlowStart,
 };
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -54,7 +55,7 @@
         let first = equal.last().copied().unwrap_or(now);
         if equal.len() >= Self::FROZEN_SAMPLES && now - first >= Self::FROZEN_FOR {
             for sample in samples.iter_mut().filter(|sample| sample.reported_load == load) {
-                sample.load = None;
+                sample.is_valid = false;
                 sample.utilization = None;
             }
         }
@@ -74,6 +75,7 @@
         if complete {
             self.remove_unlisted(endpoints);
         }
+        self.update_load_report_limit();
         self.update_subsets();
         self.publish(now);
     }
@@ -154,15 +156,15 @@
         let sample = LoadSample {
             at: now,
             client_zone: report.client_zone,
+            is_valid: true,
             reported_load: load,
-            load,
             utilization,
             attempts: f64::from(report.attempts),
             failures: f64::from(report.failures),
             latency_s: report.latency.map(|latency| latency.as_secs_f64()),
         };
         if let Some(state) = self.servers.get_mut(server) {
-            state.add_sample(sample, self.history_limit);
+            state.add_sample(sample, self.load_report_limit);
         }
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,6 +12,7 @@
 mod control_channel;
 mod effective_weights;
 mod endpoints;
+pub(crate) mod history_limit;
 mod message_limit;
 mod outlier_detection;
 mod pool_updates;
@@ -29,9 +30,9 @@
     ControlChannelLimits, Observability, PolicyHost, ProxyCapabilities, Route, Timeouts, Timer,
 };
 pub use crate::state::Policy;
-use crate::state::{
-    AdmissionControl, ControlChannel, EndpointPoll, HistoryLimit, ServerState, SubsetSize, ZoneSpill, mean,
-};
+use crate::state::{AdmissionControl, ControlChannel, EndpointPoll, SubsetSize, ZoneSpill, mean};
+use history_limit::HistoryLimit;
+pub use history_limit::min_report_bytes;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
@@ -67,7 +68,9 @@
             routes,
             capabilities,
             timeouts,
-            history_limit: HistoryLimit::new(observability.report_interval, ServerState::SAMPLE_RETENTION),
+            request_report_limit: HistoryLimit::new(observability.report_interval),
+            load_report_limit: HistoryLimit::new(observability.report_interval),
+            report_memory: usize::MAX,
             observability,
             servers: vec![],
             endpoint_poll: EndpointPoll::Due,
--- a/src/policy/weights.rs
+++ b/src/policy/weights.rs
@@ -109,7 +109,7 @@
         let counts = server.is_available() && server.warm_at <= now;
         let measure =
             |value: fn(&LoadSample) -> Option<f64>| server.load.mean(from, value).filter(|_| counts);
-        EntryLoad { load: measure(|sample| sample.load), latency_s: measure(|sample| sample.latency_s) }
+        EntryLoad { load: measure(LoadSample::load), latency_s: measure(|sample| sample.latency_s) }
     }
 
     /// Returns the learned weight of each server as a multiple of its pool's mean, averaged over the pools that hold it.
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,7 +7,7 @@
 mod pools;
 mod requests;
 
-pub(crate) use load::{HistoryLimit, LoadHistory, LoadSample, evict_expired, mean, median};
+pub(crate) use load::{LoadHistory, LoadSample, evict_expired, mean, median};
 pub(crate) use pools::{Pool, SubsetSize, TableKind, TableScope, WeightEntry};
 pub(crate) use requests::{RequestCount, RequestHistory};
 
@@ -15,6 +15,7 @@
     ControlChannelLimits, EndpointState, Observability, ProxyCapabilities, ProxyId, RetryPolicy, Route,
     ServerKind, Timeouts, UrgentDelays, ZoneId,
 };
+use crate::policy::history_limit::HistoryLimit;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -288,8 +289,12 @@
     pub(crate) capabilities: ProxyCapabilities,
     pub(crate) timeouts: Timeouts,
     pub(crate) observability: Observability,
-    /// The limit of the stored reports of one zone on a server, and of one proxy on a route.
-    pub(crate) history_limit: HistoryLimit,
+    /// The limit of the stored reports of one proxy on a route.
+    pub(crate) request_report_limit: HistoryLimit,
+    /// The limit of the stored reports of one zone on a server.
+    pub(crate) load_report_limit: HistoryLimit,
+    /// The memory that the load reports on all servers may take, in bytes.
+    pub(crate) report_memory: usize,
     /// By [`ServerIndex`](crate::host::ServerIndex).
     pub(crate) servers: Vec<ServerState>,
     pub(crate) endpoint_poll: EndpointPoll,
--- a/src/state/load.rs
+++ b/src/state/load.rs
@@ -1,7 +1,8 @@
 //! Load samples of a server, and statistics over them.
 
 use crate::host::ZoneId;
-use std::collections::VecDeque;
+use crate::policy::history_limit::HistoryLimit;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// The observations of one server by the proxies of one zone over a report interval.
@@ -10,10 +11,10 @@
     pub(crate) at: Duration,
     /// The zone of the proxies.
     pub(crate) client_zone: ZoneId,
+    /// False if the reported load is invalid.
+    pub(crate) is_valid: bool,
     /// The reported load, valid or not, in the unit of the deployment's metrics.
     pub(crate) reported_load: Option<f64>,
-    /// The reported load; `None` if it is invalid.
-    pub(crate) load: Option<f64>,
     /// The utilization of the workers, 0 to 1; `None` if it is not reported or the reported load is invalid.
     pub(crate) utilization: Option<f64>,
     /// The number of attempts that ended.
@@ -25,6 +26,11 @@
 }
 
 impl LoadSample {
+    /// Returns the reported load; `None` if it is invalid.
+    pub(crate) fn load(&self) -> Option<f64> {
+        self.reported_load.filter(|_| self.is_valid)
+    }
+
     /// Returns the number of answered attempts.
     pub(crate) fn answered(&self) -> f64 {
         (self.attempts - self.failures).max(0.0)
@@ -36,10 +42,17 @@
         self.attempts += newer.attempts;
         self.failures += newer.failures;
         self.reported_load = newer.reported_load;
-        self.load = newer.load;
+        self.is_valid = newer.is_valid;
         self.utilization = newer.utilization;
     }
 
+    /// Adds the attempts of an older sample of the same zone, and keeps its own load.
+    fn absorb(&mut self, older: &LoadSample) {
+        self.latency_s = self.merged_latency_s(older);
+        self.attempts += older.attempts;
+        self.failures += older.failures;
+    }
+
     /// Returns the mean latency of the answered attempts of both samples.
     fn merged_latency_s(&self, newer: &LoadSample) -> Option<f64> {
         let (Some(own), Some(other)) = (self.latency_s, newer.latency_s) else {
@@ -53,35 +66,6 @@
     }
 }
 
-/// A limit on the stored reports of one source, which follows from the settings alone. A source that reports more often has
-/// its reports merged, so that it takes no more memory and time than the others.
-#[derive(Clone, Copy)]
-pub(crate) struct HistoryLimit {
-    /// The number of stored reports from which reports in quick succession are merged.
-    reports: usize,
-    /// The time that a stored report then covers.
-    slot: Duration,
-}
-
-impl HistoryLimit {
-    /// The number of reports that a source may send in a report interval: late reports arrive together.
-    const REPORTS_PER_INTERVAL: f64 = 4.0;
-    /// The shortest interval of reports that is taken into account.
-    const MIN_INTERVAL: Duration = Duration::from_millis(100);
-
-    /// Returns the limit for reports that arrive at this interval and are stored for `retention`.
-    pub(crate) fn new(report_interval: Duration, retention: Duration) -> HistoryLimit {
-        let intervals = retention.div_duration_f64(report_interval.max(Self::MIN_INTERVAL)).max(1.0);
-        let reports = (Self::REPORTS_PER_INTERVAL * intervals).ceil();
-        HistoryLimit { reports: reports as usize, slot: retention.div_f64(reports) }
-    }
-
-    /// Returns true if a report that arrives at `now` is to be merged into the newest of the source's `stored` reports.
-    pub(crate) fn merges(&self, stored: usize, newest_at: Duration, now: Duration) -> bool {
-        stored >= self.reports && now.saturating_sub(newest_at) < self.slot
-    }
-}
-
 /// The recent samples of a server.
 #[derive(Default)]
 pub(crate) struct LoadHistory {
@@ -90,15 +74,65 @@
 }
 
 impl LoadHistory {
-    /// Adds a sample and removes those that are older than `retention`. A sample beyond the limit of its zone is merged into
-    /// the newest one of the zone.
+    /// The number of samples by which the memory grows.
+    const GROWTH: usize = 16;
+
+    /// Returns the memory that this number of samples may take, in bytes.
+    pub(crate) fn max_bytes(samples: usize) -> usize {
+        samples.next_multiple_of(Self::GROWTH) * size_of::<LoadSample>()
+    }
+
+    /// Returns the number of samples that always fit into `bytes`.
+    pub(crate) fn samples_within(bytes: usize) -> usize {
+        let samples = bytes / size_of::<LoadSample>();
+        samples - samples % Self::GROWTH
+    }
+
+    /// Adds a sample and removes those that are older than `retention`. A sample in quick succession is merged into the newest
+    /// one of its zone, and beyond the limit of the zone the two oldest ones are merged.
     pub(crate) fn add(&mut self, sample: LoadSample, retention: Duration, limit: HistoryLimit) {
         evict_expired(&mut self.samples, sample.at, retention, |sample| sample.at);
-        let of_zone = |stored: &&mut LoadSample| stored.client_zone == sample.client_zone;
-        let stored = self.samples.iter_mut().filter(of_zone).count();
-        match self.samples.iter_mut().rev().find(of_zone) {
+        let zone = sample.client_zone;
+        let stored = self.count(zone);
+        match self.samples.iter_mut().rev().find(|stored| stored.client_zone == zone) {
             Some(newest) if limit.merges(stored, newest.at, sample.at) => newest.merge(&sample),
-            _ => self.samples.push_back(sample),
+            _ => {
+                if limit.is_reached(stored) {
+                    self.merge_oldest(zone);
+                }
+                if self.samples.len() == self.samples.capacity() {
+                    self.samples.reserve_exact(Self::GROWTH);
+                }
+                self.samples.push_back(sample);
+            }
+        }
+    }
+
+    /// Merges the oldest samples of each zone until the limit is kept, and releases the memory of the others.
+    pub(crate) fn reduce_to(&mut self, limit: HistoryLimit) {
+        let zones: BTreeSet<ZoneId> = self.samples.iter().map(|sample| sample.client_zone).collect();
+        for zone in zones {
+            while limit.is_exceeded(self.count(zone)) {
+                self.merge_oldest(zone);
+            }
+        }
+        self.samples.shrink_to(self.samples.len().next_multiple_of(Self::GROWTH));
+    }
+
+    /// Returns the number of a zone's samples.
+    fn count(&self, zone: ZoneId) -> usize {
+        self.samples.iter().filter(|sample| sample.client_zone == zone).count()
+    }
+
+    /// Merges the two oldest samples of a zone.
+    fn merge_oldest(&mut self, zone: ZoneId) {
+        let Some(position) = self.samples.iter().position(|sample| sample.client_zone == zone) else {
+            return;
+        };
+        let Some(oldest) = self.samples.remove(position) else { return };
+        let next = self.samples.iter_mut().skip(position).find(|sample| sample.client_zone == zone);
+        if let Some(next) = next {
+            next.absorb(&oldest);
         }
     }
 
--- a/src/state/requests.rs
+++ b/src/state/requests.rs
@@ -1,7 +1,8 @@
 //! The requests that proxies have received, by report.
 
-use super::load::{HistoryLimit, evict_expired};
+use super::load::evict_expired;
 use crate::host::ProxyId;
+use crate::policy::history_limit::HistoryLimit;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -24,15 +25,23 @@
 }
 
 impl RequestHistory {
-    /// Adds a report and removes those of the proxy that are older than `retention`. A report beyond the limit is added to the
-    /// proxy's newest one.
+    /// Adds a report and removes those of the proxy that are older than `retention`. A report in quick succession is added to
+    /// the proxy's newest one, and beyond the limit the two oldest ones are merged.
     pub(crate) fn add(&mut self, count: RequestCount, retention: Duration, limit: HistoryLimit) {
         let counts = self.by_proxy.entry(count.proxy).or_default();
         evict_expired(counts, count.at, retention, |count| count.at);
         let stored = counts.len();
         match counts.back_mut() {
             Some(newest) if limit.merges(stored, newest.at, count.at) => newest.requests += count.requests,
-            _ => counts.push_back(count),
+            _ => {
+                if limit.is_reached(stored)
+                    && let Some(oldest) = counts.pop_front()
+                    && let Some(next) = counts.front_mut()
+                {
+                    next.requests += oldest.requests;
+                }
+                counts.push_back(count);
+            }
         }
     }
 
