Send the first server of an empty table in time, also where its message is late

Callers would see proxies without a server although one is listed: for more than 2 s where 2.0 s were allowed, and as long as the message stays late. Evidence: the weight to send was 1, the last sent 0, and no delay was counted; with a grace that the channel can keep the same return is sent at once, both foretold. Change: all weights of an empty table are mandatory, a waiting time ends with its change, and the shorter of the drain grace and unservedMaxMs bounds the wait of urgent changes.

--- a/crates/controller/tests/helpers/mod.rs
+++ b/crates/controller/tests/helpers/mod.rs
@@ -123,6 +123,7 @@
                 warm_up: Duration::from_secs(8),
                 removal_is_final: true,
                 drain_grace: None,
+                max_unserved: None,
                 cold_start: None,
             },
             channel: limits,
--- a/crates/platform-settings/src/keys.rs
+++ b/crates/platform-settings/src/keys.rs
@@ -19,6 +19,7 @@
 pub(crate) const START_CAPACITY: &str = "invariants.startCapacity";
 pub(crate) const OVERLOAD_MULTIPLE: &str = "invariants.fallMultiple";
 pub(crate) const DRAIN_GRACE_MS: &str = "invariants.drainGraceMs";
+pub(crate) const MAX_UNSERVED_MS: &str = "familyInfo.unservedMaxMs";
 pub(crate) const REMOVAL_IS_NOT_FINAL: &str = "invariants.removalNotBinding";
 
 pub(crate) const ENTRIES_PER_S: &str = "familyInfo.linesPerS";
--- a/crates/platform-settings/src/lib.rs
+++ b/crates/platform-settings/src/lib.rs
@@ -178,6 +178,7 @@
             warm_up: self.duration(keys::WARM_UP_MS)?,
             removal_is_final: !removal_is_not_final,
             drain_grace: self.optional_duration(keys::DRAIN_GRACE_MS)?,
+            max_unserved: self.optional_duration(keys::MAX_UNSERVED_MS)?,
             cold_start: self.cold_start()?,
         })
     }
--- a/crates/platform-settings/tests/settings.rs
+++ b/crates/platform-settings/tests/settings.rs
@@ -6,6 +6,7 @@
 use grebespool_platform_settings::PlatformSettings;
 use rstest::rstest;
 use serde_json::{Value, json};
+use std::time::Duration;
 
 const PAIRS: &str = "classes.count=2\nclasses.0.aimMs=900.0\nclasses.0.effect=retryable\nclasses.0.name=look_up\n\
 classes.0.points=1.0\nclasses.1.aimMs=700.0\nclasses.1.dedupScope=zone\nclasses.1.dedupWindowMs=1200.0\n\
@@ -96,6 +97,20 @@
     assert_eq!(PlatformSettings::from_json(&settings).timeouts().unwrap_err().to_string(), message);
 }
 
+#[rstest]
+#[case::missing(Value::Null, Ok(None))]
+#[case::stated(json!(3100.0), Ok(Some(Duration::from_millis(3100))))]
+#[case::negative(json!(-1), Err("setting familyInfo.unservedMaxMs is not a duration in milliseconds: -1".into()))]
+fn reads_the_limit_on_the_time_without_a_server(
+    #[case] value: Value,
+    #[case] expected: Result<Option<Duration>, String>,
+) {
+    let mut settings = nested();
+    settings["familyInfo"]["unservedMaxMs"] = value;
+    let timeouts = PlatformSettings::from_json(&settings).timeouts();
+    assert_eq!(timeouts.map(|timeouts| timeouts.max_unserved).map_err(|error| error.to_string()), expected);
+}
+
 /// An unknown mode is rejected, because the unit of a level depends on the mode.
 #[rstest]
 #[case::shares(json!("share"), Ok(AdmissionMode::Share))]
--- a/crates/settings/src/controller_terms.rs
+++ b/crates/settings/src/controller_terms.rs
@@ -49,6 +49,7 @@
             warm_up: self.servers.warm_up.0,
             removal_is_final: self.servers.gone_binds,
             drain_grace: None,
+            max_unserved: None,
             cold_start: None,
         }
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -149,6 +149,8 @@
     pub removal_is_final: bool,
     /// The time within which proxies have to stop sending to a server that drains; `None` if it is not known.
     pub drain_grace: Option<Duration>,
+    /// The longest time for which a proxy may have no server for a route while a warm one is listed; `None` if it is not known.
+    pub max_unserved: Option<Duration>,
     /// The load that a server can bear after its start; `None` if it is not known.
     pub cold_start: Option<ColdStart>,
 }
--- a/src/policy/channel_delay.rs
+++ b/src/policy/channel_delay.rs
@@ -9,10 +9,11 @@
 
 impl<H: PolicyHost> Policy<H> {
     /// Returns the longest time that an urgent change may spend before its transit, less the time until a retry; `None` if no
-    /// time limit is known.
+    /// time limit is known. A drain and the first server of an empty table have different limits, of which the shorter applies.
     pub(super) fn max_urgent_delay(&self) -> Option<Duration> {
         let until_effect = self.channel.limits.max_transit + ControlChannel::URGENT_DELAY;
-        self.timeouts.drain_grace.map(|grace| grace.saturating_sub(until_effect))
+        let time_limits = [self.timeouts.drain_grace, self.timeouts.max_unserved];
+        time_limits.into_iter().flatten().min().map(|limit| limit.saturating_sub(until_effect))
     }
 
     /// Returns the time until an urgent change has reached all proxies, if it is queued behind `entries` more entries.
--- a/src/policy/pool_updates.rs
+++ b/src/policy/pool_updates.rs
@@ -60,32 +60,34 @@
         let zone_admission = self.changed_zone_admission(now, pool);
         let by_weights = changes.iter().map(|change| change.priority).max();
         let by_admission = (!zone_admission.is_empty()).then_some(Priority::Overload);
-        let highest = by_weights.max(by_admission)?;
-        let fills_a_table =
-            changes.iter().any(|change| change.weight > 0.0 && !self.has_usable_server(pool, change.table));
-        let priority = if fills_a_table { Priority::Mandatory } else { highest };
+        let priority = by_weights.max(by_admission)?;
         Some(PoolUpdate { pool, priority, changes, zone_admission })
     }
 
-    /// Returns the changes of a table.
+    /// Returns the changes of a table. All weights of a table without usable servers are mandatory.
     fn table_changes(&self, pool: &Pool, table: usize) -> Vec<WeightChange> {
         let weights = self.effective_weights(pool, pool.tables[table].kind.scope);
+        let is_empty = !self.has_usable_server(pool, table);
         let change = |(position, (entry, weight)): (usize, (&WeightEntry, f32))| WeightChange {
             table,
             entry: position,
             last_sent: entry.last_sent[table],
             weight,
-            priority: self.priority(entry, table, weight),
+            priority: if is_empty && weight > 0.0 {
+                Priority::Mandatory
+            } else {
+                self.priority(entry, table, weight)
+            },
         };
         let entries = pool.entries.iter().zip(weights).enumerate();
         entries.filter(|(_, (entry, weight))| *weight != entry.last_sent[table]).map(change).collect()
     }
 
     /// Returns true if a ready server is in a table, by what was last sent.
-    fn has_usable_server(&self, pool: usize, table: usize) -> bool {
+    fn has_usable_server(&self, pool: &Pool, table: usize) -> bool {
         let is_usable =
             |entry: &WeightEntry| entry.last_sent[table] > 0.0 && self.servers[entry.server].is_ready();
-        self.pools[pool].entries.iter().any(is_usable)
+        pool.entries.iter().any(is_usable)
     }
 
     /// Returns the priority of a change, which is higher for larger reductions of a weight. Whatever the reduction is, proxies
--- a/src/policy/publishing.rs
+++ b/src/policy/publishing.rs
@@ -9,6 +9,7 @@
 use crate::state::{AdmissionSetting, Policy, Pool};
 use rand::seq::SliceRandom;
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// The cost of a message in addition to its own entries and the channel's overhead, in entries.
@@ -22,6 +23,7 @@
         let proxies = self.bound_proxies_by_pool();
         let admission_sent = self.publish_admission(now, proxies.iter().sum());
         let mut updates = self.pool_updates(now, &proxies);
+        self.forget_urgent_changes_but(&updates);
         // Pools of the same urgency are in random order, so that no pool is always the one whose changes do not fit.
         updates.shuffle(&mut self.rng);
         updates.sort_by_key(|update| Reverse(update.priority));
@@ -36,6 +38,17 @@
         }
     }
 
+    /// Forgets the waiting time of urgent changes that are no longer needed: only pools with a mandatory update have one.
+    fn forget_urgent_changes_but(&mut self, updates: &[PoolUpdate]) {
+        let is_urgent = |update: &&PoolUpdate| update.priority == Priority::Mandatory;
+        let urgent: BTreeSet<usize> = updates.iter().filter(is_urgent).map(|update| update.pool).collect();
+        for (index, pool) in self.pools.iter_mut().enumerate() {
+            if !urgent.contains(&index) {
+                pool.urgent_since = None;
+            }
+        }
+    }
+
     /// Returns, by pool, the number of proxies that are bound to it.
     fn bound_proxies_by_pool(&self) -> Vec<f64> {
         let mut proxies = vec![0.0; self.pools.len()];
--- a/tests/policy/channel_delay.rs
+++ b/tests/policy/channel_delay.rs
@@ -64,7 +64,13 @@
             ..CHANNEL
         };
         let drain_grace = Some(settings.drain_grace);
-        let timeouts = Timeouts { warm_up: WARM_UP, removal_is_final: true, drain_grace, cold_start: None };
+        let timeouts = Timeouts {
+            warm_up: WARM_UP,
+            removal_is_final: true,
+            drain_grace,
+            max_unserved: None,
+            cold_start: None,
+        };
         let routes = vec![route(1.0, Idempotency::Idempotent)];
         let capabilities = capabilities(1, settings.proxies.into(), 2000.0);
         let mut harness = PolicyHarness::with_timeouts(capabilities, channel, routes, timeouts);
@@ -170,6 +176,24 @@
     assert!(policy.longest <= settings.drain_grace, "in effect after {:?}", policy.longest);
 }
 
+/// The first server of an empty table was never sent where the channel could not deliver it within the grace: the weight itself
+/// did not count as urgent, and only urgent ones were left in the message.
+#[rstest]
+#[case::grace_too_short(ms(1250))]
+#[case::grace_long_enough(ms(1500))]
+fn first_server_of_an_empty_table_is_sent_at_once(#[case] drain_grace: Duration) {
+    let settings =
+        ChannelSettings { entries_per_s: 9200.0, proxies: 250, max_transit: ms(1100), drain_grace };
+    let mut rng = Pcg64Mcg::seed_from_u64(8);
+    let mut policy = ChannelPolicy::new(settings);
+    policy.run(Duration::from_secs(4), &mut rng);
+    (0..SERVERS).for_each(|server| policy.drain(server));
+    policy.run(Duration::from_secs(8), &mut rng);
+    policy.restore(3, None);
+    policy.run(ms(100), &mut rng);
+    assert!(policy.harness.weight(0, 3) > 0.0);
+}
+
 /// Whatever was sent before, a drain takes effect in time, if the settings leave time for one changed weight beside a drain.
 #[rstest]
 fn delay_of_a_drain_in_the_channel_is_bounded_by_the_settings_alone() {
--- a/tests/policy/helpers.rs
+++ b/tests/policy/helpers.rs
@@ -217,7 +217,8 @@
     ) -> PolicyHarness {
         let drain_grace = Some(ms(2000));
         let cold_start = Some(ColdStart { capacity: 0.2, overload_multiple: 3.0 });
-        let timeouts = Timeouts { warm_up: WARM_UP, removal_is_final, drain_grace, cold_start };
+        let timeouts =
+            Timeouts { warm_up: WARM_UP, removal_is_final, drain_grace, max_unserved: None, cold_start };
         PolicyHarness::with_timeouts(capabilities, channel, routes, timeouts)
     }
 
--- a/tests/policy/message_limit.rs
+++ b/tests/policy/message_limit.rs
@@ -27,6 +27,7 @@
     window: Duration,
     max_transit: Duration,
     drain_grace: Option<Duration>,
+    max_unserved: Option<Duration>,
 }
 
 impl LimitSettings {
@@ -35,7 +36,14 @@
         let (window, max_transit, grace) =
             (random_ms(2_000..15_000), random_ms(50..1200), random_ms(300..5_000));
         let drain_grace = rng.random_bool(0.8).then_some(grace);
-        LimitSettings { max_messages: rng.random_range(2..30), window, max_transit, drain_grace }
+        let max_messages = rng.random_range(2..30);
+        let max_unserved = rng.random_bool(0.3).then(|| Duration::from_millis(rng.random_range(300..5_000)));
+        LimitSettings { max_messages, window, max_transit, drain_grace, max_unserved }
+    }
+
+    /// The shortest time within which an urgent change has to take effect.
+    fn time_limit(&self) -> Option<Duration> {
+        [self.drain_grace, self.max_unserved].into_iter().flatten().min()
     }
 
     /// The messages that the limit leaves beside a binding and a message that arrives late.
@@ -48,18 +56,17 @@
         (self.window + ms(1)) / self.available() as u32
     }
 
-    /// The longest time that an urgent change may wait and take effect within the grace; without a grace, until the next
-    /// message of the mean interval.
+    /// The longest time that an urgent change may wait and take effect in time; without a time limit, until the next message of
+    /// the mean interval.
     fn longest_wait(&self) -> Duration {
-        let by_grace = self.drain_grace.map(|grace| grace.saturating_sub(self.max_transit));
-        by_grace.unwrap_or(self.mean_interval() + RETRY_DELAY) + STEP * 2
+        let by_limit = self.time_limit().map(|limit| limit.saturating_sub(self.max_transit));
+        by_limit.unwrap_or(self.mean_interval() + RETRY_DELAY) + STEP * 2
     }
 
     /// The number of urgent messages within a window that are sent in time whatever else was sent; `None` if the limit admits
     /// them without end.
     fn reserved(&self) -> Option<usize> {
-        let grace = self.drain_grace?;
-        let interval = grace.saturating_sub(self.max_transit + RETRY_DELAY);
+        let interval = self.time_limit()?.saturating_sub(self.max_transit + RETRY_DELAY);
         (interval < self.mean_interval()).then_some(self.available().div_ceil(2))
     }
 
@@ -77,7 +84,7 @@
     server: ServerIndex,
     /// The time at which the policy was told.
     told_at: Duration,
-    /// The weight of the server in the table at that time.
+    /// The weight of the server in the table at that time; 0 if the table had no usable server and needs one.
     weight: f32,
 }
 
@@ -111,7 +118,7 @@
 
 impl LimitedPolicy {
     fn new(settings: LimitSettings, zones: usize, servers: usize, proxies: u16) -> LimitedPolicy {
-        let LimitSettings { max_messages, window, max_transit, drain_grace } = settings;
+        let LimitSettings { max_messages, window, max_transit, drain_grace, max_unserved } = settings;
         let channel = ControlChannelLimits {
             entries_per_s: 1e6,
             max_queued_entries: 1e9,
@@ -120,7 +127,13 @@
             max_transit,
             ..CHANNEL
         };
-        let timeouts = Timeouts { warm_up: WARM_UP, removal_is_final: true, drain_grace, cold_start: None };
+        let timeouts = Timeouts {
+            warm_up: WARM_UP,
+            removal_is_final: true,
+            drain_grace,
+            max_unserved,
+            cold_start: None,
+        };
         let routes = vec![route(1.0, Idempotency::Idempotent), route(2.0, Idempotency::Idempotent)];
         let mut harness = PolicyHarness::with_timeouts(
             capabilities(zones, proxies.into(), 200.0),
@@ -167,8 +180,13 @@
             self.obligations.retain(|obligation| obligation.server != server);
         }
         if !is_ready && self.unusable.insert(server) {
-            self.oblige(server, |_, _, _| true);
-        } else if is_ready && !self.unusable.remove(&server) && age.is_some() && self.is_warm(server) {
+            self.oblige(server, |_, _, shown| shown.weight > 0.0);
+        } else if is_ready && self.unusable.contains(&server) {
+            self.oblige(server, |limited, table, shown| {
+                shown.weight == 0.0 && !limited.has_usable_server(table)
+            });
+            self.unusable.remove(&server);
+        } else if is_ready && age.is_some() && self.is_warm(server) {
             self.oblige(server, |limited, table, shown| limited.start_reduces(server, table, shown));
         }
         if age.is_some() {
@@ -183,8 +201,7 @@
     fn oblige(&mut self, server: ServerIndex, is_due: impl Fn(&LimitedPolicy, TableId, ShownWeight) -> bool) {
         self.obligations.retain(|obligation| obligation.server != server);
         let told_at = self.harness.now;
-        let holding =
-            self.weights.iter().filter(|((_, other), shown)| *other == server && shown.weight > 0.0);
+        let holding = self.weights.iter().filter(|((_, other), _)| *other == server);
         let due = holding.filter(|((table, _), shown)| is_due(self, *table, **shown));
         let new: Vec<Obligation> = due
             .map(|((table, _), shown)| Obligation { table: *table, server, told_at, weight: shown.weight })
@@ -201,7 +218,15 @@
             .collect();
         let warm = others.iter().filter(|(other, weight)| *weight > 0.0 && self.is_warm(*other)).count();
         let is_highest = others.iter().all(|(_, weight)| *weight <= shown.weight);
-        warm >= 2 && is_highest && self.harness.now - shown.set_at <= MAX_WEIGHT_AGE
+        shown.weight > 0.0 && warm >= 2 && is_highest && self.harness.now - shown.set_at <= MAX_WEIGHT_AGE
+    }
+
+    /// Returns true if a table has a server that may be used.
+    fn has_usable_server(&self, table: TableId) -> bool {
+        let is_usable = |((of, other), shown): (&(TableId, ServerIndex), &ShownWeight)| {
+            *of == table && shown.weight > 0.0 && !self.unusable.contains(other)
+        };
+        self.weights.iter().any(is_usable)
     }
 
     fn is_warm(&self, server: ServerIndex) -> bool {
@@ -211,7 +236,13 @@
     /// Returns true if the table shows an urgent change.
     fn is_met(&self, obligation: &Obligation) -> bool {
         let weight = self.weights[&(obligation.table, obligation.server)].weight;
-        if self.unusable.contains(&obligation.server) { weight == 0.0 } else { weight < obligation.weight }
+        if self.unusable.contains(&obligation.server) {
+            weight == 0.0
+        } else if obligation.weight == 0.0 {
+            self.has_usable_server(obligation.table)
+        } else {
+            weight < obligation.weight
+        }
     }
 
     /// Removes the obligations that the tables show, and records the messages that carried urgent changes.
@@ -238,12 +269,9 @@
         let shown = self.weights.get(&(table, server));
         let knows_start =
             shown.is_none_or(|shown| started_at.is_none_or(|started_at| shown.set_at > *started_at));
-        let usable = |((of, other), shown): (&(TableId, ServerIndex), &ShownWeight)| {
-            *of == table && shown.weight > 0.0 && !self.unusable.contains(other)
-        };
         let drains = self.unusable.contains(&server) && before > 0.0 && weight == 0.0;
         let protects = is_cold && weight < if knows_start { URGENT_FACTOR * before } else { before };
-        drains || protects || (weight > 0.0 && !self.weights.iter().any(usable))
+        drains || protects || (weight > 0.0 && !self.has_usable_server(table))
     }
 
     /// Advances the time by a step, and checks that no urgent change is late, unless urgent ones have used up the limit.
@@ -334,6 +362,7 @@
         window: Duration::from_secs(10),
         max_transit: ms(250),
         drain_grace: Some(ms(1500)),
+        max_unserved: None,
     };
     let mut limited = LimitedPolicy::new(settings, 3, 24, 12);
     for step in 0..2000 {
@@ -356,6 +385,7 @@
         window: Duration::from_secs(10),
         max_transit: ms(1100),
         drain_grace: Some(ms(1500)),
+        max_unserved: None,
     };
     let mut rng = Pcg64Mcg::seed_from_u64(8);
     let mut limited = LimitedPolicy::new(settings, 1, 18, 12);
@@ -384,6 +414,7 @@
         window: Duration::from_secs(10),
         max_transit: ms(500),
         drain_grace: Some(ms(2000)),
+        max_unserved: None,
     };
     let mut limited = LimitedPolicy::new(settings, 1, 6, 1);
     let loads = |server| observed(10, 0, if server == 0 { utilization } else { 0.5 }, 0.0);
@@ -403,6 +434,7 @@
         window: Duration::from_secs(10),
         max_transit: ms(1100),
         drain_grace: Some(ms(1500)),
+        max_unserved: None,
     };
     let mut rng = Pcg64Mcg::seed_from_u64(8);
     let mut limited = LimitedPolicy::new(settings, 1, 18, 12);
@@ -471,6 +503,7 @@
         window: Duration::from_secs(10),
         max_transit: ms(250),
         drain_grace: None,
+        max_unserved: None,
     };
     let mut limited = LimitedPolicy::new(settings, 2, 8, 4);
     for step in 0..300 {
--- a/tests/policy/zone_admission.rs
+++ b/tests/policy/zone_admission.rs
@@ -36,6 +36,7 @@
             warm_up: WARM_UP,
             removal_is_final: true,
             drain_grace: None,
+            max_unserved: None,
             cold_start: Some(cold_start),
         };
         let channel = ControlChannelLimits { max_messages: 0, ..CHANNEL };
