--- a/crates/write-queue/tests/write_queue.rs
+++ b/crates/write-queue/tests/write_queue.rs
@@ -70,6 +70,24 @@
     }
 }
 
+/// An aborted queue ended as that of a slow reader if the write loop ran first and the time limit had passed, as on a machine
+/// that stalls.
+#[rstest]
+#[case::time_limit_has_passed(ms(400))]
+#[case::within_the_time_limit(ms(0))]
+#[tokio::test]
+async fn an_aborted_queue_ends_as_closed_however_late_its_task_runs(#[case] late: Duration) {
+    // Which part of the task runs first is random.
+    for _ in 0..20 {
+        let (near, _far) = pair().await;
+        let queue = WriteQueue::new(WriteLimits { max_wait: ms(300), max_bytes: 24 << 20 });
+        queue.push(ms(0), &[7; 16 << 20]);
+        queue.abort();
+        let (_reader, writer) = near.into_split();
+        assert_eq!(queue.run(writer, Instant::now() - late).await, WriteOutcome::Closed);
+    }
+}
+
 /// Guards against a queue that grows without limit because its reader keeps sending requests and reads no response.
 #[rstest]
 #[tokio::test]
