Count the entries before an urgent change once a message, and split the test of the limit

Need: the time for an urgent change was computed for each number of entries, over all proxies each time, and where the channel cannot deliver a drain to all proxies in time by itself, pools would have been updated one at a time for nothing. Change: the entries that leave time are computed once; in that case only the shares of the queue hold changes back, as before. tests/policy/limited_policy.rs has the rig of the message limit's tests; no test or expectation changed.

--- a/src/policy/channel_delay.rs
+++ b/src/policy/channel_delay.rs
@@ -30,16 +30,22 @@
         self.max_urgent_delay().is_none_or(|max_delay| delivered_after <= max_delay)
     }
 
-    /// Returns true if `entries` more entries that may wait can be queued and leave time for an urgent change.
-    fn leaves_time_for_urgent(&self, now: Duration, entries: f64) -> bool {
-        let delivery_time = self.urgent_delivery_time(now, entries);
-        self.max_urgent_delay().is_none_or(|max_delay| delivery_time <= max_delay)
+    /// Returns the number of entries that can be queued and leave time for an urgent change behind them. All can, if an urgent
+    /// change would be late without them as well.
+    fn entries_before_urgent(&self, now: Duration) -> f64 {
+        let Some(max_delay) = self.max_urgent_delay() else { return f64::INFINITY };
+        let delivery_time = self.urgent_delivery_time(now, 0.0);
+        let waiting = self.channel.free_at.saturating_sub(now);
+        if delivery_time.saturating_sub(waiting) > max_delay {
+            return f64::INFINITY;
+        }
+        max_delay.saturating_sub(delivery_time).as_secs_f64() * self.channel.limits.entries_per_s
     }
 
     /// Returns true if a message of `entries` entries that may wait can be sent. An empty channel takes any message, so that
     /// such messages are sent also where the settings leave no time for them.
     pub(super) fn may_delay_urgent(&self, now: Duration, entries: f64) -> bool {
-        self.leaves_time_for_urgent(now, entries) || self.channel.free_at <= now
+        entries <= self.entries_before_urgent(now) || self.channel.free_at <= now
     }
 
     /// Removes the smallest changes, until a message with the rest, and `others` more entries, to each of `proxies` proxies
@@ -51,9 +57,8 @@
         proxies: f64,
         others: usize,
     ) {
-        let fits =
-            |count: usize| self.leaves_time_for_urgent(now, self.message_cost(proxies, count + others));
-        let fitting = (1..=changes.len()).take_while(|count| fits(*count)).count();
+        let entries = self.entries_before_urgent(now) - self.message_cost(proxies, others);
+        let fitting = (entries / proxies) as usize;
         if fitting < changes.len() && (fitting > 0 || self.channel.free_at > now) {
             changes.sort_by(|one, other| other.magnitude().total_cmp(&one.magnitude()));
             changes.truncate(fitting);
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -8,6 +8,7 @@
 mod endpoints;
 mod flooding;
 mod helpers;
+mod limited_policy;
 mod message_limit;
 mod outlier_detection;
 mod route_tables;
