--- a/crates/emulator/src/fault_day.rs
+++ b/crates/emulator/src/fault_day.rs
@@ -250,11 +250,11 @@
     }
 
     /// Starts the planner again, and updates the addresses that the links dial.
-    fn start_planner(&self) -> io::Result<()> {
+    async fn start_planner(&self) -> io::Result<()> {
         self.world.planner_began();
-        let mut host = self.host.borrow_mut();
-        let addr = host.start(&self.world.deployment, &self.source, &self.key_file)?;
-        *self.planners.borrow_mut() = addr;
+        let starting =
+            self.host.borrow_mut().restart(&self.world.deployment, &self.source, &self.key_file)?;
+        starting.update(&self.planners).await;
         Ok(())
     }
 
@@ -306,7 +306,7 @@
                 self.host.borrow_mut().kill();
                 self.world.put(Event::PlannerKilled);
                 sleep(lasts).await;
-                self.start_planner()?;
+                self.start_planner().await?;
             }
             What::PlannerStalled => {
                 self.world.put(Event::PlannerStalled);
@@ -361,7 +361,7 @@
                     self.world.put(Event::PlannerKilled);
                 }
                 self.lose_zone(zone, lasts).await?;
-                self.start_planner()?;
+                self.start_planner().await?;
             }
             What::Burst { factor } => {
                 self.world.rate_factor.set(factor);
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -4,13 +4,14 @@
 use grebespool_controller_server::{NoObserver, PassThrough, ServerConfig, UpdateFilter, serve};
 use grebespool_settings::{Deployment, ListSource, Listen, settings_text};
 use grebespool_wire::FleetKey;
+use std::cell::RefCell;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::thread::JoinHandle;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// Runs a day's planner, or several controllers of which one leads.
 pub trait PlannerHost {
@@ -26,6 +27,21 @@
         list: &ListSource,
         key_file: &Path,
     ) -> io::Result<Vec<SocketAddr>>;
+    /// Starts the planners that do not run in the middle of a day, without blocking: the emulated servers and callers run on
+    /// the same thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no planner can be started.
+    fn restart(
+        &mut self,
+        deployment: &Deployment,
+        list: &ListSource,
+        key_file: &Path,
+    ) -> io::Result<StartingPlanners> {
+        let addresses = self.start(deployment, list, key_file)?;
+        Ok(StartingPlanners { listening: Some(addresses), starting: vec![] })
+    }
     /// Kills the planner without closing its streams in order.
     fn kill(&mut self);
     /// Suspends the planner until it is resumed, at the latest after `most`.
@@ -42,6 +58,37 @@
     }
 }
 
+/// Planners that were started again.
+pub struct StartingPlanners {
+    /// The addresses of all planners, if all listen.
+    listening: Option<Vec<SocketAddr>>,
+    starting: Vec<StartingPlanner>,
+}
+
+/// A planner that does not listen yet.
+struct StartingPlanner {
+    /// The position of its address.
+    position: usize,
+    /// Receives the address once the planner listens; closed if the planner ends before.
+    address: oneshot::Receiver<SocketAddr>,
+}
+
+impl StartingPlanners {
+    /// Waits until all planners listen, and updates their addresses. A planner that ends before it listens, because it is
+    /// killed again, keeps its former address.
+    pub async fn update(self, addresses: &RefCell<Vec<SocketAddr>>) {
+        if let Some(listening) = self.listening {
+            *addresses.borrow_mut() = listening;
+        }
+        for planner in self.starting {
+            match planner.address.await {
+                Ok(address) => addresses.borrow_mut()[planner.position] = address,
+                Err(_) => eprintln!("a planner ended before it listened"),
+            }
+        }
+    }
+}
+
 /// A command to the planner's thread.
 enum HostCommand {
     /// Block the thread until the channel closes, at most for this long.
@@ -212,29 +259,66 @@
             let _ = Command::new("kill").args([name, &child.id().to_string()]).status();
         }
     }
-}
 
-impl PlannerHost for ProcessHost {
-    fn start(
+    /// Starts the process, and returns its output.
+    fn launch(
         &mut self,
         deployment: &Deployment,
         list: &ListSource,
         key_file: &Path,
-    ) -> io::Result<Vec<SocketAddr>> {
+    ) -> io::Result<ChildStdout> {
         self.kill();
         let file = self.folder.path().join("settings.ncl");
         std::fs::write(&file, settings_text(deployment, list, key_file, self.stall))?;
         let mut command = Command::new(&self.program);
         command.args(["--log", "error", "serve", "--listen", "127.0.0.1:0"]).arg(&file).args(&self.arguments);
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()?;
-        let mut line = String::new();
-        if let Some(out) = child.stdout.take() {
-            BufReader::new(out).read_line(&mut line)?;
-        }
+        let output = child.stdout.take();
         self.child = Some(child);
-        let address = line.trim().strip_prefix("listening at ").and_then(|a| a.parse().ok());
-        let started = address.map(|a| vec![a]);
-        started.ok_or_else(|| io::Error::other(format!("the planner did not start ({line:?})")))
+        output.ok_or_else(|| io::Error::other("the planner has no output"))
+    }
+
+    /// Starts the process, and returns its address once it listens.
+    fn launch_in_background(
+        &mut self,
+        deployment: &Deployment,
+        list: &ListSource,
+        key_file: &Path,
+    ) -> io::Result<oneshot::Receiver<SocketAddr>> {
+        let output = self.launch(deployment, list, key_file)?;
+        let (sender, address) = oneshot::channel();
+        std::thread::spawn(move || read_address(output).map(|address| sender.send(address)));
+        Ok(address)
+    }
+}
+
+/// Waits until a planner prints the address at which it listens.
+fn read_address(output: ChildStdout) -> io::Result<SocketAddr> {
+    let mut line = String::new();
+    BufReader::new(output).read_line(&mut line)?;
+    let address = line.trim().strip_prefix("listening at ").and_then(|address| address.parse().ok());
+    address.ok_or_else(|| io::Error::other(format!("the planner did not start ({line:?})")))
+}
+
+impl PlannerHost for ProcessHost {
+    fn start(
+        &mut self,
+        deployment: &Deployment,
+        list: &ListSource,
+        key_file: &Path,
+    ) -> io::Result<Vec<SocketAddr>> {
+        let output = self.launch(deployment, list, key_file)?;
+        Ok(vec![read_address(output)?])
+    }
+
+    fn restart(
+        &mut self,
+        deployment: &Deployment,
+        list: &ListSource,
+        key_file: &Path,
+    ) -> io::Result<StartingPlanners> {
+        let address = self.launch_in_background(deployment, list, key_file)?;
+        Ok(StartingPlanners { listening: None, starting: vec![StartingPlanner { position: 0, address }] })
     }
 
     fn kill(&mut self) {
@@ -305,6 +389,20 @@
         Ok(self.addresses.clone())
     }
 
+    fn restart(
+        &mut self,
+        deployment: &Deployment,
+        list: &ListSource,
+        key_file: &Path,
+    ) -> io::Result<StartingPlanners> {
+        let mut starting = vec![];
+        for (position, planner) in self.planners.iter_mut().enumerate().filter(|(_, p)| p.id().is_none()) {
+            let address = planner.launch_in_background(deployment, list, key_file)?;
+            starting.push(StartingPlanner { position, address });
+        }
+        Ok(StartingPlanners { listening: None, starting })
+    }
+
     fn kill(&mut self) {
         let next = self.turn % self.planners.len();
         self.turn += 1;
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -15,5 +15,5 @@
 
 pub use fault_day::{Progress, RehearsedDay, rehearse};
 pub use fleet::{FleetHost, free_ports};
-pub use host::{PlannerHost, ProcessHost, SeveralHost, ThreadHost};
+pub use host::{PlannerHost, ProcessHost, SeveralHost, StartingPlanners, ThreadHost};
 pub use world::listed;
